Set down the workspace and one path from caller to engine

Cause: nothing existed. The shape (small libraries, one task for each connection and each peer, attrs classes, match on data classes) has to be fixed by code before parts are divided.

Ruled out: one package with sub-modules (import-linter could not hold the arrows between installable parts); a separate core of pure state machines (the house style excludes it).

Change: eight libraries, daemon, operators' tool and stand-ins; ask, grant, stream and release go between two daemons over Cap'n Proto frames.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := $(wildcard libs/*/) apps/cowslipstepd apps/cowslipstep standins
+SOURCES := libs apps standins tests bench
+STAMP := .venv/.installed
+
+.PHONY: setup demo serve test lint format bench
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(wildcard libs/*/pyproject.toml) $(wildcard apps/*/pyproject.toml) standins/pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(addprefix -e ./,$(PACKAGES))
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m cowslipstep_standins.demo
+
+serve: setup
+	$(BIN)/python -m cowslipstep_standins.demo --serve
+
+test: setup
+	$(BIN)/python -m pytest -q
+
+lint: setup
+	$(BIN)/ruff format --check -q $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy -p cowslipstep -p cowslipstep_standins
+	$(BIN)/lint-imports --no-cache
+
+format: setup
+	$(BIN)/ruff format -q $(SOURCES)
+
+bench: setup
+	$(BIN)/python bench/run.py $(if $(BENCH),--only $(BENCH))
--- /dev/null
+++ b/apps/cowslipstep/src/cowslipstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command-line tool."""
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: joins the libraries into one process."""
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -0,0 +1,46 @@
+"""Entry point of the ``cowslipstepd`` command."""
+
+from __future__ import annotations
+
+import warnings
+
+warnings.filterwarnings(
+    'ignore', category=DeprecationWarning, module='eventlet'
+)
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+
+import typer  # noqa: E402
+from loguru import logger  # noqa: E402
+
+from cowslipstep.daemon._daemon import run_daemon  # noqa: E402
+from cowslipstep.settings import load_daemon_settings  # noqa: E402
+
+
+def run(
+    settings: pathlib.Path = typer.Argument(help='settings file, JSON'),
+) -> None:
+    """Run a cowslipstep daemon."""
+    logger.remove()
+    logger.add(sys.stderr, serialize=True, level='INFO')
+    try:
+        loaded = load_daemon_settings(settings)
+    except ExceptionGroup as group:
+        for problem in group.exceptions:
+            typer.echo(f'error: {problem}', err=True)
+        raise typer.Exit(2) from None
+    run_daemon(loaded)
+
+
+def main() -> None:
+    """Entry point of ``cowslipstepd``."""
+    typer.run(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
@@ -0,0 +1,190 @@
+"""WSGI application for callers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from loguru import logger
+
+from cowslipstep.daemon._callers import (
+    find_workspace,
+    new_request_id,
+    parse_completion,
+)
+from cowslipstep.daemon._delivery import AnswerHead, DeliveryService
+from cowslipstep.daemon._hangup import CallerGone, raise_on_hangup
+from cowslipstep.daemon._http import (
+    Environ,
+    JsonAnswer,
+    StartResponse,
+    error_answer,
+    read_body,
+    send_json,
+    status_line,
+)
+from cowslipstep.daemon._services import ServiceCalls, ServiceRequest
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.model import Configuration, NotRun, Reason, RequestError
+
+_COMPLETION_PATHS = ('/v1/chat/completions', '/v1/completions')
+_SERVICES_PREFIX = '/services/'
+_OK = 200
+_NOT_FOUND = 404
+_CLIENT_CLOSED = 499
+_INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
+
+
+class EntryApplication:
+    """Answers callers; each call of it handles one request.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    delivery
+        Runs requests on groups.
+    services
+        Sends calls to plain services.
+    """
+
+    def __init__(
+        self,
+        state: DaemonState,
+        delivery: DeliveryService,
+        services: ServiceCalls,
+    ) -> None:
+        self._state = state
+        self._delivery = delivery
+        self._services = services
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        request_id = new_request_id()
+        with logger.contextualize(request_id=request_id):
+            try:
+                return self._route(environ, start_response, request_id)
+            except RequestError as error:
+                logger.bind(verdict=error.verdict.code).info('{}', error)
+                answer = error_answer(error, request_id)
+            except CallerGone:
+                logger.info('the caller closed its connection')
+                answer = JsonAnswer(_CLIENT_CLOSED, {})
+            except Exception:
+                logger.exception('request failed')
+                answer = error_answer(_internal_error(), request_id)
+            return send_json(start_response, answer)
+
+    def _route(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+    ) -> Iterable[bytes]:
+        match environ['PATH_INFO']:
+            case '/healthz':
+                return send_json(start_response, JsonAnswer(_OK, {'ok': True}))
+            case '/readyz':
+                return send_json(start_response, self._readiness())
+            case '/metrics':
+                return self._metrics(start_response)
+            case path if path in _COMPLETION_PATHS:
+                pieces = self._complete(environ, request_id)
+            case path if path.startswith(_SERVICES_PREFIX):
+                pieces = self._call_service(environ, request_id)
+            case path:
+                raise RequestError(
+                    NotRun(Reason.not_found),
+                    f'nothing at {path}',
+                    _NOT_FOUND,
+                )
+        with raise_on_hangup(environ):
+            head = next(pieces)
+        return _begin(head, pieces, start_response, request_id)
+
+    def _configuration(self) -> Configuration:
+        if self._state.configuration is None or self._state.stopping:
+            raise RequestError(
+                NotRun(Reason.not_ready, retry_after_s=1),
+                'the daemon is not ready',
+                _UNAVAILABLE,
+            )
+        return self._state.configuration
+
+    def _complete(
+        self,
+        environ: Environ,
+        request_id: str,
+    ) -> Iterator[AnswerHead | bytes]:
+        configuration = self._configuration()
+        body = read_body(environ, self._state.settings.max_body_bytes)
+        return self._delivery.deliver(
+            parse_completion(environ, body, configuration, request_id),
+        )
+
+    def _call_service(
+        self,
+        environ: Environ,
+        request_id: str,
+    ) -> Iterator[AnswerHead | bytes]:
+        configuration = self._configuration()
+        workspace = find_workspace(environ, configuration)
+        body = read_body(environ, self._state.settings.max_body_bytes)
+        rest = environ['PATH_INFO'].removeprefix(_SERVICES_PREFIX)
+        service, _, path = rest.partition('/')
+        query = environ.get('QUERY_STRING', '')
+        request = ServiceRequest(
+            request_id,
+            workspace.name,
+            service,
+            environ['REQUEST_METHOD'],
+            f'/{path}?{query}' if query else f'/{path}',
+            body,
+            environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+            environ.get('CONTENT_TYPE', ''),
+        )
+        return self._services.deliver(request, configuration)
+
+    def _readiness(self) -> JsonAnswer:
+        ready = self._state.configuration is not None
+        if ready and not self._state.stopping:
+            return JsonAnswer(_OK, {'ready': True})
+        return JsonAnswer(_UNAVAILABLE, {'ready': False})
+
+    def _metrics(self, start_response: StartResponse) -> Iterable[bytes]:
+        start_response('200 OK', [('Content-Type', 'text/plain')])
+        lines = [
+            *self._state.counters.render(),
+            *self._state.histograms.render(),
+        ]
+        return [f'{line}\n'.encode() for line in lines]
+
+
+def _begin(
+    head: AnswerHead | bytes,
+    pieces: Iterator[AnswerHead | bytes],
+    start_response: StartResponse,
+    request_id: str,
+) -> Iterable[bytes]:
+    match head:
+        case AnswerHead(status, content_type):
+            start_response(
+                status_line(status),
+                [
+                    ('Content-Type', content_type or 'application/json'),
+                    ('X-Request-Id', request_id),
+                ],
+            )
+    return pieces  # type: ignore[return-value]
+
+
+def _internal_error() -> RequestError:
+    return RequestError(
+        NotRun(Reason.internal),
+        'internal error',
+        _INTERNAL_ERROR,
+    )
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
@@ -0,0 +1,44 @@
+"""Notices callers that close their connection."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import eventlet
+from eventlet import hubs
+from eventlet.greenthread import getcurrent, kill
+
+from cowslipstep.daemon._http import Environ
+
+
+class CallerGone(Exception):
+    """The caller closed its connection before the answer was complete."""
+
+
+@contextlib.contextmanager
+def raise_on_hangup(environ: Environ) -> Iterator[None]:
+    """Raise ``CallerGone`` in the current task when the caller hangs up.
+
+    The exception is raised at the point where the task waits.
+    """
+    connection = environ['wsgi.input'].get_socket()
+    watcher = eventlet.spawn(_watch, connection, getcurrent())
+    try:
+        yield
+    finally:
+        watcher.kill()
+
+
+def _watch(connection: socket.socket, waiting: object) -> None:
+    hubs.trampoline(connection.fileno(), read=True)
+    if not _has_bytes(connection):
+        kill(waiting, CallerGone())
+
+
+def _has_bytes(connection: socket.socket) -> bool:
+    try:
+        return bool(connection.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- /dev/null
+++ b/libs/model/src/cowslipstep/model/_configuration.py
@@ -0,0 +1,127 @@
+"""The configuration document that operators submit."""
+
+from __future__ import annotations
+
+from attrs import field, frozen, validators
+
+from cowslipstep.model._fleet import Address, Runner
+
+_NAME_PATTERN = '[a-z0-9][a-z0-9_.-]{0,62}'
+
+
+def _name() -> str:
+    return field(validator=validators.matches_re(_NAME_PATTERN))
+
+
+@frozen
+class Rank:
+    """A class of work; the order of ranks in the document is the priority.
+
+    Parameters
+    ----------
+    name
+        Name in the ``X-Rank`` header.
+    target_first_token_s
+        Target time to the first token, seconds.
+    worth
+        Relative worth of a request answered in time.
+    floor_share
+        Share of the capacity kept in a flood of other ranks, 0 to 1.
+    """
+
+    name: str = _name()
+    target_first_token_s: float = field(validator=validators.gt(0))
+    worth: float = field(default=1, validator=validators.ge(0))
+    floor_share: float = field(
+        default=0,
+        validator=[validators.ge(0), validators.le(1)],
+    )
+
+
+@frozen
+class Workspace:
+    """A customer that shares the fleet with others.
+
+    Parameters
+    ----------
+    name
+        Name in logs, metrics and reports.
+    key_sha256
+        SHA-256 digests, in hexadecimal, of the bearer keys.
+    weight
+        Weight in fair queueing.
+    tokens_per_s
+        Rate limit in tokens a second; zero for none.
+    max_in_progress
+        Limit of requests in progress; zero for none.
+    """
+
+    name: str = _name()
+    key_sha256: tuple[str, ...] = ()
+    weight: float = field(default=1, validator=validators.gt(0))
+    tokens_per_s: float = field(default=0, validator=validators.ge(0))
+    max_in_progress: int = field(default=0, validator=validators.ge(0))
+
+
+@frozen
+class Model:
+    """A language model served by groups.
+
+    Parameters
+    ----------
+    name
+        Name in the ``model`` field of requests.
+    hosts_per_group
+        Number of hosts that one group spans.
+    groups
+        Number of groups wanted in the whole fleet.
+    slots_per_group
+        Requests that a group runs at once.
+    """
+
+    name: str = _name()
+    hosts_per_group: int = field(default=4, validator=validators.ge(1))
+    groups: int = field(default=1, validator=validators.ge(0))
+    slots_per_group: int = field(default=8, validator=validators.ge(1))
+
+
+@frozen
+class PlainService:
+    """A plain HTTP service that requests are routed to.
+
+    Parameters
+    ----------
+    name
+        First path segment after ``/services/``.
+    addresses
+        Upstream addresses.
+    slots_per_runner
+        Calls that one upstream runs at once.
+    non_idempotent_paths
+        Path prefixes whose POST calls may not be repeated.
+    """
+
+    name: str = _name()
+    addresses: tuple[Address, ...] = ()
+    slots_per_runner: int = field(default=8, validator=validators.ge(1))
+    non_idempotent_paths: tuple[str, ...] = ()
+
+
+@frozen
+class Configuration:
+    """All that operators configure, as one versioned document."""
+
+    ranks: tuple[Rank, ...] = field(validator=validators.min_len(1))
+    workspaces: tuple[Workspace, ...] = ()
+    models: tuple[Model, ...] = ()
+    runners: tuple[Runner, ...] = ()
+    services: tuple[PlainService, ...] = ()
+    key_retention_s: float = field(default=86400, validator=validators.gt(0))
+
+
+@frozen
+class VersionedConfiguration:
+    """A configuration and the platform's version of it."""
+
+    version: int
+    configuration: Configuration
--- /dev/null
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -0,0 +1,88 @@
+@0xd5b1c0f2a9e34a71;
+
+# Messages between daemons. Durations are in milliseconds.
+
+struct Frame {
+  # Ties a reply to its call; zero for messages without a reply.
+  call @0 :UInt64;
+  reply @1 :Bool;
+  union {
+    acknowledgement @2 :Void;
+    ask @3 :Ask;
+    grant @4 :Grant;
+    refusal @5 :Refusal;
+    renewal @6 :Renewal;
+    release @7 :Release;
+    heartbeat @8 :Heartbeat;
+    configurationQuery @9 :UInt64;
+    configurationCopy @10 :ConfigurationCopy;
+  }
+}
+
+struct Cell {
+  model @0 :Text;
+  failureDomain @1 :Text;
+}
+
+struct Request {
+  requestId @0 :Text;
+  workspace @1 :Text;
+  rank @2 :Text;
+  model @3 :Text;
+  promptTokens @4 :UInt32;
+  outputTokens @5 :UInt32;
+  timeoutMs @6 :UInt32;
+  idempotent @7 :Bool;
+  prefixHash @8 :UInt64;
+}
+
+struct Ask {
+  cell @0 :Cell;
+  request @1 :Request;
+  avoid @2 :List(Text);
+}
+
+struct Grant {
+  requestId @0 :Text;
+  group @1 :Text;
+  ip @2 :Text;
+  port @3 :UInt16;
+  validMs @4 :UInt32;
+}
+
+struct Refusal {
+  requestId @0 :Text;
+  reason @1 :Text;
+  retryAfterMs @2 :UInt32;
+}
+
+struct Renewal {
+  cell @0 :Cell;
+  requestId @1 :Text;
+  streamedTokens @2 :UInt32;
+}
+
+struct Release {
+  cell @0 :Cell;
+  requestId @1 :Text;
+  streamedTokens @2 :UInt32;
+  failed @3 :Bool;
+}
+
+struct GroupReadiness {
+  group @0 :Text;
+  remainingMs @1 :UInt32;
+}
+
+struct Heartbeat {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  configurationVersion @2 :UInt64;
+  readiness @3 :List(GroupReadiness);
+  stopping @4 :Bool;
+}
+
+struct ConfigurationCopy {
+  version @0 :UInt64;
+  document @1 :Text;
+}
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_ownership.py
@@ -0,0 +1,40 @@
+"""Soft ownership by rendezvous hashing over the live daemons.
+
+References
+----------
+D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase
+hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+_SCORE_BYTES = 8
+
+
+def rank_owners(name: str, daemons: Iterable[str]) -> tuple[str, ...]:
+    """Order daemons by their claim to own ``name``, the owner first.
+
+    A daemon that joins or leaves changes only the owners of the names that
+    it gains or loses.
+
+    Examples
+    --------
+    >>> rank_owners('cell', ['a', 'b', 'c']) == rank_owners(
+    ...     'cell', ['c', 'b', 'a']
+    ... )
+    True
+    """
+    return tuple(
+        sorted(daemons, key=lambda daemon: _score(name, daemon), reverse=True),
+    )
+
+
+def _score(name: str, daemon: str) -> int:
+    digest = hashlib.blake2b(
+        f'{daemon}\0{name}'.encode(),
+        digest_size=_SCORE_BYTES,
+    )
+    return int.from_bytes(digest.digest(), 'big')
--- /dev/null
+++ b/libs/settings/src/cowslipstep/settings/_daemon.py
@@ -0,0 +1,83 @@
+"""Settings of one daemon, read from a JSON file at its start."""
+
+from __future__ import annotations
+
+import pathlib
+
+from attrs import field, frozen, validators
+
+from cowslipstep.model import Address, DocumentError
+from cowslipstep.settings._converter import parse_json, structure
+
+
+@frozen
+class PeerSettings:
+    """Another daemon: its name, peer address and failure domain."""
+
+    name: str
+    address: Address
+    failure_domain: str
+
+
+@frozen
+class DaemonSettings:
+    """Settings of one daemon.
+
+    Parameters
+    ----------
+    name
+        Unique name among the daemons.
+    failure_domain
+        Failure domain of the daemon's host.
+    http_address
+        Where callers connect.
+    peer_address
+        Where other daemons connect.
+    platform_address
+        Address of the platform's object API.
+    peers
+        The other daemons known at the start.
+    max_body_bytes
+        Largest request body that is read, bytes.
+    stop_grace_s
+        Longest wait for streams in a planned stop, seconds.
+    unready_delay_s
+        Time between ``/readyz`` off and the end of intake, seconds.
+    """
+
+    name: str = field(validator=validators.min_len(1))
+    failure_domain: str = field(validator=validators.min_len(1))
+    http_address: Address
+    peer_address: Address
+    platform_address: Address
+    peers: tuple[PeerSettings, ...] = ()
+    max_body_bytes: int = field(default=1048576, validator=validators.gt(0))
+    stop_grace_s: float = field(default=600, validator=validators.ge(0))
+    unready_delay_s: float = field(default=2, validator=validators.ge(0))
+
+
+def parse_daemon_settings(text: str | bytes) -> DaemonSettings:
+    """Read the settings of a daemon from JSON text.
+
+    Raises
+    ------
+    ExceptionGroup
+        Holds one ``DocumentError`` for each mistake.
+    """
+    return structure(parse_json(text), DaemonSettings)
+
+
+def load_daemon_settings(path: pathlib.Path) -> DaemonSettings:
+    """Read the settings of a daemon from a file.
+
+    Raises
+    ------
+    ExceptionGroup
+        Holds one ``DocumentError`` for each mistake.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        problem = DocumentError('$', f'cannot read {path}: {error.strerror}')
+        raise ExceptionGroup('no settings', [problem]) from None
+    return parse_daemon_settings(text)
--- /dev/null
+++ b/standins/src/cowslipstep_standins/_batch.py
@@ -0,0 +1,75 @@
+"""Continuous batching: a limited number of slots, given by priority."""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import itertools
+from collections.abc import Iterator
+
+from eventlet.event import Event
+
+
+class Batch:
+    """Slots of one engine group.
+
+    Parameters
+    ----------
+    slots
+        Number of requests that run at once.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self._free = slots
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, Event]] = []
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """Number of requests that hold a slot."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a slot."""
+        return len(self._waiting)
+
+    @contextlib.contextmanager
+    def slot(self, priority: int) -> Iterator[None]:
+        """Hold a slot; lower priorities go first."""
+        self._acquire(priority)
+        try:
+            yield
+        finally:
+            self._release()
+
+    def _acquire(self, priority: int) -> None:
+        if self._free and not self._waiting:
+            self._free -= 1
+            self._running += 1
+            return
+        turn = Event()
+        entry = (priority, next(self._order), turn)
+        heapq.heappush(self._waiting, entry)
+        try:
+            turn.wait()
+        except BaseException:
+            self._withdraw(entry)
+            raise
+
+    def _withdraw(self, entry: tuple[int, int, Event]) -> None:
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+            heapq.heapify(self._waiting)
+            return
+        self._release()
+
+    def _release(self) -> None:
+        self._running -= 1
+        if not self._waiting:
+            self._free += 1
+            return
+        _, _, turn = heapq.heappop(self._waiting)
+        self._running += 1
+        turn.send(None)
--- /dev/null
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -0,0 +1,146 @@
+"""One engine host: its assignment, health, orders and records."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import Any
+
+from attrs import define, field
+
+from cowslipstep_standins._batch import Batch
+
+_PREFIX_CHARS = 64
+
+
+@define
+class EngineFaults:
+    """What goes wrong on a host: set by tests.
+
+    Attributes
+    ----------
+    dead
+        Connections are closed without an answer.
+    frozen
+        Connections are held without an answer.
+    leaving
+        The host says that it is leaving and refuses new requests.
+    slow_factor
+        Multiplies the time between tokens.
+    cut_after_tokens
+        A stream is cut after so many tokens; negative for never.
+    refuse_status
+        HTTP status line of each new request; empty for none.
+    """
+
+    dead: bool = False
+    frozen: bool = False
+    leaving: bool = False
+    slow_factor: float = 1
+    cut_after_tokens: int = -1
+    refuse_status: str = ''
+
+
+@define
+class Run:
+    """Record of one request that the engine really ran."""
+
+    request_id: str
+    key: str
+    digest: str
+    group: str
+    started_s: float
+    first_token: int
+    missing_members: list[str]
+    tokens: int = 0
+    outcome: str = 'running'
+
+
+@define
+class AppliedOrder:
+    """Record of one order that took effect."""
+
+    order: str
+    group: str
+    fence: int
+    at_s: float
+
+
+@define
+class EngineHost:
+    """State of one host; ``fencing`` says whether old orders are refused."""
+
+    name: str
+    fencing: bool
+    batch: Batch
+    load_s: float = 0
+    token_s: float = 0.002
+    group: str = ''
+    model: str = ''
+    members: list[str] = field(factory=list)
+    fence: int = 0
+    ready_at_s: float = 0
+    faults: EngineFaults = field(factory=EngineFaults)
+    runs: list[Run] = field(factory=list)
+    orders: list[AppliedOrder] = field(factory=list)
+    cached: list[str] = field(factory=list)
+
+    @property
+    def state(self) -> str:
+        """One of ``idle``, ``loading``, ``leaving`` and ``ready``."""
+        if self.faults.leaving:
+            return 'leaving'
+        if not self.group:
+            return 'idle'
+        if time.monotonic() < self.ready_at_s:
+            return 'loading'
+        return 'ready'
+
+    def health(self) -> Any:
+        """The document of ``GET /health``."""
+        return {
+            'host': self.name,
+            'group': self.group,
+            'model': self.model,
+            'state': self.state,
+            'fence': self.fence,
+            'running': self.batch.running,
+            'waiting': self.batch.waiting,
+        }
+
+    def apply_order(self, order: Any) -> bool:
+        """Carry out an order; return false if its fence is too old."""
+        fence = int(order['fence'])
+        if self.fencing and fence < self.fence:
+            return False
+        self.fence = max(self.fence, fence)
+        match order['order']:
+            case 'assign':
+                self._assign(order)
+            case 'release':
+                self.group = ''
+                self.model = ''
+                self.members = []
+        self.orders.append(
+            AppliedOrder(
+                order['order'],
+                order.get('group', ''),
+                fence,
+                time.monotonic(),
+            ),
+        )
+        return True
+
+    def note_prefix(self, prompt: str) -> None:
+        """Remember that the head of a prompt is cached now."""
+        head = prompt[:_PREFIX_CHARS].encode()
+        self.cached.append(hashlib.sha256(head).hexdigest())
+
+    def _assign(self, order: Any) -> None:
+        if order['group'] == self.group:
+            return
+        if order['model'] != self.model:
+            self.ready_at_s = time.monotonic() + self.load_s
+        self.group = order['group']
+        self.model = order['model']
+        self.members = list(order['members'])
--- /dev/null
+++ b/standins/src/cowslipstep_standins/_object_store.py
@@ -0,0 +1,122 @@
+"""Objects with versions, conditional changes and watches."""
+
+from __future__ import annotations
+
+import time
+
+import eventlet
+from attrs import define
+from eventlet.event import Event
+
+from cowslipstep_standins._http import HttpAnswer, HttpRequest
+
+_MAX_BODY_BYTES = 1048576
+_MISSING = HttpAnswer('404 Not Found')
+
+
+@define
+class _Entry:
+    version: int
+    body: str
+
+
+class ObjectStore:
+    """Holds objects in memory; one version counter serves all of them."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._version = 0
+        self._changed = Event()
+
+    def answer(self, request: HttpRequest) -> HttpAnswer:
+        """Carry out one call."""
+        name = '/'.join(request.segments[1:])
+        match request.method:
+            case 'GET' if len(request.segments) == 2:
+                return self._listing(name)
+            case 'GET':
+                return self._read(name, request)
+            case 'POST':
+                return self._create(name, request)
+            case 'PUT':
+                return self._update(name, request)
+            case 'DELETE':
+                return self._delete(name, request)
+        return HttpAnswer('405 Method Not Allowed')
+
+    def _listing(self, kind: str) -> HttpAnswer:
+        prefix = f'{kind}/'
+        listed = [
+            {
+                'name': name.removeprefix(prefix),
+                'version': entry.version,
+                'body': entry.body,
+            }
+            for name, entry in sorted(self._entries.items())
+            if name.startswith(prefix)
+        ]
+        return HttpAnswer('200 OK', {'objects': listed})
+
+    def _read(self, name: str, request: HttpRequest) -> HttpAnswer:
+        known = int(request.query.get('after', -1))
+        end = time.monotonic() + float(request.query.get('wait_s', 0))
+        self._wait_newer(name, known, end)
+        entry = self._entries.get(name)
+        if entry is None and known < 0:
+            return _MISSING
+        if entry is None or entry.version <= known:
+            return HttpAnswer('304 Not Modified')
+        return _entry_answer('200 OK', entry)
+
+    def _wait_newer(self, name: str, known: int, end: float) -> None:
+        while known >= 0 and time.monotonic() < end:
+            entry = self._entries.get(name)
+            if entry is not None and entry.version > known:
+                return
+            with eventlet.Timeout(end - time.monotonic(), False):
+                self._changed.wait()
+
+    def _create(self, name: str, request: HttpRequest) -> HttpAnswer:
+        if name in self._entries:
+            return _entry_answer('409 Conflict', self._entries[name])
+        return self._write(name, request)
+
+    def _update(self, name: str, request: HttpRequest) -> HttpAnswer:
+        entry = self._entries.get(name)
+        if entry is None:
+            return _MISSING
+        if entry.version != int(request.query['version']):
+            return _entry_answer('409 Conflict', entry)
+        return self._write(name, request)
+
+    def _delete(self, name: str, request: HttpRequest) -> HttpAnswer:
+        entry = self._entries.get(name)
+        if entry is None:
+            return _MISSING
+        if entry.version != int(request.query['version']):
+            return _entry_answer('409 Conflict', entry)
+        self._entries.pop(name)
+        self._notify()
+        return HttpAnswer('200 OK')
+
+    def _write(self, name: str, request: HttpRequest) -> HttpAnswer:
+        body = request.document['body']
+        if len(body) > _MAX_BODY_BYTES:
+            return HttpAnswer('413 Content Too Large')
+        self._version += 1
+        entry = _Entry(self._version, body)
+        self._entries[name] = entry
+        self._notify()
+        return _entry_answer('200 OK', entry)
+
+    def _notify(self) -> None:
+        changed = self._changed
+        self._changed = Event()
+        changed.send(None)
+
+
+def _entry_answer(status: str, entry: _Entry) -> HttpAnswer:
+    return HttpAnswer(
+        status,
+        {'version': entry.version, 'body': entry.body},
+    )
--- /dev/null
+++ b/standins/src/cowslipstep_standins/_platform_api.py
@@ -0,0 +1,101 @@
+"""The platform's calls, with switches for faults and a count of calls."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import Any
+
+import eventlet
+from attrs import define, field
+
+from cowslipstep_standins._http import (
+    Environ,
+    HttpAnswer,
+    HttpRequest,
+    StartResponse,
+    read_request,
+    send_json,
+)
+from cowslipstep_standins._object_store import ObjectStore
+
+_CHANGES = ('POST', 'PUT', 'DELETE')
+
+
+@define
+class Faults:
+    """What goes wrong: set by tests.
+
+    ``lose_answers`` is the number of changes to come that take effect but
+    whose answer is lost; ``cut_off`` names daemons whose calls fail.
+    """
+
+    outage: bool = False
+    delay_s: float = 0
+    lose_answers: int = 0
+    lose_kind: str = ''
+    cut_off: list[str] = field(factory=list)
+
+
+class PlatformApi:
+    """WSGI application of the stand-in."""
+
+    def __init__(self) -> None:
+        self._store = ObjectStore()
+        self._faults = Faults()
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._hosts: Any = {'live': [], 'leaving': []}
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        request = read_request(environ)
+        if request.segments[0] == 'standin':
+            return send_json(start_response, self._control(request))
+        answer = self._answer(request)
+        return send_json(start_response, answer)
+
+    def _control(self, request: HttpRequest) -> HttpAnswer:
+        if request.method == 'PUT':
+            self._faults = Faults(**request.document)
+        return HttpAnswer('200 OK', {'counts': dict(self._counts)})
+
+    def _answer(self, request: HttpRequest) -> HttpAnswer:
+        self._counts[self._count_name(request)] += 1
+        if self._faults.delay_s:
+            eventlet.sleep(self._faults.delay_s)
+        if self._fails(request):
+            return HttpAnswer('503 Service Unavailable')
+        answer = self._dispatch(request)
+        if self._loses_answer(request):
+            return HttpAnswer('504 Gateway Timeout')
+        return answer
+
+    def _count_name(self, request: HttpRequest) -> str:
+        kind = request.segments[min(1, len(request.segments) - 1)]
+        method = 'WATCH' if 'wait_s' in request.query else request.method
+        return f'{method} {kind}'
+
+    def _fails(self, request: HttpRequest) -> bool:
+        sender = request.headers.get('user-agent', '')
+        return self._faults.outage or sender in self._faults.cut_off
+
+    def _loses_answer(self, request: HttpRequest) -> bool:
+        loses = (
+            self._faults.lose_answers > 0
+            and request.method in _CHANGES
+            and self._faults.lose_kind in request.path
+        )
+        if loses:
+            self._faults.lose_answers -= 1
+        return loses
+
+    def _dispatch(self, request: HttpRequest) -> HttpAnswer:
+        if request.segments[0] != 'hosts':
+            return self._store.answer(request)
+        if request.method == 'PUT':
+            self._hosts = request.document
+        return HttpAnswer('200 OK', self._hosts)
--- /dev/null
+++ b/standins/src/cowslipstep_standins/_service_api.py
@@ -0,0 +1,97 @@
+"""Calls of the plain service, with faults and records."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+
+import attrs
+import eventlet
+from attrs import define
+
+from cowslipstep_standins._http import (
+    Environ,
+    HttpAnswer,
+    HttpRequest,
+    StartResponse,
+    read_request,
+    send_json,
+    sever,
+)
+
+
+@define
+class ServiceFaults:
+    """What goes wrong; the ``cut_`` fields count calls to come."""
+
+    delay_s: float = 0
+    cut_before_run: int = 0
+    cut_after_run: int = 0
+    refuse: bool = False
+
+
+@define
+class ServedCall:
+    """Record of one call that ran."""
+
+    request_id: str
+    key: str
+    method: str
+    path: str
+    body: str
+    started_s: float
+
+
+class ServiceApi:
+    """WSGI application of the stand-in."""
+
+    def __init__(self) -> None:
+        self._faults = ServiceFaults()
+        self._calls: list[ServedCall] = []
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        request = read_request(environ)
+        if request.segments[0] == 'standin':
+            return send_json(start_response, self._control(request))
+        if self._faults.refuse:
+            refusal = HttpAnswer('503 Service Unavailable', {'ran': False})
+            return send_json(start_response, refusal)
+        if self._faults.cut_before_run:
+            self._faults.cut_before_run -= 1
+            sever(environ)
+            return []
+        answer = self._run(request)
+        if self._faults.cut_after_run:
+            self._faults.cut_after_run -= 1
+            sever(environ)
+            return []
+        return send_json(start_response, answer)
+
+    def _control(self, request: HttpRequest) -> HttpAnswer:
+        if request.method == 'PUT':
+            self._faults = ServiceFaults(**request.document)
+        calls = [attrs.asdict(call) for call in self._calls]
+        return HttpAnswer('200 OK', {'calls': calls})
+
+    def _run(self, request: HttpRequest) -> HttpAnswer:
+        self._calls.append(
+            ServedCall(
+                request.headers.get('x-request-id', ''),
+                request.headers.get('idempotency-key', ''),
+                request.method,
+                request.path,
+                request.body.decode(errors='replace'),
+                time.monotonic(),
+            ),
+        )
+        if self._faults.delay_s:
+            eventlet.sleep(self._faults.delay_s)
+        return HttpAnswer(
+            '200 OK',
+            {'number': len(self._calls), 'echo': self._calls[-1].body},
+        )
--- /dev/null
+++ b/standins/src/cowslipstep_standins/platform.py
@@ -0,0 +1,39 @@
+"""Stand-in for the platform's object API: a process that holds objects.
+
+Calls: ``GET/POST/PUT/DELETE /objects/<kind>/<name>``, ``GET
+/objects/<kind>``, a watch by ``?after=<version>&wait_s=<seconds>``,
+``GET/PUT /hosts`` for the list of live and leaving hosts. Faults are set
+by ``PUT /standin/faults`` and counts read by ``GET /standin/counts``.
+"""
+
+from __future__ import annotations
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import typer  # noqa: E402
+
+from cowslipstep_standins._http import (  # noqa: E402
+    exit_on_signals,
+    listen,
+    serve,
+)
+from cowslipstep_standins._platform_api import PlatformApi  # noqa: E402
+
+
+def run(
+    address: str = typer.Option('127.0.0.1:9000', help='ip:port'),
+) -> None:
+    """Serve the object API until ended."""
+    exit_on_signals()
+    serve(listen(address), PlatformApi())
+
+
+def main() -> None:
+    """Entry point of ``cowslipstep-platform``."""
+    typer.run(run)
+
+
+if __name__ == '__main__':
+    main()
