Put the keeper's lease into the ledger and keep groups by it

Cause: each daemon read all ledgers every 0.4 s, any daemon that believed itself the owner changed them and gave orders, and a group that had lost a member was never formed anew.

Change: the ledger of a fabric domain carries the lease; one conditional update takes or renews the lease and changes groups, and the object's version is the fencing number of orders. A lost answer is resolved by reading the writer's attempt id back. The holder stops 2 s before the end by its own clock, checked after connecting and before the order is sent; a taker sees the same version for the whole lease and 1 s more. Soft ownership says who tries. Hosts are probed by one task each; readiness is worked out when it is sent. Broken groups are dissolved and formed anew from spares, orders are repeated until the engines' own word agrees, and hosts in no group are released. Leaving hosts, drains and stragglers get no new work and are taken out when the work has ended. Ledgers are read when an unknown group is heard of, since its name begins with the domain.

Ruled out: a lease object beside the ledger (two calls for each renewal, and an update by a former holder could still succeed); one claim object for each host (a group of four needs four updates that can half succeed).

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -6,7 +6,7 @@
 from cowslipstep.daemon._configuration import ConfigurationFeed
 from cowslipstep.daemon._delivery import DeliveryService
 from cowslipstep.daemon._entry import EntryApplication
-from cowslipstep.daemon._groups import PERIOD_S, GroupService
+from cowslipstep.daemon._groups import GroupService
 from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._peers import Heartbeats, PeerService
 from cowslipstep.daemon._server import serve_until, stop_event
@@ -42,6 +42,6 @@
     feed = ConfigurationFeed(state)
     groups = GroupService(state)
     start_task('configuration', repeat(0, feed.watch))
-    start_task('groups', repeat(PERIOD_S, groups.step))
+    groups.start()
     PeerService(state, feed, cells).start()
     Heartbeats(state, feed, groups.own_readiness).start(links)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_group_events.py
@@ -0,0 +1,38 @@
+"""Events of groups that were formed or dissolved."""
+
+from __future__ import annotations
+
+from cowslipstep.daemon._events import note_event
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.groups import DomainLedger, DomainView, lost_member
+from cowslipstep.model import Group
+
+
+def note_changes(
+    state: DaemonState,
+    view: DomainView,
+    after: DomainLedger,
+) -> None:
+    """Note what a change of a ledger did, and why."""
+    before = frozenset(view.ledger.groups)
+    for gone in before.difference(after.groups):
+        _note_dissolved(state, view, gone)
+    for group in after.groups:
+        if group not in before:
+            members = ', '.join(group.members)
+            cause = f'{group.model} lacked a group; members {members}'
+            note_event(state, 'group_formed', group.name, cause)
+
+
+def _note_dissolved(
+    state: DaemonState,
+    view: DomainView,
+    group: Group,
+) -> None:
+    if group.name in view.finished:
+        note_event(state, 'drain_finished', group.name, 'its work has ended')
+        note_event(state, 'group_dissolved', group.name, 'drained')
+        return
+    member = lost_member(group, view.records)
+    note_event(state, 'member_lost', member, f'of group {group.name}')
+    note_event(state, 'group_dissolved', group.name, f'lost {member}')
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -0,0 +1,157 @@
+"""Keeper of one fabric domain: one task that holds its lease."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import uuid
+
+import eventlet
+from attrs import frozen
+from loguru import logger
+
+from cowslipstep.daemon._drains import DrainTracker
+from cowslipstep.daemon._events import note_event
+from cowslipstep.daemon._group_events import note_changes
+from cowslipstep.daemon._ledger_feed import LedgerFeed
+from cowslipstep.daemon._ledgers import PlatformLedger
+from cowslipstep.daemon._orders import OrderRight, OrderSender
+from cowslipstep.daemon._prober import Prober
+from cowslipstep.daemon._scopes import DomainScope, DomainScopes
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.groups import (
+    Author,
+    DomainLease,
+    DomainView,
+    LeaseTiming,
+    LedgerUnavailable,
+    LedgerWriter,
+    due_orders,
+    give_up_lease,
+    keep_ledger,
+    plan_domain,
+    take_lease,
+)
+from cowslipstep.model import Fencing
+
+_STEP_S = 0.25
+_RETRY_DELAY_S = 1
+_ORDER_FLIGHT_S = 2
+
+
+@frozen
+class KeeperTools:
+    """What the keepers of a daemon share."""
+
+    state: DaemonState
+    scopes: DomainScopes
+    prober: Prober
+    orders: OrderSender
+    drains: DrainTracker
+    ledgers: LedgerFeed
+
+
+class DomainKeeper:
+    """Holds the lease of a fabric domain, keeps its ledger, gives orders.
+
+    Parameters
+    ----------
+    tools
+        What the keepers of a daemon share.
+    scope
+        The fabric domain as configured now.
+    """
+
+    def __init__(self, tools: KeeperTools, scope: DomainScope) -> None:
+        self._tools = tools
+        self._domain = scope.domain
+        self._store = PlatformLedger(tools.state.platform, scope.domain)
+        self._lease = _new_lease(tools.state, self._store, scope)
+
+    def run(self) -> None:
+        """Take the lease and use it for as long as the domain is owned."""
+        while self._domain in self._tools.scopes.owned:
+            try:
+                self._take_and_keep()
+            except LedgerUnavailable as error:
+                logger.warning('ledger of {}: {}', self._domain, error)
+                eventlet.sleep(_RETRY_DELAY_S)
+        with contextlib.suppress(LedgerUnavailable):
+            give_up_lease(self._lease)
+
+    def _take_and_keep(self) -> None:
+        self._lease.look()
+        self._tools.ledgers.publish(self._lease.state.seen)
+        wait_s = self._lease.take_wait_s
+        if wait_s:
+            self._store.wait(self._lease.state.seen.version, wait_s)
+            # Only a lease that no one renewed meanwhile has lapsed.
+            self._lease.look()
+        if not take_lease(self._lease):
+            return
+        term = self._lease.state.term
+        self._note('lease_taken', f'it was free or had lapsed; term {term}')
+        while self._domain in self._tools.scopes.owned:
+            if not self._keep():
+                self._note('lease_lost', 'another daemon took it')
+                return
+            eventlet.sleep(_STEP_S)
+
+    def _keep(self) -> bool:
+        scope = self._tools.scopes.owned[self._domain]
+        view = self._view(scope)
+        planned = plan_domain(view, scope.models)
+        if not keep_ledger(self._lease, planned, view.now_s):
+            return False
+        seen = self._lease.state.seen
+        note_changes(self._tools.state, view, seen.ledger)
+        self._tools.ledgers.publish(seen)
+        self._give_orders(scope)
+        self._tools.drains.report(seen.ledger, scope.hosts)
+        return True
+
+    def _view(self, scope: DomainScope) -> DomainView:
+        ledger = self._lease.state.seen.ledger
+        drains = self._tools.drains
+        records = self._tools.prober.records
+        return DomainView(
+            ledger,
+            scope.runners,
+            records,
+            time.monotonic(),
+            leaving=drains.barred,
+            finished=drains.finished(ledger, records),
+        )
+
+    def _give_orders(self, scope: DomainScope) -> None:
+        if not self._lease.may_order:
+            return
+        state = self._lease.state
+        orders = due_orders(
+            state.seen.ledger,
+            scope.runners,
+            self._tools.prober.records,
+            state.term,
+        )
+        right = OrderRight(state.seen.version, lambda: self._lease.may_order)
+        self._tools.orders.send_all(list(orders), right)
+
+    def _note(self, kind: str, cause: str) -> None:
+        note_event(self._tools.state, kind, self._domain, cause)
+
+
+def _new_lease(
+    state: DaemonState,
+    store: PlatformLedger,
+    scope: DomainScope,
+) -> DomainLease:
+    author = Author(
+        state.settings.name,
+        lambda: uuid.uuid4().hex,
+        time.monotonic,
+    )
+    fencing = {runner.fencing for runner in scope.runners}
+    timing = LeaseTiming(
+        order_flight_s=_ORDER_FLIGHT_S if Fencing.ignored in fencing else 0,
+    )
+    return DomainLease(LedgerWriter(author, store), time.monotonic, timing)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
@@ -0,0 +1,105 @@
+"""Hosts that are leaving and drains that operators ask for."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from collections.abc import Iterator
+
+from attrs import evolve, frozen
+from loguru import logger
+
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.model import CowslipstepError
+from cowslipstep.platform import HostList, HostListClient, StoredObject
+from cowslipstep.settings import parse_json, structure, unstructure
+
+_DRAIN_KIND = 'drain'
+DRAINING = 'draining'
+DRAINED = 'drained'
+
+
+@frozen
+class Drain:
+    """An operator's wish that a host or a group takes no new work.
+
+    Parameters
+    ----------
+    target
+        Name of the host or group.
+    kind
+        ``host`` or ``group``.
+    status
+        Empty, then ``draining``, then ``drained``; set by the keeper.
+    """
+
+    target: str
+    kind: str = 'host'
+    status: str = ''
+
+
+@frozen
+class StoredDrain:
+    """A drain and the object that holds it."""
+
+    drain: Drain
+    stored: StoredObject
+
+
+class LeavingFeed:
+    """Reads which hosts leave; keeps the last answer through an outage.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: DaemonState) -> None:
+        self._state = state
+        self._client = HostListClient(state.settings.platform_address)
+        self._hosts = HostList()
+        self._drains: tuple[StoredDrain, ...] = ()
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Hosts and groups that take no new work."""
+        targets = {entry.drain.target for entry in self._drains}
+        return self._hosts.leaving | targets
+
+    @property
+    def drains(self) -> tuple[StoredDrain, ...]:
+        """Drains that operators ask for."""
+        return self._drains
+
+    def read(self) -> None:
+        """Read the platform's list of hosts and the operators' drains."""
+        try:
+            self._read_both()
+        except CowslipstepError as error:
+            logger.debug('leaving hosts not read: {}', error)
+
+    def report(self, entry: StoredDrain, status: str) -> None:
+        """Write the progress of a drain where the operator reads it."""
+        if entry.drain.status == status:
+            return
+        body = json.dumps(unstructure(evolve(entry.drain, status=status)))
+        stored = entry.stored
+        with contextlib.suppress(CowslipstepError):
+            self._state.platform.update(stored.key, stored.version, body)
+            self.read()
+
+    def _read_both(self) -> None:
+        self._hosts = self._client.read()
+        listed = self._state.platform.read_all(_DRAIN_KIND)
+        self._drains = tuple(_decode_all(listed))
+
+
+def _decode_all(listed: tuple[StoredObject, ...]) -> Iterator[StoredDrain]:
+    for stored in listed:
+        try:
+            drain = structure(parse_json(stored.body), Drain)
+        except ExceptionGroup as group:
+            logger.warning('drain {} is wrong: {}', stored.key, group)
+            continue
+        yield StoredDrain(drain, stored)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ledgers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledgers.py
@@ -2,55 +2,107 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+from collections.abc import Iterator
 
-from cowslipstep.groups import DomainLedger
+from cowslipstep.groups import (
+    DomainLedger,
+    LedgerConflict,
+    LedgerUnavailable,
+    VersionedLedger,
+)
 from cowslipstep.platform import (
     ObjectKey,
     ObjectMissing,
     PlatformClient,
+    PlatformUnavailable,
     StoredObject,
+    VersionConflict,
 )
 from cowslipstep.settings import parse_json, structure, unstructure
 
-_LEDGER_KIND = 'ledger'
+LEDGER_KIND = 'ledger'
 
 
-def read_ledgers(platform: PlatformClient) -> dict[str, DomainLedger]:
-    """Read the ledgers of all fabric domains, by name.
+class PlatformLedger:
+    """The ledger of one fabric domain as an object of the platform.
 
-    Raises
-    ------
-    PlatformUnavailable
-        If there was no answer.
+    Parameters
+    ----------
+    platform
+        Client of the platform.
+    domain
+        Name of the fabric domain.
     """
-    stored = platform.read_all(_LEDGER_KIND)
-    return {entry.key.name: decode_ledger(entry) for entry in stored}
 
+    def __init__(self, platform: PlatformClient, domain: str) -> None:
+        self._platform = platform
+        self._domain = domain
+        self._key = ObjectKey(LEDGER_KIND, domain)
 
-def read_or_create(platform: PlatformClient, domain: str) -> StoredObject:
-    """Read the ledger of a fabric domain, an empty one if there is none.
+    def read(self) -> VersionedLedger:
+        """Read the ledger; create an empty one if there is none.
 
-    Raises
-    ------
-    VersionConflict
-        If another daemon created it meanwhile.
-    PlatformUnavailable
-        If there was no answer.
-    """
-    key = ObjectKey(_LEDGER_KIND, domain)
-    try:
-        return platform.read(key)
-    except ObjectMissing:
-        body = encode_ledger(DomainLedger(domain))
-        return StoredObject(key, platform.create(key, body), body)
+        Raises
+        ------
+        LedgerUnavailable
+            If there was no answer.
+        """
+        with _ledger_errors():
+            try:
+                stored = self._platform.read(self._key)
+            except ObjectMissing:
+                return self._create()
+            return decode_ledger(stored)
+
+    def write(self, version: int, ledger: DomainLedger) -> int:
+        """Replace the ledger that still has ``version``.
+
+        Raises
+        ------
+        LedgerConflict
+            If it has another version.
+        LedgerUnavailable
+            If there was no answer.
+        """
+        body = encode_ledger(ledger)
+        with _ledger_errors():
+            return self._platform.update(self._key, version, body)
+
+    def wait(self, version: int, wait_s: float) -> None:
+        """Wait until the ledger is newer than ``version``, or for a time.
 
+        Raises
+        ------
+        LedgerUnavailable
+            If there was no answer.
+        """
+        with _ledger_errors():
+            self._platform.watch(self._key, version, wait_s)
 
-def decode_ledger(stored: StoredObject) -> DomainLedger:
+    def _create(self) -> VersionedLedger:
+        ledger = DomainLedger(self._domain)
+        version = self._platform.create(self._key, encode_ledger(ledger))
+        return VersionedLedger(version, ledger)
+
+
+def decode_ledger(stored: StoredObject) -> VersionedLedger:
     """Read a ledger from the object that holds it."""
-    return structure(parse_json(stored.body), DomainLedger)
+    ledger = structure(parse_json(stored.body), DomainLedger)
+    return VersionedLedger(stored.version, ledger)
 
 
 def encode_ledger(ledger: DomainLedger) -> str:
     """Return the JSON text of a ledger."""
     return json.dumps(unstructure(ledger))
+
+
+@contextlib.contextmanager
+def _ledger_errors() -> Iterator[None]:
+    try:
+        yield
+    except (VersionConflict, ObjectMissing) as conflict:
+        raise LedgerConflict(str(conflict)) from conflict
+    except PlatformUnavailable as error:
+        raise LedgerUnavailable(str(error)) from error
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
@@ -1,61 +1,112 @@
-"""Probes of the members of groups."""
+"""Probes of hosts, one task for each."""
 
 from __future__ import annotations
 
+import functools
+import random
 import time
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 import eventlet
 import urllib3
 
-from cowslipstep.groups import MemberReport, group_readiness
-from cowslipstep.model import Group, GroupReadiness, Runner
+from cowslipstep.daemon._tasks import start_task
+from cowslipstep.groups import (
+    HostRecord,
+    HostReport,
+    HostState,
+    note_miss,
+    note_report,
+    probe_delay_s,
+)
+from cowslipstep.model import Runner
 
 _PROBE_TIMEOUT_S = 0.5
-_MAX_CONNECTIONS = 256
+_MEMBER_PERIOD_S = 0.5
+_SPARE_PERIOD_S = 1
+_LOADING_PERIOD_S = 0.2
+_JITTER = 0.1
 
 
 class Prober:
-    """Asks members for their health and remembers what they said."""
+    """Asks hosts for their health and remembers what they said."""
 
     def __init__(self) -> None:
-        self._reports: dict[str, MemberReport] = {}
-        self._http = urllib3.PoolManager(
-            num_pools=_MAX_CONNECTIONS,
-            retries=False,
-        )
+        self._records: dict[str, HostRecord] = {}
+        self._tasks: dict[Runner, Any] = {}
+
+    @property
+    def records(self) -> Mapping[str, HostRecord]:
+        """What is known of each host that is probed."""
+        return self._records
+
+    def cover(self, runners: Iterable[Runner]) -> None:
+        """Probe these runners from now on, and no others."""
+        wanted = frozenset(runners)
+        for runner in self._tasks.keys() - wanted:
+            self._tasks.pop(runner).kill()
+            self._records.pop(runner.host, None)
+        for added in wanted - self._tasks.keys():
+            self._records[added.host] = HostRecord()
+            task = functools.partial(self._probe_forever, added)
+            name = f'probes of {added.host}'
+            self._tasks[added] = start_task(name, task)
 
-    def probe(
-        self,
-        groups: Iterable[Group],
-        runners: Mapping[str, Runner],
-    ) -> tuple[GroupReadiness, ...]:
-        """Probe all members at once and return the groups' readiness."""
-        probed = tuple(groups)
-        members = {host for group in probed for host in group.members}
-        pool = eventlet.GreenPool()
-        for host in members & runners.keys():
-            pool.spawn(self._probe, runners[host])
-        pool.waitall()
-        now = time.monotonic()
-        return tuple(
-            group_readiness(group, self._reports, now) for group in probed
+    def note(self, report: HostReport) -> None:
+        """Take over what a host said of itself."""
+        record = self._records.get(report.host)
+        if record is not None:
+            self._records[report.host] = note_report(record, report)
+
+    def _probe_forever(self, runner: Runner) -> None:
+        pool = urllib3.HTTPConnectionPool(
+            runner.address.ip,
+            runner.address.port,
+            retries=False,
+            timeout=_PROBE_TIMEOUT_S,
         )
+        with pool:
+            while True:
+                self._probe(runner, pool)
+                record = self._records[runner.host]
+                delay_s = probe_delay_s(record, _period_s(record))
+                eventlet.sleep(delay_s * random.uniform(1 - _JITTER, 1))
 
-    def _probe(self, runner: Runner) -> None:
+    def _probe(self, runner: Runner, pool: urllib3.HTTPConnectionPool) -> None:
         sent_at_s = time.monotonic()
         try:
-            answer = self._http.request(
-                'GET',
-                f'http://{runner.address}/health',
-                timeout=_PROBE_TIMEOUT_S,
-            )
+            answer = pool.request('GET', '/health')
+        except urllib3.exceptions.TimeoutError:
+            self._miss(runner, refused=False)
+            return
         except urllib3.exceptions.HTTPError:
+            self._miss(runner, refused=True)
             return
-        health = answer.json()
-        self._reports[runner.host] = MemberReport(
-            runner.host,
-            health['group'],
-            health['state'] == 'ready',
-            sent_at_s,
-        )
+        self.note(read_health(answer.json(), sent_at_s))
+
+    def _miss(self, runner: Runner, *, refused: bool) -> None:
+        record = self._records[runner.host]
+        self._records[runner.host] = note_miss(record, refused=refused)
+
+
+def read_health(health: dict[str, Any], sent_at_s: float) -> HostReport:
+    """Read what a host said of itself in answer to a call."""
+    return HostReport(
+        health['host'],
+        health['group'],
+        HostState(health['state']),
+        sent_at_s,
+        model=health['model'],
+        running=health['running'] + health['waiting'],
+        fence=health.get('fence', 0),
+        token_s=health.get('token_s', 0),
+    )
+
+
+def _period_s(record: HostRecord) -> float:
+    if record.report is None or not record.report.group:
+        return _SPARE_PERIOD_S
+    if record.report.state == HostState.loading:
+        return _LOADING_PERIOD_S
+    return _MEMBER_PERIOD_S
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_scopes.py
@@ -0,0 +1,73 @@
+"""Fabric domains that this daemon owns, as configured."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from cowslipstep.daemon._ownership import DomainOwnership
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.groups import domain_shares
+from cowslipstep.model import Configuration, Model, Runner
+
+
+@frozen
+class DomainScope:
+    """A fabric domain: its runners and the groups that it should hold."""
+
+    domain: str
+    runners: tuple[Runner, ...]
+    models: tuple[Model, ...]
+
+    @property
+    def hosts(self) -> frozenset[str]:
+        """Names of the hosts of the domain."""
+        return frozenset(runner.host for runner in self.runners)
+
+
+class DomainScopes:
+    """The scopes of the owned fabric domains.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: DaemonState) -> None:
+        self._state = state
+        self._ownership = DomainOwnership(state)
+        self._version = 0
+        self._all: dict[str, DomainScope] = {}
+        self._owned: dict[str, DomainScope] = {}
+
+    @property
+    def owned(self) -> dict[str, DomainScope]:
+        """Scopes of the domains owned now, by name."""
+        return self._owned
+
+    def update(self) -> None:
+        """Work out the scopes for the configuration and peers of now."""
+        configuration = self._state.configuration
+        if configuration is None:
+            return
+        if self._state.version != self._version:
+            self._version = self._state.version
+            self._all = _scopes(configuration)
+        owned = self._ownership.owned_domains()
+        self._owned = {name: self._all[name] for name in sorted(owned)}
+
+
+def _scopes(configuration: Configuration) -> dict[str, DomainScope]:
+    shares = domain_shares(configuration.models, configuration.runners)
+    return {
+        domain: DomainScope(
+            domain,
+            tuple(
+                runner
+                for runner in configuration.runners
+                if runner.fabric_domain == domain
+            ),
+            models,
+        )
+        for domain, models in shares.items()
+    }
--- /dev/null
+++ b/libs/groups/src/cowslipstep/groups/_packing.py
@@ -0,0 +1,118 @@
+"""Forming groups from free hosts so that few accelerators are stranded."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from attrs import evolve, field, frozen
+
+from cowslipstep.groups._health import Records, broken_groups
+from cowslipstep.groups._hosts import HostRecord, is_usable
+from cowslipstep.groups._ledger import DomainLedger, add_group, drop_groups
+from cowslipstep.groups._readiness import group_readiness
+from cowslipstep.groups._shares import lacking
+from cowslipstep.model import Model, Runner
+
+LOADS_AT_ONCE = 4
+
+
+@frozen
+class DomainView:
+    """What the keeper of a fabric domain decides on.
+
+    Parameters
+    ----------
+    ledger
+        The ledger in force.
+    runners
+        Runners of the domain.
+    records
+        What probes have told of the hosts.
+    leaving
+        Hosts that must not join a group.
+    finished
+        Draining groups whose work has ended.
+    now_s
+        Clock reading.
+    """
+
+    ledger: DomainLedger
+    runners: tuple[Runner, ...]
+    records: Records
+    now_s: float
+    leaving: frozenset[str] = field(factory=frozenset)
+    finished: frozenset[str] = field(factory=frozenset)
+
+
+def plan_domain(
+    view: DomainView,
+    models: Iterable[Model],
+    loads_at_once: int = LOADS_AT_ONCE,
+) -> DomainLedger:
+    """Return the ledger as it should be now.
+
+    Broken groups and drained ones are dissolved, and their hosts, with
+    the spares, form new groups at once: the model that lacks the largest
+    share of its groups goes first. No more than ``loads_at_once`` groups
+    load weights at a time.
+    """
+    gone = broken_groups(view.ledger, view.records) | view.finished
+    ledger = drop_groups(view.ledger, gone)
+    wanted = tuple(models)
+    for _ in range(loads_at_once - _count_loading(view, ledger)):
+        grown = _form_one(evolve(view, ledger=ledger), wanted)
+        if grown is None:
+            break
+        ledger = grown
+    return ledger
+
+
+def free_runners(view: DomainView) -> list[Runner]:
+    """Return the usable runners that belong to no group."""
+    barred = view.ledger.taken_hosts | view.leaving
+    return [
+        runner
+        for runner in view.runners
+        if runner.host not in barred
+        and is_usable(view.records.get(runner.host, HostRecord()), view.now_s)
+    ]
+
+
+def stranded_accelerators(view: DomainView, models: Iterable[Model]) -> int:
+    """Count accelerators of usable hosts without a group, if one lacks."""
+    if not lacking(view.ledger, models):
+        return 0
+    return sum(runner.accelerators for runner in free_runners(view))
+
+
+def _form_one(
+    view: DomainView,
+    models: Collection[Model],
+) -> DomainLedger | None:
+    free = free_runners(view)
+    for model in lacking(view.ledger, models):
+        if len(free) < model.hosts_per_group:
+            continue
+        members = _pick_members(free, model, view.records)
+        return add_group(view.ledger, model.name, members)
+    return None
+
+
+def _pick_members(
+    free: list[Runner],
+    model: Model,
+    records: Records,
+) -> tuple[Runner, ...]:
+    # Hosts that hold the model's weights already need not load them.
+    def must_load(runner: Runner) -> bool:  # noqa: WPS430
+        report = records[runner.host].report
+        return report is None or report.model != model.name
+
+    return tuple(sorted(free, key=must_load)[: model.hosts_per_group])
+
+
+def _count_loading(view: DomainView, ledger: DomainLedger) -> int:
+    return sum(
+        not group_readiness(group, view.records, view.now_s).remaining_s
+        for group in ledger.groups
+    )
