Prove leases and orders by a state machine, groups by faults

Change: a hypothesis state machine runs three keepers on the decision code that the daemon uses, with freezes at each call of the store and before each order, answers lost before and after the change, updates that land late, hosts that die and return and orders that arrive late, for engines that check fencing numbers and engines that ignore them: 1,000 cases of up to 25 rules for each kind. The engine stand-in stalls and slows a group by any of its members and reports its pace.

Found by the machine and mended: a holder whose give-up had an unknown outcome went on giving orders while the next keeper held the lease.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
@@ -5,11 +5,12 @@
 import time
 
 from cowslipstep.daemon._events import note_event
-from cowslipstep.daemon._leaving import DRAINED, DRAINING, LeavingFeed
+from cowslipstep.daemon._leaving import DrainState, LeavingFeed
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import (
     DomainLedger,
     Records,
+    count_running,
     domain_of_group,
     draining_groups,
     is_at_work,
@@ -81,15 +82,21 @@
             if self._is_finished(group, records)
         )
 
-    def report(self, ledger: DomainLedger, hosts: frozenset[str]) -> None:
+    def report(
+        self,
+        ledger: DomainLedger,
+        hosts: frozenset[str],
+        records: Records,
+    ) -> None:
         """Write the progress of the drains that concern a ledger."""
-        groups = {group.name for group in ledger.groups}
         for entry in self._feed.drains:
             target = entry.drain.target
-            if target in groups or target in ledger.taken_hosts:
-                self._feed.report(entry, DRAINING)
+            group = _find_group(target, ledger)
+            if group is not None:
+                remaining = count_running(group, records)
+                self._feed.report(entry, DrainState.draining, remaining)
             elif target in hosts or _is_of(target, ledger):
-                self._feed.report(entry, DRAINED)
+                self._feed.report(entry, DrainState.drained)
 
     def _is_finished(self, group: Group, records: Records) -> bool:
         since_s = self._since_s.get(group.name)
@@ -100,5 +107,12 @@
         return not is_at_work(group, records, since_s + _SETTLE_S)
 
 
+def _find_group(target: str, ledger: DomainLedger) -> Group | None:
+    for group in ledger.groups:
+        if target == group.name or target in group.members:
+            return group
+    return None
+
+
 def _is_of(group: str, ledger: DomainLedger) -> bool:
     return domain_of_group(group) == ledger.fabric_domain
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -32,7 +32,7 @@
     plan_domain,
     take_lease,
 )
-from cowslipstep.model import Fencing
+from cowslipstep.model import CowslipstepError, Fencing
 
 _STEP_S = 0.25
 _RETRY_DELAY_S = 1
@@ -76,7 +76,7 @@
             except LedgerUnavailable as error:
                 logger.warning('ledger of {}: {}', self._domain, error)
                 eventlet.sleep(_RETRY_DELAY_S)
-        with contextlib.suppress(LedgerUnavailable):
+        with contextlib.suppress(CowslipstepError):
             give_up_lease(self._lease)
 
     def _take_and_keep(self) -> None:
@@ -107,7 +107,7 @@
         note_changes(self._tools.state, view, seen.ledger)
         self._tools.ledgers.publish(seen)
         self._give_orders(scope)
-        self._tools.drains.report(seen.ledger, scope.hosts)
+        self._tools.drains.report(seen.ledger, scope.hosts, view.records)
         return True
 
     def _view(self, scope: DomainScope) -> DomainView:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import json
+import time
 from collections.abc import Iterator
 
 from attrs import evolve, frozen
@@ -15,8 +17,15 @@
 from cowslipstep.settings import parse_json, structure, unstructure
 
 _DRAIN_KIND = 'drain'
-DRAINING = 'draining'
-DRAINED = 'drained'
+_REPORT_PERIOD_S = 3
+
+
+class DrainState(enum.StrEnum):
+    """Progress of a drain."""
+
+    asked = 'asked'
+    draining = 'draining'
+    drained = 'drained'
 
 
 @frozen
@@ -29,13 +38,19 @@
         Name of the host or group.
     kind
         ``host`` or ``group``.
-    status
-        Empty, then ``draining``, then ``drained``; set by the keeper.
+    state
+        Progress, set by the keeper.
+    remaining
+        Requests that are still in progress, set by the keeper.
+    at_unix_s
+        When ``state`` or ``remaining`` was set; only for display.
     """
 
     target: str
     kind: str = 'host'
-    status: str = ''
+    state: DrainState = DrainState.asked
+    remaining: int = 0
+    at_unix_s: float = 0
 
 
 @frozen
@@ -79,12 +94,23 @@
         except CowslipstepError as error:
             logger.debug('leaving hosts not read: {}', error)
 
-    def report(self, entry: StoredDrain, status: str) -> None:
+    def report(
+        self,
+        entry: StoredDrain,
+        state: DrainState,
+        remaining: int = 0,
+    ) -> None:
         """Write the progress of a drain where the operator reads it."""
-        if entry.drain.status == status:
+        progress = evolve(
+            entry.drain,
+            state=state,
+            remaining=remaining,
+            at_unix_s=time.time(),
+        )
+        if not _is_news(progress, entry.drain):
             return
-        body = json.dumps(unstructure(evolve(entry.drain, status=status)))
         stored = entry.stored
+        body = json.dumps(unstructure(progress))
         with contextlib.suppress(CowslipstepError):
             self._state.platform.update(stored.key, stored.version, body)
             self.read()
@@ -95,6 +121,13 @@
         self._drains = tuple(_decode_all(listed))
 
 
+def _is_news(progress: Drain, last: Drain) -> bool:
+    if progress.state != last.state:
+        return True
+    old = progress.at_unix_s > last.at_unix_s + _REPORT_PERIOD_S
+    return old and progress.remaining != last.remaining
+
+
 def _decode_all(listed: tuple[StoredObject, ...]) -> Iterator[StoredDrain]:
     for stored in listed:
         try:
--- a/libs/groups/src/cowslipstep/groups/__init__.py
+++ b/libs/groups/src/cowslipstep/groups/__init__.py
@@ -6,6 +6,7 @@
 
 from cowslipstep.groups._health import (
     Records,
+    count_running,
     draining_groups,
     is_at_work,
     lost_member,
--- a/libs/groups/src/cowslipstep/groups/_health.py
+++ b/libs/groups/src/cowslipstep/groups/_health.py
@@ -54,6 +54,12 @@
     )
 
 
+def count_running(group: Group, records: Records) -> int:
+    """Return the requests that the group's leader last said it runs."""
+    report = records.get(group.leader, _UNKNOWN).report
+    return 0 if report is None else report.running
+
+
 def is_at_work(group: Group, records: Records, since_s: float) -> bool:
     """Whether the leader has not yet said, after ``since_s``, that it is done.
 
--- a/libs/groups/src/cowslipstep/groups/_keeping.py
+++ b/libs/groups/src/cowslipstep/groups/_keeping.py
@@ -47,8 +47,10 @@
 
     Raises
     ------
+    LedgerConflict
+        If another daemon took it already.
     LedgerUnavailable
         If the outcome could not be learned.
     """
     if lease.state.held:
-        lease.write(lease.state.seen.ledger, 0)
+        lease.give_up()
--- a/libs/groups/src/cowslipstep/groups/_lease.py
+++ b/libs/groups/src/cowslipstep/groups/_lease.py
@@ -161,10 +161,15 @@
         LedgerUnavailable
             If there was no answer.
         """
-        self._adopt(self._writer.read())
+        self._state = adopt(
+            self._state,
+            self._writer.read(),
+            self._clock(),
+            self._timing.order_flight_s,
+        )
 
     def write(self, ledger: DomainLedger, duration_s: float) -> bool:
-        """Take, renew or give up the lease and replace the ledger.
+        """Take or renew the lease and replace the ledger.
 
         Returns false if another daemon was first.
 
@@ -175,13 +180,28 @@
         """
         version = self._state.seen.version
         written = self._writer.write(version, ledger, duration_s)
-        self._adopt(written)
-        return written.sent_at_s is not None
-
-    def _adopt(self, written: Written) -> None:
         self._state = adopt(
             self._state,
             written,
             self._clock(),
             self._timing.order_flight_s,
         )
+        return written.sent_at_s is not None
+
+    def give_up(self) -> None:
+        """Let another daemon take the lease at once.
+
+        No order may be sent from now on, not even if the outcome is not
+        learned: the update may take effect late. For the same reason the
+        former lease no longer counts as this daemon's.
+
+        Raises
+        ------
+        LedgerConflict
+            If another daemon took it already.
+        LedgerUnavailable
+            If the outcome could not be learned.
+        """
+        seen = self._state.seen
+        self._state = LeaseState(seen, self._clock())
+        self._writer.give_up(seen.version, seen.ledger)
--- a/libs/groups/src/cowslipstep/groups/_writer.py
+++ b/libs/groups/src/cowslipstep/groups/_writer.py
@@ -94,6 +94,20 @@
         self._sent = {attempt: sent}
         return Written(VersionedLedger(version, signed), sent.at_s)
 
+    def give_up(self, version: int, ledger: DomainLedger) -> None:
+        """Write a lease that has lapsed; forget all earlier updates.
+
+        Raises
+        ------
+        LedgerConflict
+            If the ledger has another version.
+        LedgerUnavailable
+            If there was no answer.
+        """
+        self._sent = {}
+        lapsed = Lease(self._author.holder, self._author.new_attempt(), 0)
+        self._store.write(version, evolve(ledger, lease=lapsed))
+
     def read(self) -> Written:
         """Read the ledger and tell whether it is this writer's.
 
--- /dev/null
+++ b/libs/groups/tests/test_keeping.py
@@ -0,0 +1,356 @@
+"""Three keepers race for one fabric domain, through freezes and losses."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+
+import pytest
+from attrs import define, field, frozen
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cowslipstep.groups import (
+    AssignOrder,
+    Author,
+    DomainLease,
+    DomainLedger,
+    DomainView,
+    HostRecord,
+    HostReport,
+    HostState,
+    LeaseTiming,
+    LedgerConflict,
+    LedgerUnavailable,
+    LedgerWriter,
+    Order,
+    VersionedLedger,
+    due_orders,
+    give_up_lease,
+    keep_ledger,
+    plan_domain,
+    take_lease,
+)
+from cowslipstep.model import (
+    Address,
+    CowslipstepError,
+    Fencing,
+    Model,
+    Runner,
+)
+
+CASES = 1000
+STEPS = 25
+FLIGHT_S = 2
+HOSTS = ('h0', 'h1', 'h2', 'h3', 'h4')
+MODELS = (Model('drafting', hosts_per_group=2, groups=2),)
+KEEPERS = st.integers(0, 2)
+DELAYS = st.sampled_from((0.25, 1, 2.5, 4, 11))
+# What happens while a keeper is paused at one of its calls.
+PAUSES = st.lists(
+    st.lists(
+        st.one_of(DELAYS, KEEPERS.map(lambda index: (index,))),
+        max_size=5,
+    ),
+    max_size=4,
+)
+ANSWERS = st.lists(
+    st.sampled_from(('ok', 'ok', 'lost', 'dropped', 'late')),
+    max_size=3,
+)
+
+
+@frozen
+class Sent:
+    """An order on its way."""
+
+    order: Order
+    fence: int
+    term: int
+    arrives_by_s: float
+
+
+@define
+class Engine:
+    """A host that carries orders out."""
+
+    runner: Runner
+    group: str = ''
+    fence: int = 0
+    term: int = 0
+    alive: bool = True
+
+    def record(self, now_s: float) -> HostRecord:
+        if not self.alive:
+            return HostRecord(misses=3)
+        state = HostState.ready if self.group else HostState.idle
+        host = self.runner.host
+        return HostRecord(
+            HostReport(host, self.group, state, now_s, fence=self.fence),
+        )
+
+
+@define
+class World:
+    """Clock, store and engines that the keepers share."""
+
+    fencing: Fencing
+    now_s: float = 100
+    stored: VersionedLedger = VersionedLedger(1, DomainLedger('fab'))
+    engines: dict[str, Engine] = field(init=False)
+    sent: list[Sent] = field(factory=list)
+    late: list[VersionedLedger] = field(factory=list)
+    answers: list[str] = field(factory=list)
+    pauses: list = field(factory=list)
+    keepers: list[Keeper] = field(factory=list)
+    newest_term: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        address = Address('127.0.0.1', 1)
+        self.engines = {
+            host: Engine(
+                Runner(host, address, 'fd', 'fab', fencing=self.fencing),
+            )
+            for host in HOSTS
+        }
+
+    def pause(self) -> None:
+        """A point at which a keeper may be frozen."""
+        if not self.pauses:
+            return
+        for event in self.pauses.pop():
+            match event:
+                case (index,):
+                    self.keepers[index].step()
+                case delay_s:
+                    self.advance(delay_s)
+
+    def advance(self, delay_s: float) -> None:
+        self.now_s += delay_s
+        for sent in tuple(self.sent):
+            if sent.arrives_by_s <= self.now_s:
+                self.deliver(sent)
+
+    def read(self) -> VersionedLedger:
+        self.pause()
+        _raise_if_dropped(self.answers)
+        found = self.stored
+        self.pause()
+        return found
+
+    def write(self, version: int, ledger: DomainLedger) -> int:
+        self.pause()
+        _raise_if_dropped(self.answers)
+        answer = self.answers.pop() if self.answers else 'ok'
+        if answer == 'late':
+            self.late.append(VersionedLedger(version, ledger))
+            raise LedgerUnavailable('late')
+        written = self.apply(VersionedLedger(version, ledger))
+        self.pause()
+        if answer == 'lost':
+            raise LedgerUnavailable('answer lost')
+        if not written:
+            raise LedgerConflict('newer')
+        return version + 1
+
+    def apply(self, change: VersionedLedger) -> bool:
+        if change.version != self.stored.version:
+            return False
+        self.stored = VersionedLedger(change.version + 1, change.ledger)
+        members = list(
+            itertools.chain.from_iterable(
+                group.members for group in change.ledger.groups
+            ),
+        )
+        assert len(members) == len(set(members)), 'a host in two groups'
+        return True
+
+    def deliver(self, sent: Sent) -> None:
+        self.sent.remove(sent)
+        engine = self.engines[sent.order.runner.host]
+        checked = self.fencing == Fencing.checked
+        if not engine.alive or (checked and sent.fence < engine.fence):
+            return
+        newest = engine.term if checked else self.newest_term
+        assert sent.term >= newest, 'an order of an older holder took effect'
+        engine.fence = max(engine.fence, sent.fence)
+        engine.term = sent.term
+        self.newest_term = sent.term
+        engine.group = ''
+        if isinstance(sent.order, AssignOrder):
+            engine.group = sent.order.group.name
+
+
+def _raise_if_dropped(answers: list[str]) -> None:
+    if answers and answers[-1] == 'dropped':
+        answers.pop()
+        raise LedgerUnavailable('dropped')
+
+
+class Keeper:
+    """Uses the decisions as the daemon's keeper does."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self._world = world
+        numbers = itertools.count()
+        author = Author(
+            name,
+            lambda: f'{name}-{next(numbers)}',
+            lambda: world.now_s,
+        )
+        flight_s = FLIGHT_S if world.fencing == Fencing.ignored else 0
+        self.lease = DomainLease(
+            LedgerWriter(author, world),
+            lambda: world.now_s,
+            LeaseTiming(order_flight_s=flight_s),
+        )
+        self._busy = False
+        self._keeps = False
+
+    def step(self) -> None:
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            self._keeps = self._keep()
+        except LedgerUnavailable:
+            self._keeps = False
+        finally:
+            self._busy = False
+
+    def give_up(self) -> None:
+        if not self._busy:
+            self._keeps = False
+            try:
+                give_up_lease(self.lease)
+            except CowslipstepError:
+                return
+
+    def _keep(self) -> bool:
+        lease = self.lease
+        if not self._keeps:
+            lease.look()
+            if not take_lease(lease):
+                return False
+        planned = plan_domain(self._view(), MODELS)
+        if not keep_ledger(lease, planned, self._world.now_s):
+            return False
+        for order in self._orders():
+            self._world.pause()
+            self._send(order)
+        return True
+
+    def _view(self) -> DomainView:
+        engines = self._world.engines
+        now = self._world.now_s
+        return DomainView(
+            self.lease.state.seen.ledger,
+            tuple(engine.runner for engine in engines.values()),
+            {host: engine.record(now) for host, engine in engines.items()},
+            now,
+        )
+
+    def _orders(self) -> Iterator[Order]:
+        view = self._view()
+        state = self.lease.state
+        return due_orders(
+            state.seen.ledger,
+            view.runners,
+            view.records,
+            state.term,
+        )
+
+    def _send(self, order: Order) -> None:
+        state = self.lease.state
+        if not self.lease.may_order:
+            return
+        world = self._world
+        arrives_by_s = world.now_s + FLIGHT_S
+        if world.fencing == Fencing.checked:
+            arrives_by_s = float('inf')
+        fence = state.seen.version
+        world.sent.append(Sent(order, fence, state.term, arrives_by_s))
+
+
+class FaultsMachine(RuleBasedStateMachine):
+    """Time passes, hosts fail, and orders and updates arrive late."""
+
+    fencing = Fencing.checked
+    cases = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        type(self).cases += 1
+        self._world = World(self.fencing)
+        self._world.keepers = [
+            Keeper(self._world, f'k{index}') for index in range(3)
+        ]
+
+    @rule(delay_s=DELAYS)
+    def advance(self, delay_s: float) -> None:
+        self._world.advance(delay_s)
+
+    @rule(choice=st.integers(0, 9))
+    def deliver_order(self, choice: int) -> None:
+        if self._world.sent:
+            sent = self._world.sent
+            self._world.deliver(sent[choice % len(sent)])
+
+    @rule()
+    def land_late_write(self) -> None:
+        if self._world.late:
+            self._world.apply(self._world.late.pop())
+
+    @rule(host=st.sampled_from(HOSTS))
+    def kill_or_revive(self, host: str) -> None:
+        engine = self._world.engines[host]
+        engine.alive = not engine.alive
+
+
+class KeepersMachine(FaultsMachine):
+    """Keepers race, for engines that check fencing numbers."""
+
+    @rule(index=KEEPERS, pauses=PAUSES, answers=ANSWERS)
+    def step(self, index: int, pauses: list, answers: list[str]) -> None:
+        self._world.pauses = pauses
+        self._world.answers = answers
+        self._world.keepers[index].step()
+        self._world.pauses = []
+
+    @rule(index=KEEPERS, answers=ANSWERS)
+    def give_up(self, index: int, answers: list[str]) -> None:
+        self._world.answers = answers
+        self._world.keepers[index].give_up()
+
+    @invariant()
+    def one_holder(self) -> None:
+        """At most one keeper may give orders at a moment."""
+        keepers = self._world.keepers
+        assert sum(keeper.lease.may_order for keeper in keepers) <= 1
+
+
+class IgnoringMachine(KeepersMachine):
+    """The same for engines that ignore fencing numbers."""
+
+    fencing = Fencing.ignored
+
+
+@pytest.mark.parametrize('machine', [KeepersMachine, IgnoringMachine])
+def test_races(machine: type[KeepersMachine]) -> None:
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=CASES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            deadline=None,
+            database=None,
+        ),
+    )
+    assert machine.cases >= CASES
--- a/standins/src/cowslipstep_standins/_completions.py
+++ b/standins/src/cowslipstep_standins/_completions.py
@@ -9,6 +9,12 @@
 import eventlet
 
 from cowslipstep_standins._engine_host import EngineHost, Run
+from cowslipstep_standins._members import (
+    gone_members,
+    missing_members,
+    slow_factor,
+    wait_while_group_frozen,
+)
 from cowslipstep_standins._generation import Generation, parse_generation
 from cowslipstep_standins._http import (
     HttpAnswer,
@@ -18,7 +24,6 @@
     send_json,
 )
 
-_FROZEN_POLL_S = 0.05
 _SSE_HEADERS = (
     ('Content-Type', 'text/event-stream'),
     ('Cache-Control', 'no-cache'),
@@ -97,8 +102,9 @@
     def _tokens(self, generation: Generation, run: Run) -> Iterator[bytes]:
         token_s = self._host.settings.token_s
         for index in range(generation.first_token, generation.tokens):
-            eventlet.sleep(token_s * self._host.faults.slow_factor)
-            wait_while_frozen(self._host)
+            slowness = slow_factor(self._host, self._hosts)
+            eventlet.sleep(token_s * slowness)
+            wait_while_group_frozen(self._host, self._hosts)
             self._raise_if_cut(run)
             run.tokens += 1
             yield generation.event(index)
@@ -107,28 +113,6 @@
     def _raise_if_cut(self, run: Run) -> None:
         limit = self._host.faults.cut_after_tokens
         cut = 0 <= limit <= run.tokens
-        if cut or missing_members(self._host, self._hosts):
+        if cut or gone_members(self._host, self._hosts):
             run.outcome = 'cut'
             raise ConnectionResetError('cut, or a member is gone')
-
-
-def wait_while_frozen(host: EngineHost) -> None:
-    """Hold the current task for as long as the host is frozen."""
-    while host.faults.frozen:
-        eventlet.sleep(_FROZEN_POLL_S)
-
-
-def missing_members(
-    host: EngineHost,
-    hosts: dict[str, EngineHost],
-) -> list[str]:
-    """Return the members of a host's group that are gone."""
-    return [
-        member
-        for member in host.members
-        if member in hosts and _is_gone(hosts[member], host.group)
-    ]
-
-
-def _is_gone(member: EngineHost, group: str) -> bool:
-    return member.faults.dead or member.group != group
--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from cowslipstep_standins._completions import Completions, wait_while_frozen
+from cowslipstep_standins._completions import Completions
 from cowslipstep_standins._engine_host import EngineFaults, EngineHost
+from cowslipstep_standins._members import wait_while_frozen
 from cowslipstep_standins._http import (
     Environ,
     HttpAnswer,
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -126,6 +126,7 @@
             'fence': self.fence,
             'running': self.batch.running,
             'waiting': self.batch.waiting,
+            'token_s': self.settings.token_s * self.faults.slow_factor,
         }
 
     def apply_order(self, order: Any) -> bool:
