Build peer messages field by field, and check frames before decoding

Cause: daemons died of a segmentation fault in libgcc's unwinder while they encoded a grant (faulthandler: _encode.py, encode_frame). pycapnp fills a message from a dictionary by trying and catching a C++ exception; its constructor takes a backtrace, which runs off the end of a green thread's stack. Ruled out: memory, ports taken by other processes (same failure with ports below the ephemeral range), the platform client (no frame of it in the trace). Change: messages are built by init and attributes, which throw nothing; the frame header carries a CRC-32, so that broken bytes never reach the decoder. Conclusion: no dictionary may be handed to the codec. A frame with a right checksum and a wrong body could still raise in the decoder.

--- a/libs/peers/src/cowslipstep/peers/_encode.py
+++ b/libs/peers/src/cowslipstep/peers/_encode.py
@@ -1,22 +1,32 @@
-"""Encoding of frames as packed Cap'n Proto."""
+"""Encoding of frames as packed Cap'n Proto.
+
+Messages are built field by field. Building them from dictionaries raises
+C++ exceptions inside the codec, which walk the stack for a backtrace and
+crash the process where the stack is that of a green thread.
+"""
 
 from __future__ import annotations
 
+from typing import Any
+
 from cowslipstep.model import GrantMessage, Message
-from cowslipstep.peers._encode_grants import encode_grant_message
-from cowslipstep.peers._encode_membership import encode_membership_message
-from cowslipstep.peers._frames import Field, Frame
+from cowslipstep.peers._encode_grants import write_grant_message
+from cowslipstep.peers._encode_membership import write_membership_message
+from cowslipstep.peers._frames import Frame
 from cowslipstep.peers._schema import SCHEMA
 
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the packed bytes of a frame."""
-    body = _body(frame.message)
-    fields = {'call': frame.call, 'reply': frame.reply, body.name: body.body}
-    return SCHEMA.Frame.new_message(**fields).to_bytes_packed()
+    builder = SCHEMA.Frame.new_message()
+    builder.call = frame.call
+    builder.reply = frame.reply
+    _write_message(builder, frame.message)
+    return builder.to_bytes_packed()
 
 
-def _body(message: Message) -> Field:
+def _write_message(builder: Any, message: Message) -> None:
     if isinstance(message, GrantMessage):
-        return encode_grant_message(message)
-    return encode_membership_message(message)
+        write_grant_message(builder, message)
+        return
+    write_membership_message(builder, message)
--- a/libs/peers/src/cowslipstep/peers/_encode_grants.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_grants.py
@@ -13,62 +13,55 @@
     Release,
     Renewal,
 )
-from cowslipstep.peers._encode_request import encode_request
-from cowslipstep.peers._frames import Field
+from cowslipstep.peers._encode_request import write_request
 from cowslipstep.peers._units import seconds_to_ms
 
 
-def encode_grant_message(message: GrantMessage) -> Field:
-    """Return the field of the frame that carries the message."""
+def write_grant_message(frame: Any, message: GrantMessage) -> None:
+    """Write the field of the frame that carries the message."""
     match message:
         case Ask():
-            return Field('ask', _ask(message))
+            _write_ask(frame.init('ask'), message)
         case Grant():
-            return Field('grant', _grant(message))
+            _write_grant(frame.init('grant'), message)
         case Refusal():
-            return Field('refusal', _refusal(message))
+            _write_refusal(frame.init('refusal'), message)
         case Renewal():
-            return Field('renewal', _progress(message))
+            _write_progress(frame.init('renewal'), message)
         case Release(failed=failed):
-            return Field(
-                'release',
-                {**_progress(message), 'failed': failed},
-            )
+            release = frame.init('release')
+            _write_progress(release, message)
+            release.failed = failed
 
 
-def _cell(cell: Cell) -> dict[str, str]:
-    return {'model': cell.model, 'failureDomain': cell.failure_domain}
+def _write_cell(builder: Any, cell: Cell) -> None:
+    builder.model = cell.model
+    builder.failureDomain = cell.failure_domain
 
 
-def _ask(ask: Ask) -> dict[str, Any]:
-    return {
-        'cell': _cell(ask.cell),
-        'request': encode_request(ask.request),
-        'avoid': list(ask.avoid),
-    }
+def _write_ask(builder: Any, ask: Ask) -> None:
+    _write_cell(builder.init('cell'), ask.cell)
+    write_request(builder.init('request'), ask.request)
+    avoid = builder.init('avoid', len(ask.avoid))
+    for index, group in enumerate(ask.avoid):
+        avoid[index] = group
 
 
-def _grant(grant: Grant) -> dict[str, Any]:
-    return {
-        'requestId': grant.request_id,
-        'group': grant.group,
-        'ip': grant.address.ip,
-        'port': grant.address.port,
-        'validMs': seconds_to_ms(grant.valid_s),
-    }
+def _write_grant(builder: Any, grant: Grant) -> None:
+    builder.requestId = grant.request_id
+    builder.group = grant.group
+    builder.ip = grant.address.ip
+    builder.port = grant.address.port
+    builder.validMs = seconds_to_ms(grant.valid_s)
 
 
-def _refusal(refusal: Refusal) -> dict[str, Any]:
-    return {
-        'requestId': refusal.request_id,
-        'reason': refusal.verdict.reason.value,
-        'retryAfterMs': seconds_to_ms(refusal.verdict.retry_after_s),
-    }
+def _write_refusal(builder: Any, refusal: Refusal) -> None:
+    builder.requestId = refusal.request_id
+    builder.reason = refusal.verdict.reason.value
+    builder.retryAfterMs = seconds_to_ms(refusal.verdict.retry_after_s)
 
 
-def _progress(progress: Renewal | Release) -> dict[str, Any]:
-    return {
-        'cell': _cell(progress.cell),
-        'requestId': progress.request_id,
-        'streamedTokens': progress.streamed_tokens,
-    }
+def _write_progress(builder: Any, progress: Renewal | Release) -> None:
+    _write_cell(builder.init('cell'), progress.cell)
+    builder.requestId = progress.request_id
+    builder.streamedTokens = progress.streamed_tokens
--- a/libs/peers/src/cowslipstep/peers/_encode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_membership.py
@@ -12,38 +12,34 @@
     Heartbeat,
     MembershipMessage,
 )
-from cowslipstep.peers._frames import Field
 from cowslipstep.peers._units import seconds_to_ms
 
 
-def encode_membership_message(message: MembershipMessage) -> Field:
-    """Return the field of the frame that carries the message."""
+def write_membership_message(frame: Any, message: MembershipMessage) -> None:
+    """Write the field of the frame that carries the message."""
     match message:
         case Acknowledgement():
-            return Field('acknowledgement', None)
+            frame.acknowledgement = None
         case Heartbeat():
-            return Field('heartbeat', _heartbeat(message))
+            _write_heartbeat(frame.init('heartbeat'), message)
         case ConfigurationQuery(known_version):
-            return Field('configurationQuery', known_version)
+            frame.configurationQuery = known_version
         case ConfigurationCopy(version, document):
-            return Field(
-                'configurationCopy',
-                {'version': version, 'document': document},
-            )
-
-
-def _heartbeat(heartbeat: Heartbeat) -> dict[str, Any]:
-    return {
-        'daemon': heartbeat.daemon,
-        'incarnation': heartbeat.incarnation,
-        'configurationVersion': heartbeat.configuration_version,
-        'readiness': [_readiness(entry) for entry in heartbeat.readiness],
-        'stopping': heartbeat.stopping,
-    }
-
-
-def _readiness(readiness: GroupReadiness) -> dict[str, Any]:
-    return {
-        'group': readiness.group,
-        'remainingMs': seconds_to_ms(readiness.remaining_s),
-    }
+            copy = frame.init('configurationCopy')
+            copy.version = version
+            copy.document = document
+
+
+def _write_heartbeat(builder: Any, heartbeat: Heartbeat) -> None:
+    builder.daemon = heartbeat.daemon
+    builder.incarnation = heartbeat.incarnation
+    builder.configurationVersion = heartbeat.configuration_version
+    builder.stopping = heartbeat.stopping
+    listed = builder.init('readiness', len(heartbeat.readiness))
+    for index, readiness in enumerate(heartbeat.readiness):
+        _write_readiness(listed[index], readiness)
+
+
+def _write_readiness(builder: Any, readiness: GroupReadiness) -> None:
+    builder.group = readiness.group
+    builder.remainingMs = seconds_to_ms(readiness.remaining_s)
--- a/libs/peers/src/cowslipstep/peers/_encode_request.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_request.py
@@ -8,16 +8,14 @@
 from cowslipstep.peers._units import MAX_UINT32, seconds_to_ms
 
 
-def encode_request(request: Request) -> dict[str, Any]:
-    """Return the fields of a request."""
-    return {
-        'requestId': request.request_id,
-        'workspace': request.workspace,
-        'rank': request.rank,
-        'model': request.model,
-        'promptTokens': min(request.prompt_tokens, MAX_UINT32),
-        'outputTokens': min(request.output_tokens, MAX_UINT32),
-        'timeoutMs': seconds_to_ms(request.timeout_s),
-        'idempotent': request.idempotent,
-        'prefixHash': request.prefix_hash,
-    }
+def write_request(builder: Any, request: Request) -> None:
+    """Write the fields of a request."""
+    builder.requestId = request.request_id
+    builder.workspace = request.workspace
+    builder.rank = request.rank
+    builder.model = request.model
+    builder.promptTokens = min(request.prompt_tokens, MAX_UINT32)
+    builder.outputTokens = min(request.output_tokens, MAX_UINT32)
+    builder.timeoutMs = seconds_to_ms(request.timeout_s)
+    builder.idempotent = request.idempotent
+    builder.prefixHash = request.prefix_hash
--- a/libs/peers/src/cowslipstep/peers/_frames.py
+++ b/libs/peers/src/cowslipstep/peers/_frames.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from attrs import frozen
 
 from cowslipstep.model import CowslipstepError, Message
@@ -28,13 +26,5 @@
     message: Message
 
 
-@frozen
-class Field:
-    """Name and body of the union's field that carries a message."""
-
-    name: str
-    body: Any
-
-
 class FrameError(CowslipstepError):
     """Bytes from a peer are no valid frame."""
--- a/libs/peers/src/cowslipstep/peers/_wire.py
+++ b/libs/peers/src/cowslipstep/peers/_wire.py
@@ -1,15 +1,20 @@
-"""Frames on a TCP connection: a length of four bytes, then the payload."""
+"""Frames on a TCP connection: length and checksum, then the payload.
+
+The checksum keeps broken bytes from the decoder, whose C++ exceptions walk
+the stack for a backtrace and crash the process on a green thread.
+"""
 
 from __future__ import annotations
 
 import socket
 import struct
+import zlib
 
 from cowslipstep.peers._decode import decode_frame
 from cowslipstep.peers._encode import encode_frame
 from cowslipstep.peers._frames import Frame, FrameError
 
-_LENGTH = struct.Struct('>I')
+_HEADER = struct.Struct('>II')
 _MAX_FRAME_BYTES = 4194304
 
 
@@ -22,7 +27,8 @@
         If the connection is gone.
     """
     payload = encode_frame(frame)
-    sock.sendall(_LENGTH.pack(len(payload)) + payload)
+    header = _HEADER.pack(len(payload), zlib.crc32(payload))
+    sock.sendall(header + payload)
 
 
 def receive_frame(sock: socket.socket) -> Frame:
@@ -35,10 +41,14 @@
     OSError
         If the connection is gone.
     """
-    length = _LENGTH.unpack(_receive_exactly(sock, _LENGTH.size))[0]
+    header = _receive_exactly(sock, _HEADER.size)
+    length, checksum = _HEADER.unpack(header)
     if length > _MAX_FRAME_BYTES:
         raise FrameError(f'frame of {length} bytes')
-    return decode_frame(_receive_exactly(sock, length))
+    payload = _receive_exactly(sock, length)
+    if zlib.crc32(payload) != checksum:
+        raise FrameError('wrong checksum')
+    return decode_frame(payload)
 
 
 def _receive_exactly(sock: socket.socket, count: int) -> bytes:
--- /dev/null
+++ b/libs/peers/tests/test_frames.py
@@ -0,0 +1,70 @@
+"""Frames survive the codec, and broken bytes give an error each time."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cowslipstep.model import (
+    Acknowledgement,
+    Address,
+    Ask,
+    Cell,
+    ConfigurationCopy,
+    ConfigurationQuery,
+    Grant,
+    GroupReadiness,
+    Heartbeat,
+    NotRun,
+    Reason,
+    Refusal,
+    Release,
+    Renewal,
+    Request,
+)
+from cowslipstep.peers import Frame, FrameError, decode_frame, encode_frame
+
+CELL = Cell('drafting', 'ebene')
+REQUEST = Request('r1', 'grid-a', 'urgent', 'drafting', 900, 200, 30, True, 7)
+MESSAGES = (
+    Acknowledgement(),
+    Ask(CELL, REQUEST, ('g1', 'g2')),
+    Grant('r1', 'g1', Address('127.0.0.1', 80), 1.5),
+    Refusal('r1', NotRun(Reason.no_capacity, 2)),
+    Renewal(CELL, 'r1', 12),
+    Release(CELL, 'r1', 12, True),
+    Heartbeat('d0', 2**62, 9, (GroupReadiness('g1', 1.25),), True),
+    ConfigurationQuery(4),
+    ConfigurationCopy(5, '{}'),
+)
+
+
+@pytest.mark.parametrize('message', MESSAGES, ids=repr)
+def test_messages_survive_the_codec(message):
+    frame = Frame(3, True, message)
+    assert decode_frame(encode_frame(frame)) == frame
+
+
+def decodes_or_refuses(payload):
+    try:
+        return isinstance(decode_frame(payload), Frame)
+    except FrameError:
+        return True
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=300))
+def test_any_bytes_decode_or_are_refused(payload):
+    assert decodes_or_refuses(payload)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.sampled_from(MESSAGES),
+    st.integers(0, 400),
+    st.integers(1, 255),
+    st.integers(0, 20),
+)
+def test_damaged_frames_decode_or_are_refused(message, place, flip, cut):
+    payload = bytearray(encode_frame(Frame(3, False, message)))
+    payload[place % len(payload)] ^= flip
+    assert decodes_or_refuses(bytes(payload[: len(payload) - cut]))
