Take listening ports of local fleets from below the ephemeral range

Cause: a port found free by binding to zero lies in the range of outgoing connections, so that another process can take it before it is used. Change: random ports from 10240 to 32000 that can be bound.

--- a/standins/src/cowslipstep_standins/_processes.py
+++ b/standins/src/cowslipstep_standins/_processes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +15,10 @@
 
 _END_TIMEOUT_S = 10
 _POLL_S = 0.02
+_LOOPBACK = '127.0.0.1'
+_FIRST_PORT = 10240
+_LAST_PORT = 32000
+_LISTENING_PORTS = range(_FIRST_PORT, _LAST_PORT)
 
 
 class FleetError(Exception):
@@ -93,14 +99,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(('127.0.0.1', 0))
-            ports.append(sock.getsockname()[1])
-        return ports
+    """Return ports on loopback that nothing listens on.
+
+    They lie below the range that the system gives to outgoing connections,
+    so that none is taken between this call and its use.
+    """
+    candidates = random.SystemRandom().sample(_LISTENING_PORTS, count * 2)
+    return list(itertools.islice(filter(_is_free, candidates), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((_LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(
