Give the platform client a call budget, backoff, counts and proven changes

Cause: each daemon called the platform without a bound, an outage was met by calls at full rate, and a lost answer of a change stayed unknown. Change: a token bucket for each daemon whose last tokens are kept for leases, then orders, then configuration; a breaker that lets one call pass after a jittered backoff of at most 2 s once three calls in a row have failed; a count for each method, kind and outcome in /metrics; the daemon's name in User-Agent; update_with_proof reads a lost answer back by the attempt id in the body. A repeated conditional update is safe: at most one finds its version. Ruled out: retries of every call inside the client (tasks that repeat anyway would multiply calls in an outage).

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -8,20 +8,20 @@
 from cowslipstep.daemon._entry import EntryApplication
 from cowslipstep.daemon._groups import PERIOD_S, GroupService
 from cowslipstep.daemon._links import PeerLinks
+from cowslipstep.daemon._opening import open_state
 from cowslipstep.daemon._peers import Heartbeats, PeerService
 from cowslipstep.daemon._server import serve_until, stop_event
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._tasks import repeat, start_task
-from cowslipstep.platform import PlatformClient
 from cowslipstep.settings import DaemonSettings
 
 
 def run_daemon(settings: DaemonSettings) -> None:
     """Run a daemon until a planned stop has ended."""
     stop = stop_event()
-    state = DaemonState(settings, PlatformClient(settings.platform_address))
+    state = open_state(settings)
     cells = CellService(state)
     links = PeerLinks()
     start_task('cells', cells.run)
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -1,5 +1,12 @@
 """Client of the platform's object API: versions, conditions and watches."""
 
+from cowslipstep.platform._budget import (
+    BudgetLimits,
+    CallBudget,
+    Priority,
+    priority_of,
+)
+from cowslipstep.platform._calls import CallOutcome, CallRecord
 from cowslipstep.platform._client import PlatformClient
 from cowslipstep.platform._objects import (
     ObjectKey,
@@ -8,3 +15,4 @@
     StoredObject,
     VersionConflict,
 )
+from cowslipstep.platform._change import ChangeOverwritten
--- /dev/null
+++ b/libs/platform/src/cowslipstep/platform/_budget.py
@@ -0,0 +1,103 @@
+"""Budget of calls to the platform, with room kept for urgent kinds."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
+from attrs import field, frozen, validators
+
+
+class Priority(enum.IntEnum):
+    """Which calls go first when the budget runs short."""
+
+    lease = 0
+    orders = 1
+    configuration = 2
+    status = 3
+
+
+_CALLS_PER_S = 20
+_BURST_CALLS = 40
+_PRIORITIES: Mapping[str, Priority] = MappingProxyType(
+    {
+        'lease': Priority.lease,
+        'ledger': Priority.lease,
+        'orders': Priority.orders,
+        'configuration': Priority.configuration,
+        'daemons': Priority.configuration,
+    }
+)
+_RESERVED_SHARES: Mapping[Priority, float] = MappingProxyType(
+    {
+        Priority.lease: 0,
+        Priority.orders: 0.1,
+        Priority.configuration: 0.3,
+        Priority.status: 0.5,
+    }
+)
+
+
+def priority_of(kind: str) -> Priority:
+    """Return the priority of calls on objects of a kind.
+
+    Examples
+    --------
+    >>> priority_of('lease') < priority_of('status')
+    True
+    """
+    return _PRIORITIES.get(kind, Priority.status)
+
+
+@frozen
+class BudgetLimits:
+    """Calls a second that one daemon may make, and at once after a pause."""
+
+    calls_per_s: float = field(default=_CALLS_PER_S, validator=validators.gt(0))
+    burst: float = field(default=_BURST_CALLS, validator=validators.ge(1))
+
+
+class CallBudget:
+    """Token bucket whose last tokens are kept for urgent calls.
+
+    Parameters
+    ----------
+    limits
+        Rate and burst.
+    clock
+        Monotonic clock, seconds.
+
+    Examples
+    --------
+    >>> budget = CallBudget(BudgetLimits(1, 2), clock=lambda: 0)
+    >>> [budget.take(Priority.status) for _ in range(2)]
+    [True, True]
+    >>> budget.take(Priority.lease)
+    False
+    """
+
+    def __init__(
+        self,
+        limits: BudgetLimits,
+        clock: Callable[[], float],
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._tokens = limits.burst
+        self._filled_at_s = clock()
+
+    def take(self, priority: Priority) -> bool:
+        """Take a token for one call; false if none is left for it."""
+        self._fill()
+        reserved = _RESERVED_SHARES[priority] * self._limits.burst
+        if self._tokens < max(1, reserved):
+            return False
+        self._tokens -= 1
+        return True
+
+    def _fill(self) -> None:
+        now_s = self._clock()
+        gained = (now_s - self._filled_at_s) * self._limits.calls_per_s
+        self._tokens = min(self._limits.burst, self._tokens + gained)
+        self._filled_at_s = now_s
--- /dev/null
+++ b/libs/platform/src/cowslipstep/platform/_caller.py
@@ -0,0 +1,112 @@
+"""Calls within the budget and the backoff, counted one by one."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+from collections.abc import Callable, Iterator
+
+import urllib3
+
+from cowslipstep.model import NotRun, Reason
+from cowslipstep.platform._breaker import Breaker
+from cowslipstep.platform._budget import BudgetLimits, CallBudget, priority_of
+from cowslipstep.platform._calls import CallOutcome, CallRecord, PlatformCall
+from cowslipstep.platform._objects import (
+    ObjectMissing,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from cowslipstep.platform._transport import PlatformTransport
+
+CallObserver = Callable[[CallRecord], None]
+
+
+class PlatformCaller:
+    """Sends calls that the budget and the backoff admit.
+
+    Parameters
+    ----------
+    transport
+        Sends them.
+    limits
+        Budget of this daemon.
+    on_call
+        Told of each call.
+    """
+
+    def __init__(
+        self,
+        transport: PlatformTransport,
+        limits: BudgetLimits,
+        on_call: CallObserver,
+    ) -> None:
+        self._transport = transport
+        self._budget = CallBudget(limits, time.monotonic)
+        self._breaker = Breaker(time.monotonic, random.Random())
+        self._on_call = on_call
+        self._answered_at_s = float('-inf')
+
+    @property
+    def answered_at_s(self) -> float:
+        """Clock reading of the last answer; minus infinity for none."""
+        return self._answered_at_s
+
+    def call(self, call: PlatformCall) -> urllib3.BaseHTTPResponse:
+        """Send one call and return its answer.
+
+        Raises
+        ------
+        VersionConflict
+            If the object has another version.
+        ObjectMissing
+            If there is no such object.
+        PlatformUnavailable
+            If there was no usable answer, or the call was not admitted.
+        """
+        self._admit(call)
+        with self._counted(call):
+            return self._transport.send(call)
+
+    def _admit(self, call: PlatformCall) -> None:
+        if not self._breaker.admit():
+            raise self._refused(call, CallOutcome.backing_off)
+        if not self._budget.take(priority_of(call.kind)):
+            raise self._refused(call, CallOutcome.over_budget)
+
+    def _refused(
+        self,
+        call: PlatformCall,
+        outcome: CallOutcome,
+    ) -> PlatformUnavailable:
+        self._on_call(CallRecord(call.method, call.kind, outcome))
+        return PlatformUnavailable(
+            NotRun(Reason.platform_down),
+            f'{call}: not sent, {outcome}',
+        )
+
+    @contextlib.contextmanager
+    def _counted(self, call: PlatformCall) -> Iterator[None]:
+        outcome = CallOutcome.answered
+        try:
+            yield
+        except VersionConflict:
+            outcome = CallOutcome.conflict
+            raise
+        except ObjectMissing:
+            outcome = CallOutcome.missing
+            raise
+        except BaseException:
+            outcome = CallOutcome.failed
+            raise
+        finally:
+            self._note(call, outcome)
+
+    def _note(self, call: PlatformCall, outcome: CallOutcome) -> None:
+        self._on_call(CallRecord(call.method, call.kind, outcome))
+        if outcome is CallOutcome.failed:
+            self._breaker.fail()
+            return
+        self._breaker.succeed()
+        self._answered_at_s = time.monotonic()
--- a/libs/platform/src/cowslipstep/platform/_client.py
+++ b/libs/platform/src/cowslipstep/platform/_client.py
@@ -2,62 +2,47 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from cowslipstep.model import Address
-from cowslipstep.platform._objects import ObjectKey, StoredObject
-from cowslipstep.platform._transport import CALL_TIMEOUT_S, PlatformTransport
+from cowslipstep.platform._budget import BudgetLimits
+from cowslipstep.platform._caller import CallObserver, PlatformCaller
+from cowslipstep.platform._calls import CallRecord, PlatformCall
+from cowslipstep.platform._objects import ObjectKey
+from cowslipstep.platform._change import Change
+from cowslipstep.platform._proof import change_with_proof
+from cowslipstep.platform._reader import ObjectReader
+from cowslipstep.platform._transport import PlatformTransport
+
 
-_NOT_MODIFIED = 304
+def ignore_call(_record: CallRecord) -> None:
+    """Observe calls without counting them."""
 
 
-class PlatformClient:
+class PlatformClient(ObjectReader):
     """Reads, watches and conditionally changes platform objects.
 
     Parameters
     ----------
     address
         Address of the object API.
+    sender
+        Name that the platform sees in the ``User-Agent`` header.
+    limits
+        Budget of calls.
+    on_call
+        Told of each call, for counts.
     """
 
-    def __init__(self, address: Address) -> None:
-        self._transport = PlatformTransport(address)
-
-    def read(self, key: ObjectKey) -> StoredObject:
-        """Read one object.
-
-        Raises
-        ------
-        ObjectMissing
-            If there is none.
-        PlatformUnavailable
-            If there was no answer.
-        """
-        answer = self._transport.call('GET', f'/objects/{key}')
-        return _stored(key, answer.json())
-
-    def watch(
+    def __init__(
         self,
-        key: ObjectKey,
-        known_version: int,
-        wait_s: float,
-    ) -> StoredObject | None:
-        """Wait until the object is newer than ``known_version``.
-
-        Returns ``None`` when it has not changed within ``wait_s`` seconds.
-
-        Raises
-        ------
-        PlatformUnavailable
-            If there was no answer.
-        """
-        path = f'/objects/{key}?after={known_version}&wait_s={wait_s}'
-        answer = self._transport.call(
-            'GET', path, timeout_s=wait_s + CALL_TIMEOUT_S
+        address: Address,
+        sender: str = 'cowslipstep',
+        limits: BudgetLimits | None = None,
+        on_call: CallObserver = ignore_call,
+    ) -> None:
+        transport = PlatformTransport(address, sender)
+        super().__init__(
+            PlatformCaller(transport, limits or BudgetLimits(), on_call),
         )
-        if answer.status == _NOT_MODIFIED:
-            return None
-        return _stored(key, answer.json())
 
     def create(self, key: ObjectKey, body: str) -> int:
         """Create an object and return its version.
@@ -70,9 +55,8 @@
             If there was no answer; its verdict says whether the change may
             have taken effect.
         """
-        return self._transport.call('POST', f'/objects/{key}', body).json()[
-            'version'
-        ]
+        call = PlatformCall('POST', key.kind, f'/objects/{key}', body)
+        return self._caller.call(call).json()['version']
 
     def update(self, key: ObjectKey, version: int, body: str) -> int:
         """Replace an object that still has ``version``; return the new one.
@@ -86,35 +70,48 @@
             have taken effect.
         """
         path = f'/objects/{key}?version={version}'
-        return self._transport.call('PUT', path, body).json()['version']
+        call = PlatformCall('PUT', key.kind, path, body)
+        return self._caller.call(call).json()['version']
 
-    def delete(self, key: ObjectKey, version: int) -> None:
-        """Delete an object that still has ``version``.
+    def update_with_proof(
+        self,
+        key: ObjectKey,
+        version: int,
+        body: str,
+        attempt_id: str,
+    ) -> int:
+        """Replace or create an object; a lost answer is read back.
+
+        Parameters
+        ----------
+        key
+            The object.
+        version
+            Version that it must still have; zero creates it.
+        body
+            New text, which holds ``attempt_id`` somewhere.
+        attempt_id
+            Unique to this change.
 
         Raises
         ------
         VersionConflict
-            If the object has another version by now.
+            If another change won; this one never took effect.
         PlatformUnavailable
-            If there was no answer.
+            ``NotRun`` if the change was never sent; ``MayHaveRun`` if the
+            object could not be read back, or has changed again since.
         """
-        self._transport.call('DELETE', f'/objects/{key}?version={version}')
+        return change_with_proof(self, Change(key, version, body, attempt_id))
 
-    def read_all(self, kind: str) -> tuple[StoredObject, ...]:
-        """Read all objects of a kind.
+    def delete(self, key: ObjectKey, version: int) -> None:
+        """Delete an object that still has ``version``.
 
         Raises
         ------
+        VersionConflict
+            If the object has another version by now.
         PlatformUnavailable
             If there was no answer.
         """
-        listed = self._transport.call('GET', f'/objects/{kind}').json()[
-            'objects'
-        ]
-        return tuple(
-            _stored(ObjectKey(kind, entry['name']), entry) for entry in listed
-        )
-
-
-def _stored(key: ObjectKey, raw: dict[str, Any]) -> StoredObject:
-    return StoredObject(key, raw['version'], raw['body'])
+        path = f'/objects/{key}?version={version}'
+        self._caller.call(PlatformCall('DELETE', key.kind, path))
--- a/libs/platform/src/cowslipstep/platform/_transport.py
+++ b/libs/platform/src/cowslipstep/platform/_transport.py
@@ -7,16 +7,18 @@
 import urllib3
 
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
+from cowslipstep.platform._calls import PlatformCall
 from cowslipstep.platform._objects import (
     ObjectMissing,
     PlatformUnavailable,
     VersionConflict,
 )
 
-CALL_TIMEOUT_S = 2
 _CONNECT_TIMEOUT_S = 1
+_MAX_IDLE_CONNECTIONS = 4
 _NOT_FOUND = 404
 _CONFLICT = 409
+_CALLER_ERROR = 400
 _SERVER_ERROR = 500
 
 
@@ -27,23 +29,20 @@
     ----------
     address
         Address of the object API.
+    sender
+        Name in the ``User-Agent`` header.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, sender: str) -> None:
         self._pool = urllib3.HTTPConnectionPool(
             address.ip,
             address.port,
-            maxsize=4,
+            maxsize=_MAX_IDLE_CONNECTIONS,
             retries=False,
+            headers={'User-Agent': sender},
         )
 
-    def call(
-        self,
-        method: str,
-        path: str,
-        body: str | None = None,
-        timeout_s: float = CALL_TIMEOUT_S,
-    ) -> urllib3.BaseHTTPResponse:
+    def send(self, call: PlatformCall) -> urllib3.BaseHTTPResponse:
         """Send one call and return its answer.
 
         Raises
@@ -55,12 +54,12 @@
         PlatformUnavailable
             If there was no usable answer.
         """
-        timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=timeout_s)
+        timeout = urllib3.Timeout(_CONNECT_TIMEOUT_S, call.timeout_s)
         try:
             answer = self._pool.request(
-                method,
-                path,
-                body=None if body is None else json.dumps({'body': body}),
+                call.method,
+                call.path,
+                body=_encoded(call.body),
                 timeout=timeout,
             )
         except (
@@ -69,29 +68,39 @@
         ) as refused:
             raise PlatformUnavailable(
                 NotRun(Reason.platform_down),
-                f'{method} {path}: {refused}',
+                f'{call}: {refused}',
             ) from refused
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailable(
                 MayHaveRun(Reason.platform_down),
-                f'{method} {path}: {error}',
+                f'{call}: {error}',
             ) from error
-        return _checked(answer, f'{method} {path}')
+        return _checked(answer, call)
+
+
+def _encoded(body: str | None) -> str | None:
+    return None if body is None else json.dumps({'body': body})
 
 
 def _checked(
     answer: urllib3.BaseHTTPResponse,
-    call: str,
+    call: PlatformCall,
 ) -> urllib3.BaseHTTPResponse:
     match answer.status:
-        case status if status >= _SERVER_ERROR:
+        case status if status == _CONFLICT:
+            raise VersionConflict(str(call))
+        case status if status == _NOT_FOUND:
+            raise ObjectMissing(str(call))
+        case status if status >= _CALLER_ERROR:
             raise PlatformUnavailable(
-                MayHaveRun(Reason.platform_down),
+                _verdict(status),
                 f'{call}: status {status}',
             )
-        case status if status == _CONFLICT:
-            raise VersionConflict(call)
-        case status if status == _NOT_FOUND:
-            raise ObjectMissing(call)
         case _:
             return answer
+
+
+def _verdict(status: int) -> NotRun | MayHaveRun:
+    if status >= _SERVER_ERROR:
+        return MayHaveRun(Reason.platform_down)
+    return NotRun(Reason.platform_down)
--- /dev/null
+++ b/libs/platform/tests/test_budget.py
@@ -0,0 +1,62 @@
+"""The call budget and the backoff, on an injected clock."""
+
+import random
+
+from cowslipstep.platform import BudgetLimits, CallBudget, Priority
+from cowslipstep.platform._breaker import Breaker
+
+LIMITS = BudgetLimits(calls_per_s=10, burst=20)
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 0
+
+    def __call__(self):
+        return self.now_s
+
+
+def test_urgent_calls_pass_when_others_use_all():
+    budget = CallBudget(LIMITS, Clock())
+    assert not all(budget.take(Priority.status) for _ in range(100))
+    for priority in (Priority.configuration, Priority.orders, Priority.lease):
+        assert budget.take(priority)
+
+
+def test_rate_holds_whatever_the_demand():
+    clock = Clock()
+    budget = CallBudget(LIMITS, clock)
+    taken = 0
+    for _ in range(1000):
+        clock.now_s += 0.01
+        taken += sum(budget.take(Priority.lease) for _ in range(5))
+    assert taken <= LIMITS.burst + LIMITS.calls_per_s * 10 + 1
+
+
+def probe_gaps(breaker, clock):
+    """Whole seconds between the probes of an outage of 10 minutes."""
+    probed_at_s = clock.now_s
+    for _ in range(6000):
+        clock.now_s += 0.1
+        if breaker.admit():
+            breaker.fail()
+            yield round(clock.now_s - probed_at_s)
+            probed_at_s = clock.now_s
+
+
+def test_long_outage_is_probed_at_a_bounded_rate():
+    clock = Clock()
+    breaker = Breaker(clock, random.Random(1))
+    gaps = list(probe_gaps(breaker, clock))
+    assert set(gaps[10:]) == {1, 2}
+    breaker.succeed()
+    assert all(breaker.admit() for _ in range(5))
+
+
+def test_a_few_lost_answers_do_not_stop_calls():
+    breaker = Breaker(Clock(), random.Random(1))
+    breaker.fail()
+    breaker.fail()
+    assert breaker.admit()
--- a/libs/settings/src/cowslipstep/settings/_daemon.py
+++ b/libs/settings/src/cowslipstep/settings/_daemon.py
@@ -11,6 +11,7 @@
 
 _DEFAULT_MAX_BODY_BYTES = 1048576
 _DEFAULT_STOP_GRACE_S = 600
+_DEFAULT_PLATFORM_CALLS_PER_S = 20
 
 
 @frozen
@@ -46,6 +47,8 @@
         Longest wait for streams in a planned stop, seconds.
     unready_delay_s
         Time between ``/readyz`` off and the end of intake, seconds.
+    platform_calls_per_s
+        Budget of calls to the platform, calls a second.
     """
 
     name: str = field(validator=validators.min_len(1))
@@ -63,6 +66,10 @@
         validator=validators.ge(0),
     )
     unready_delay_s: float = field(default=2, validator=validators.ge(0))
+    platform_calls_per_s: float = field(
+        default=_DEFAULT_PLATFORM_CALLS_PER_S,
+        validator=validators.gt(0),
+    )
 
 
 def parse_daemon_settings(text: str | bytes) -> DaemonSettings:
