Exchange bounded heartbeats, confirm the configuration, stop as planned

Cause: heartbeats went to every daemon with whole readiness tables, a daemon was found only through its settings file, a fresh daemon took requests with whatever version it had first, a stale or broken document at the platform made the watch spin, idle connections held a planned stop up, and a port in use was shared silently (SO_REUSEPORT). Change: a heartbeat is answered by the peer's heartbeat, whose readiness and news count from the moment of the call; readiness is a list sent once, then a number; partners are all daemons up to 16, else those of the failure domain and a few others; addresses come from settings, the platform's directory (kind daemons, one object a failure domain, read once a minute) and the greeting on each link; links open on demand and close when idle; a send that stalls closes its link. Configurations: first a plain read, then watches; requests are let in when platform or peers have told the newest version; a daemon that hears neither for 10 s is unready. Planned stop: hooks, answers with Connection: close, intake closed after the delay, requests in progress finish. Taken ports give one line and exit status 1. Ruled out: pushing readiness in calls (counts from the read, so a receiver that was paused believes old readiness).

--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -20,6 +20,7 @@
 from loguru import logger  # noqa: E402
 
 from cowslipstep.daemon._daemon import run_daemon  # noqa: E402
+from cowslipstep.daemon._listening import ListenError  # noqa: E402
 from cowslipstep.settings import load_daemon_settings  # noqa: E402
 
 
@@ -38,7 +39,11 @@
         for problem in group.exceptions:
             typer.echo(f'error: {problem}', err=True)
         raise typer.Exit(2) from None
-    run_daemon(loaded)
+    try:
+        run_daemon(loaded)
+    except ListenError as error:
+        typer.echo(f'error: {error}', err=True)
+        raise typer.Exit(1) from None
 
 
 def main() -> None:
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_awareness.py
@@ -0,0 +1,26 @@
+"""Tasks that keep a daemon aware of the configuration and the fleet."""
+
+from __future__ import annotations
+
+from cowslipstep.daemon._configuration import ConfigurationFeed
+from cowslipstep.daemon._configuration_watch import ConfigurationWatch
+from cowslipstep.daemon._directory import Directory
+from cowslipstep.daemon._isolation import IsolationCheck
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._tasks import repeat, start_task
+
+_CONFIRMATION_PERIOD_S = 0.1
+_ISOLATION_PERIOD_S = 1
+
+
+def start_awareness(state: DaemonState, feed: ConfigurationFeed) -> None:
+    """Start the tasks; the directory is left in a planned stop."""
+    directory = Directory(state)
+    state.stop_hooks.append(directory.leave)
+    confirm = repeat(_CONFIRMATION_PERIOD_S, feed.confirmation.step)
+    check = repeat(_ISOLATION_PERIOD_S, IsolationCheck(state).step)
+    start_task('confirmation', confirm)
+    start_task('isolation', check)
+    start_task('directory', directory.run)
+    watch = ConfigurationWatch(state.platform, feed)
+    start_task('configuration', watch.run)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_configuration.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_configuration.py
@@ -1,23 +1,18 @@
-"""Configuration in force: watched at the platform, filled in by peers."""
+"""Configuration in force: always a newer one after an older one."""
 
 from __future__ import annotations
 
-import eventlet
 from loguru import logger
 
+from cowslipstep.daemon._confirmation import Confirmation
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.model import (
+    Configuration,
     ConfigurationCopy,
-    ConfigurationQuery,
     VersionedConfiguration,
 )
-from cowslipstep.platform import ObjectKey, PlatformUnavailable
 from cowslipstep.settings import parse_configuration
 
-CONFIGURATION_KEY = ObjectKey('configuration', 'fleet')
-_WATCH_S = 30
-_RETRY_DELAY_S = 0.5
-
 
 class ConfigurationFeed:
     """Applies configurations, always a newer one after an older one.
@@ -30,39 +25,48 @@
 
     def __init__(self, state: DaemonState) -> None:
         self._state = state
+        self._refused_version = 0
+        self._confirmation = Confirmation(state)
 
-    def watch(self) -> None:
-        """Wait for a change at the platform and apply it."""
-        try:
-            stored = self._state.platform.watch(
-                CONFIGURATION_KEY,
-                self._state.version,
-                _WATCH_S,
-            )
-        except PlatformUnavailable:
-            eventlet.sleep(_RETRY_DELAY_S)
-            return
-        if stored is not None:
-            self.apply(stored.version, stored.body)
+    @property
+    def confirmation(self) -> Confirmation:
+        """Whether the newest version known anywhere is in force."""
+        return self._confirmation
+
+    @property
+    def newest_seen(self) -> int:
+        """Newest version seen, in force or refused; zero for none."""
+        return max(self._state.version, self._refused_version)
 
     def apply(self, version: int, document: str) -> None:
-        """Put a configuration in force unless it is older."""
-        if version <= self._state.version:
+        """Put a configuration in force unless it is older or broken."""
+        if not self.lacks(version):
             return
-        try:
-            configuration = parse_configuration(document)
-        except ExceptionGroup as group:
-            logger.bind(version=version).error(
-                'configuration refused: {}',
-                [str(problem) for problem in group.exceptions],
-            )
+        configuration = _parse(version, document)
+        if configuration is None:
+            self._refused_version = version
             return
         self._state.versioned = VersionedConfiguration(version, configuration)
         self._state.document = document
         logger.bind(version=version).info('configuration in force')
 
-    def answer(self, query: ConfigurationQuery) -> ConfigurationCopy:
-        """Answer a peer that asks for a newer configuration."""
-        if query.known_version >= self._state.version:
+    def lacks(self, version: int) -> bool:
+        """Whether a version is newer than all that were seen."""
+        return version > self.newest_seen
+
+    def copy_for(self, known_version: int) -> ConfigurationCopy:
+        """Return the configuration in force, for a peer that lags."""
+        if known_version >= self._state.version:
             return ConfigurationCopy(self._state.version, '')
         return ConfigurationCopy(self._state.version, self._state.document)
+
+
+def _parse(version: int, document: str) -> Configuration | None:
+    try:
+        return parse_configuration(document)
+    except ExceptionGroup as group:
+        logger.bind(version=version).error(
+            'configuration refused: {}',
+            [str(problem) for problem in group.exceptions],
+        )
+    return None
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
@@ -108,7 +108,7 @@
         return _begin(head, pieces, start_response, request_id)
 
     def _configuration(self) -> Configuration:
-        if self._state.configuration is None or self._state.stopping:
+        if not (self._state.configuration and self._state.accepts_requests):
             raise RequestError(
                 NotRun(Reason.not_ready, retry_after_s=1),
                 'the daemon is not ready',
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
@@ -4,8 +4,11 @@
 
 from collections.abc import Iterable
 
+from attrs import asdict
+
 from cowslipstep.daemon._http import JsonAnswer, StartResponse
 from cowslipstep.daemon._state import DaemonState
+from cowslipstep.metrics import CounterKey
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -13,9 +16,12 @@
 
 def answer_readiness(state: DaemonState) -> JsonAnswer:
     """Say whether the daemon takes requests."""
-    if state.configuration is None or state.stopping:
-        return JsonAnswer(_UNAVAILABLE, {'ready': False})
-    return JsonAnswer(_OK, {'ready': True})
+    document = {
+        'ready': state.ready,
+        'version': state.version,
+        'daemon': state.settings.name,
+    }
+    return JsonAnswer(_OK if state.ready else _UNAVAILABLE, document)
 
 
 def send_metrics(
@@ -24,9 +30,22 @@
 ) -> Iterable[bytes]:
     """Answer with all metrics in the text format of Prometheus."""
     start_response('200 OK', [('Content-Type', 'text/plain; version=0.0.4')])
+    _gauge_daemon(state)
     lines = [
         *state.counters.render(),
         *state.gauges.render(),
         *state.histograms.render(),
     ]
     return [f'{line}\n'.encode() for line in lines]
+
+
+def _gauge_daemon(state: DaemonState) -> None:
+    figures = {
+        **asdict(state.traffic),
+        'known_daemons': len(state.membership.others) + 1,
+        'live_daemons': len(state.live_daemons),
+        'partners': len(state.membership.partners()),
+        'configuration_version': state.version,
+    }
+    for name, figure in figures.items():
+        state.gauges.set(CounterKey(f'control_{name}'), figure)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_links.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_links.py
@@ -1,20 +1,44 @@
-"""Links to the other daemons, by name."""
+"""Links to the other daemons, opened when needed and closed when idle."""
 
 from __future__ import annotations
 
-from cowslipstep.model import Message
-from cowslipstep.peers import PeerLink, PeerUnreachable
+import time
+from typing import Any
+
+from attrs import define
+
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._tasks import start_task
+from cowslipstep.model import DaemonEntry, Message
+from cowslipstep.peers import Callee, PeerLink, PeerUnreachable
+
+_IDLE_S = 60
+
+
+@define
+class _OpenLink:
+    link: PeerLink
+    task: Any
+    used_at_s: float
+
+    def close(self) -> None:
+        """End the link's task and close its connection."""
+        self.task.kill()
+        self.link.reset()
 
 
 class PeerLinks:
-    """Finds the link to a daemon."""
+    """Finds or opens the link to a daemon by its name.
 
-    def __init__(self) -> None:
-        self._by_name: dict[str, PeerLink] = {}
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
 
-    def add(self, name: str, link: PeerLink) -> None:
-        """Use a link for messages to the daemon ``name``."""
-        self._by_name[name] = link
+    def __init__(self, state: DaemonState) -> None:
+        self._state = state
+        self._open: dict[str, _OpenLink] = {}
 
     def call(self, name: str, message: Message, timeout_s: float) -> Message:
         """Send a message and wait for the reply.
@@ -36,8 +60,37 @@
         """
         self._find(name).tell(message)
 
+    def reset(self, name: str) -> None:
+        """Close a connection that no longer answers, to open another."""
+        opened = self._open.get(name)
+        if opened is not None:
+            opened.link.reset()
+
+    def close_idle(self) -> None:
+        """Close the links that were not used for a while."""
+        oldest_s = time.monotonic() - _IDLE_S
+        for name, opened in tuple(self._open.items()):
+            if opened.used_at_s < oldest_s:
+                self._open.pop(name)
+                opened.close()
+
     def _find(self, name: str) -> PeerLink:
-        link = self._by_name.get(name)
-        if link is None:
-            raise PeerUnreachable(f'no link to {name}')
-        return link
+        entry = self._state.membership.others.get(name)
+        if entry is None:
+            raise PeerUnreachable(f'unknown daemon {name}')
+        opened = self._open.get(name)
+        if opened is not None and opened.link.callee.address != entry.address:
+            opened.close()
+            opened = None
+        if opened is None:
+            opened = self._open_link(entry)
+        opened.used_at_s = time.monotonic()
+        return opened.link
+
+    def _open_link(self, entry: DaemonEntry) -> _OpenLink:
+        greeting = self._state.membership.own
+        link = PeerLink(Callee(entry.address, greeting, self._state.traffic))
+        task = start_task(f'link to {entry.name}', link.run)
+        opened = _OpenLink(link, task, time.monotonic())
+        self._open[entry.name] = opened
+        return opened
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
@@ -0,0 +1,96 @@
+"""The daemons that this one knows: where they are and whether they live."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator, Mapping
+
+from cowslipstep.model import DaemonEntry, DaemonNews, Heartbeat
+from cowslipstep.peers import LivenessTable, Neighbourhood, choose_partners
+from cowslipstep.routing import rank_owners
+from cowslipstep.settings import DaemonSettings
+
+DIRECT_ALIVE_S = 2.5
+RELAYED_ALIVE_S = 30
+
+
+class Membership:
+    """Directory and liveness of the other daemons.
+
+    Parameters
+    ----------
+    settings
+        Settings of this daemon.
+    incarnation
+        Incarnation of this daemon.
+    """
+
+    def __init__(self, settings: DaemonSettings, incarnation: int) -> None:
+        self._own = DaemonEntry(
+            settings.name,
+            settings.peer_address,
+            settings.failure_domain,
+            incarnation,
+        )
+        self._others = {
+            peer.name: DaemonEntry(peer.name, peer.address, peer.failure_domain)
+            for peer in settings.peers
+        }
+        self._liveness = LivenessTable(time.monotonic)
+
+    @property
+    def own(self) -> DaemonEntry:
+        """Entry of this daemon."""
+        return self._own
+
+    @property
+    def others(self) -> Mapping[str, DaemonEntry]:
+        """The other known daemons by name."""
+        return self._others
+
+    @property
+    def liveness(self) -> LivenessTable:
+        """Last signs of life of the others."""
+        return self._liveness
+
+    def learn(self, entry: DaemonEntry) -> None:
+        """Take over an entry unless a newer one is known.
+
+        A daemon that has taken another's address replaces it.
+        """
+        known = self._others.get(entry.name)
+        if entry.name == self._own.name:
+            return
+        if known is not None and known.incarnation > entry.incarnation:
+            return
+        for name in tuple(_replaced_by(entry, self._others)):
+            self._others.pop(name)
+        self._others[entry.name] = entry
+
+    def hear(self, heartbeat: Heartbeat, sent_at_s: float) -> None:
+        """Note the sign of life in a heartbeat, and the news it carries."""
+        own = DaemonNews(
+            heartbeat.daemon,
+            heartbeat.incarnation,
+            0,
+            heartbeat.stopping,
+        )
+        for news in (own, *heartbeat.news):
+            if news.daemon != self._own.name:
+                self._liveness.hear(news, sent_at_s)
+
+    def partners(self) -> frozenset[str]:
+        """Names of the peers to exchange heartbeats with."""
+        alive = frozenset(self._liveness.alive(RELAYED_ALIVE_S))
+        seen = Neighbourhood(self._own, self._others, alive)
+        return choose_partners(seen, rank_owners)
+
+
+def _replaced_by(
+    entry: DaemonEntry,
+    others: Mapping[str, DaemonEntry],
+) -> Iterator[str]:
+    for name, other in others.items():
+        older = other.incarnation < entry.incarnation
+        if older and other.address == entry.address:
+            yield name
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
@@ -1,14 +1,18 @@
-"""HTTP server for callers, with a planned stop."""
+"""HTTP server for callers."""
 
 from __future__ import annotations
 
 import signal
+from collections.abc import Iterable
+from typing import Any
 
-from eventlet import GreenPool, Timeout, listen, sleep, spawn, wsgi
+from eventlet import GreenPool, Timeout, spawn, wsgi
 from eventlet.event import Event
 from loguru import logger
 
 from cowslipstep.daemon._entry import EntryApplication
+from cowslipstep.daemon._http import Environ, StartResponse
+from cowslipstep.daemon._in_progress import InProgress
 from cowslipstep.daemon._state import DaemonState
 
 _MAX_CONNECTIONS = 10000
@@ -28,32 +32,75 @@
     return stop
 
 
-def serve_until(
-    stop: Event,
-    application: EntryApplication,
-    state: DaemonState,
-) -> None:
-    """Serve callers until ``stop``, then finish what is in progress."""
-    address = state.settings.http_address
-    listener = listen((address.ip, address.port))
-    pool = GreenPool(_MAX_CONNECTIONS)
-    server = spawn(
-        wsgi.server,
-        listener,
-        application,
-        custom_pool=pool,
-        log_output=False,
-        minimum_chunk_size=1,
-        socket_timeout=_KEEP_ALIVE_S,
-        debug=False,
-    )
-    logger.bind(address=str(address)).info('daemon serves')
-    stop.wait()
-    state.stopping = True
-    logger.info('planned stop begins')
-    sleep(state.settings.unready_delay_s)
-    listener.close()
-    server.kill()
-    with Timeout(state.settings.stop_grace_s, False):
-        pool.waitall()
-    logger.info('planned stop ends')
+class CallerServer:
+    """Serves callers on a listening socket.
+
+    Parameters
+    ----------
+    listener
+        Listening socket.
+    application
+        Answers requests.
+    state
+        State of the daemon.
+    """
+
+    def __init__(
+        self,
+        listener: Any,
+        application: EntryApplication,
+        state: DaemonState,
+    ) -> None:
+        self._listener = listener
+        self._application = application
+        self._state = state
+        self._in_progress = InProgress()
+        self._pool = GreenPool(_MAX_CONNECTIONS)
+        self._task: Any = None
+
+    def start(self) -> None:
+        """Start the task that accepts connections."""
+        self._task = spawn(
+            wsgi.server,
+            self._listener,
+            self._answer,
+            custom_pool=self._pool,
+            log_output=False,
+            minimum_chunk_size=1,
+            socket_timeout=_KEEP_ALIVE_S,
+            debug=False,
+        )
+        address = str(self._state.settings.http_address)
+        logger.bind(address=address).info('daemon serves')
+
+    def close(self) -> None:
+        """Take no more connections and close those that are idle."""
+        self._listener.close()
+        self._task.kill()
+
+    def wait_finished(self, timeout_s: float) -> bool:
+        """Wait for the requests in progress; false if some remain."""
+        with Timeout(timeout_s, False):
+            self._in_progress.wait_none()
+            return True
+        return False
+
+    def _answer(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        if self._state.stopping:
+            start_response = closing(start_response)
+        return self._in_progress.track(
+            lambda: self._application(environ, start_response),
+        )
+
+
+def closing(start_response: StartResponse) -> StartResponse:
+    """Return ``start_response`` that asks callers to connect elsewhere."""
+
+    def start_and_close(status: str, headers: list[Any]) -> Any:  # noqa: WPS430
+        return start_response(status, [*headers, ('Connection', 'close')])
+
+    return start_and_close
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -3,25 +3,20 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
-from attrs import define, field
+from attrs import Factory, define, field
 
+from cowslipstep.daemon._live import daemons_in, live_daemons
+from cowslipstep.daemon._membership import Membership
 from cowslipstep.groups import DomainLedger, ReadinessTable
 from cowslipstep.metrics import Counters, EventLog, Gauges, Histograms
-from cowslipstep.model import Configuration, Heartbeat, VersionedConfiguration
+from cowslipstep.model import Configuration, VersionedConfiguration
+from cowslipstep.peers import Traffic
 from cowslipstep.platform import PlatformClient
 from cowslipstep.settings import DaemonSettings
 
 _NO_VERSION = 0
-_PEER_ALIVE_S = 2.5
-
-
-@define
-class PeerState:
-    """The last heartbeat of a peer and when it came."""
-
-    heartbeat: Heartbeat
-    heard_at_s: float
 
 
 @define
@@ -40,10 +35,20 @@
         Text of the configuration in force, for peers that lag.
     ledgers
         Ledgers by fabric domain, as last read.
-    peers
-        Peers by name, as last heard.
+    membership
+        The other daemons.
+    traffic
+        Bytes exchanged with them.
     stopping
         Whether a planned stop has begun.
+    intake_closed
+        Whether a planned stop no longer takes requests.
+    stop_hooks
+        Called when a planned stop begins.
+    confirmed
+        Whether the newest configuration known anywhere was in force.
+    isolated
+        Whether neither the platform nor a peer has answered for long.
     """
 
     settings: DaemonSettings
@@ -52,7 +57,13 @@
     versioned: VersionedConfiguration | None = None
     document: str = ''
     ledgers: dict[str, DomainLedger] = field(factory=dict)
-    peers: dict[str, PeerState] = field(factory=dict)
+    membership: Membership = field(
+        default=Factory(
+            lambda state: Membership(state.settings, state.incarnation),
+            takes_self=True,
+        ),
+    )
+    traffic: Traffic = field(factory=Traffic)
     readiness: ReadinessTable = field(
         factory=lambda: ReadinessTable(time.monotonic),
     )
@@ -61,6 +72,10 @@
     gauges: Gauges = field(factory=Gauges)
     events: EventLog = field(factory=EventLog)
     stopping: bool = False
+    intake_closed: bool = False
+    stop_hooks: list[Callable[[], None]] = field(factory=list)
+    confirmed: bool = False
+    isolated: bool = False
 
     @property
     def version(self) -> int:
@@ -76,13 +91,24 @@
             return None
         return self.versioned.configuration
 
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send requests."""
+        return self.accepts_requests and not (self.stopping or self.isolated)
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether requests that come are served."""
+        return self.confirmed and not self.intake_closed
+
     @property
     def live_daemons(self) -> tuple[str, ...]:
-        """Names of this daemon and of the peers heard recently."""
-        oldest = time.monotonic() - _PEER_ALIVE_S
-        alive = [
-            name
-            for name, peer in self.peers.items()
-            if peer.heard_at_s > oldest and not peer.heartbeat.stopping
-        ]
-        return (self.settings.name, *alive)
+        """Names of this daemon and of the live others, none of them stopping.
+
+        A stopping daemon leaves itself out if there are others.
+        """
+        return live_daemons(self.membership, self.stopping)
+
+    def daemons_in(self, failure_domain: str) -> frozenset[str]:
+        """Names of the known daemons of a failure domain, live or not."""
+        return daemons_in(self.membership, failure_domain)
--- a/libs/groups/src/cowslipstep/groups/_readiness.py
+++ b/libs/groups/src/cowslipstep/groups/_readiness.py
@@ -46,9 +46,18 @@
         self._clock = clock
         self._until_s: dict[str, float] = {}
 
-    def learn(self, readiness: GroupReadiness) -> None:
-        """Take over a readiness sent as remaining time."""
-        self._until_s[readiness.group] = self._clock() + readiness.remaining_s
+    def learn(
+        self,
+        readiness: GroupReadiness,
+        counted_from_s: float | None = None,
+    ) -> None:
+        """Take over a readiness sent as remaining time.
+
+        It counts from ``counted_from_s``, by default from now.
+        """
+        now = self._clock()
+        start_s = now if counted_from_s is None else counted_from_s
+        self._until_s[readiness.group] = start_s + readiness.remaining_s
 
     def ready_until_s(self, group: str) -> float:
         """Clock reading at which readiness runs out; zero if unknown."""
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -30,11 +30,13 @@
     Acknowledgement,
     ConfigurationCopy,
     ConfigurationQuery,
-    GroupReadiness,
+    DaemonEntry,
+    DaemonNews,
     Heartbeat,
     MembershipMessage,
 )
 from cowslipstep.model._messages import Message
+from cowslipstep.model._readiness import GroupReadiness, ReadinessReport
 from cowslipstep.model._requests import Request
 from cowslipstep.model._verdicts import (
     Completed,
--- a/libs/model/src/cowslipstep/model/_membership.py
+++ b/libs/model/src/cowslipstep/model/_membership.py
@@ -4,18 +4,35 @@
 
 from attrs import frozen
 
+from cowslipstep.model._fleet import Address
+from cowslipstep.model._readiness import ReadinessReport
+
 
 @frozen
-class GroupReadiness:
-    """A group that may serve for ``remaining_s`` more seconds."""
+class DaemonNews:
+    """What is known of a daemon that the receiver may not hear itself.
 
-    group: str
-    remaining_s: float
+    Parameters
+    ----------
+    daemon
+        Name of the daemon.
+    incarnation
+        Newest incarnation known.
+    age_s
+        Upper bound of the time since it was heard.
+    stopping
+        Whether it is in a planned stop.
+    """
+
+    daemon: str
+    incarnation: int
+    age_s: float
+    stopping: bool = False
 
 
 @frozen
 class Heartbeat:
-    """Periodic report of a daemon to its peers.
+    """Report of a daemon to a peer, and the peer's report in reply.
 
     Parameters
     ----------
@@ -24,18 +41,46 @@
     incarnation
         Grows with each start of a daemon of that name.
     configuration_version
-        Newest configuration version known to the sender.
-    readiness
-        Groups probed by the sender.
+        Version of the sender's configuration in force.
     stopping
         Whether the sender is in a planned stop.
+    known_table
+        Number of the receiver's list of groups that the sender holds.
+    readiness
+        Groups probed by the sender; only in replies.
+    news
+        Other daemons, as heard by the sender; only in replies.
     """
 
     daemon: str
     incarnation: int
     configuration_version: int
-    readiness: tuple[GroupReadiness, ...] = ()
     stopping: bool = False
+    known_table: int = 0
+    readiness: ReadinessReport = ReadinessReport()
+    news: tuple[DaemonNews, ...] = ()
+
+
+@frozen
+class DaemonEntry:
+    """Where a daemon is reached.
+
+    Parameters
+    ----------
+    name
+        Unique name among the daemons.
+    address
+        Where other daemons connect.
+    failure_domain
+        Failure domain of its host.
+    incarnation
+        Start that the entry is of; zero for one from settings.
+    """
+
+    name: str
+    address: Address
+    failure_domain: str
+    incarnation: int = 0
 
 
 @frozen
@@ -59,5 +104,9 @@
 
 
 MembershipMessage = (
-    Heartbeat | ConfigurationQuery | ConfigurationCopy | Acknowledgement
+    Heartbeat
+    | DaemonEntry
+    | ConfigurationQuery
+    | ConfigurationCopy
+    | Acknowledgement
 )
--- /dev/null
+++ b/libs/peers/src/cowslipstep/peers/_connection.py
@@ -0,0 +1,89 @@
+"""A TCP connection that carries frames, with bounded sends."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+
+import eventlet
+from attrs import define
+from eventlet.green import socket
+from eventlet.semaphore import Semaphore
+
+from cowslipstep.peers._frames import Frame
+from cowslipstep.peers._wire import receive_frame, send_frame
+
+_SEND_TIMEOUT_S = 2
+
+
+@define
+class Traffic:
+    """Bytes and frames between daemons, without TCP and IP headers."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_frames: int = 0
+    received_frames: int = 0
+
+
+class FrameConnection:
+    """Sends and receives frames on a socket.
+
+    Parameters
+    ----------
+    sock
+        Connected socket.
+    traffic
+        Counts what passes.
+    """
+
+    def __init__(self, sock: socket.socket, traffic: Traffic) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+        self._traffic = traffic
+        self._sending = Semaphore()
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame whole, or close the connection.
+
+        Raises
+        ------
+        OSError
+            If the connection is gone, or the peer takes no bytes in time.
+        """
+        with (
+            self._sending,
+            self._closed_on_error(),
+            eventlet.Timeout(_SEND_TIMEOUT_S, TimeoutError('slow peer')),
+        ):
+            self._traffic.sent_bytes += send_frame(self._sock, frame)
+            self._traffic.sent_frames += 1
+
+    def receive(self) -> Frame:
+        """Wait for the next frame.
+
+        Raises
+        ------
+        FrameError
+            If the bytes are no frame.
+        OSError
+            If the connection is gone.
+        """
+        received = receive_frame(self._sock)
+        self._traffic.received_bytes += received.bytes_on_wire
+        self._traffic.received_frames += 1
+        return received.frame
+
+    def close(self) -> None:
+        """End the connection for both sides."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    @contextlib.contextmanager
+    def _closed_on_error(self) -> Iterator[None]:
+        # Part of a frame may have been sent: nothing may follow it.
+        try:
+            yield
+        except BaseException:
+            self.close()
+            raise
--- /dev/null
+++ b/libs/peers/src/cowslipstep/peers/_decode_heartbeat.py
@@ -0,0 +1,49 @@
+"""Decoding of heartbeats."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cowslipstep.model import (
+    DaemonNews,
+    GroupReadiness,
+    Heartbeat,
+    ReadinessReport,
+)
+from cowslipstep.peers._units import ms_to_seconds
+
+
+def decode_heartbeat(raw: Any) -> Heartbeat:
+    """Read a heartbeat from its fields."""
+    return Heartbeat(
+        raw.daemon,
+        raw.incarnation,
+        raw.configurationVersion,
+        raw.stopping,
+        raw.knownTable,
+        _report(raw.readiness),
+        tuple(_news(entry) for entry in raw.news),
+    )
+
+
+def _report(raw: Any) -> ReadinessReport:
+    if raw.table == 0:
+        return ReadinessReport()
+    return ReadinessReport(
+        raw.table,
+        tuple(raw.groups),
+        ms_to_seconds(raw.renewedMs),
+        tuple(
+            GroupReadiness(entry.group, ms_to_seconds(entry.remainingMs))
+            for entry in raw.exceptions
+        ),
+    )
+
+
+def _news(raw: Any) -> DaemonNews:
+    return DaemonNews(
+        raw.daemon,
+        raw.incarnation,
+        ms_to_seconds(raw.ageMs),
+        raw.stopping,
+    )
--- a/libs/peers/src/cowslipstep/peers/_decode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_membership.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from cowslipstep.model import (
     Acknowledgement,
+    Address,
     ConfigurationCopy,
     ConfigurationQuery,
-    GroupReadiness,
-    Heartbeat,
+    DaemonEntry,
     MembershipMessage,
 )
-from cowslipstep.peers._units import ms_to_seconds
+from cowslipstep.peers._decode_heartbeat import decode_heartbeat
 
 
 def decode_membership_message(
@@ -20,26 +22,33 @@
     body: Any,
 ) -> MembershipMessage | None:
     """Read the field ``name``; return ``None`` if it is no such message."""
-    match name:
-        case 'acknowledgement':
-            return Acknowledgement()
-        case 'heartbeat':
-            return _heartbeat(body)
-        case 'configurationQuery':
-            return ConfigurationQuery(body)
-        case 'configurationCopy':
-            return ConfigurationCopy(body.version, body.document)
-    return None
-
-
-def _heartbeat(raw: Any) -> Heartbeat:
-    return Heartbeat(
-        raw.daemon,
+    reader = _READERS.get(name)
+    return None if reader is None else reader(body)
+
+
+def _acknowledgement(_raw: Any) -> Acknowledgement:
+    return Acknowledgement()
+
+
+def _copy(raw: Any) -> ConfigurationCopy:
+    return ConfigurationCopy(raw.version, raw.document)
+
+
+def _entry(raw: Any) -> DaemonEntry:
+    return DaemonEntry(
+        raw.name,
+        Address(raw.ip, raw.port),
+        raw.failureDomain,
         raw.incarnation,
-        raw.configurationVersion,
-        tuple(
-            GroupReadiness(entry.group, ms_to_seconds(entry.remainingMs))
-            for entry in raw.readiness
-        ),
-        raw.stopping,
     )
+
+
+_READERS: Mapping[str, Callable[[Any], MembershipMessage]] = MappingProxyType(
+    {
+        'acknowledgement': _acknowledgement,
+        'heartbeat': decode_heartbeat,
+        'daemonEntry': _entry,
+        'configurationQuery': ConfigurationQuery,
+        'configurationCopy': _copy,
+    }
+)
--- /dev/null
+++ b/libs/peers/src/cowslipstep/peers/_encode_heartbeat.py
@@ -0,0 +1,58 @@
+"""Encoding of heartbeats."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cowslipstep.model import (
+    DaemonNews,
+    GroupReadiness,
+    Heartbeat,
+    ReadinessReport,
+)
+from cowslipstep.peers._units import seconds_to_ms
+
+
+def write_heartbeat(builder: Any, heartbeat: Heartbeat) -> None:
+    """Write the fields of a heartbeat; empty parts are left out."""
+    builder.daemon = heartbeat.daemon
+    builder.incarnation = heartbeat.incarnation
+    builder.configurationVersion = heartbeat.configuration_version
+    builder.stopping = heartbeat.stopping
+    builder.knownTable = heartbeat.known_table
+    if heartbeat.readiness.table:
+        _write_report(builder.init('readiness'), heartbeat.readiness)
+    if heartbeat.news:
+        listed = builder.init('news', len(heartbeat.news))
+        for index, news in enumerate(heartbeat.news):
+            _write_news(listed[index], news)
+
+
+def _write_report(builder: Any, report: ReadinessReport) -> None:
+    builder.table = report.table
+    builder.renewedMs = seconds_to_ms(report.renewed_s)
+    groups = builder.init('groups', len(report.groups))
+    for place, group in enumerate(report.groups):
+        groups[place] = group
+    _write_exceptions(builder, report.exceptions)
+
+
+def _write_exceptions(
+    builder: Any,
+    exceptions: tuple[GroupReadiness, ...],
+) -> None:
+    listed = builder.init('exceptions', len(exceptions))
+    for index, readiness in enumerate(exceptions):
+        _write_readiness(listed[index], readiness)
+
+
+def _write_readiness(builder: Any, readiness: GroupReadiness) -> None:
+    builder.group = readiness.group
+    builder.remainingMs = seconds_to_ms(readiness.remaining_s)
+
+
+def _write_news(builder: Any, news: DaemonNews) -> None:
+    builder.daemon = news.daemon
+    builder.incarnation = news.incarnation
+    builder.ageMs = seconds_to_ms(news.age_s)
+    builder.stopping = news.stopping
--- a/libs/peers/src/cowslipstep/peers/_encode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_membership.py
@@ -8,11 +8,11 @@
     Acknowledgement,
     ConfigurationCopy,
     ConfigurationQuery,
-    GroupReadiness,
+    DaemonEntry,
     Heartbeat,
     MembershipMessage,
 )
-from cowslipstep.peers._units import seconds_to_ms
+from cowslipstep.peers._encode_heartbeat import write_heartbeat
 
 
 def write_membership_message(frame: Any, message: MembershipMessage) -> None:
@@ -21,7 +21,9 @@
         case Acknowledgement():
             frame.acknowledgement = None
         case Heartbeat():
-            _write_heartbeat(frame.init('heartbeat'), message)
+            write_heartbeat(frame.init('heartbeat'), message)
+        case DaemonEntry():
+            _write_entry(frame.init('daemonEntry'), message)
         case ConfigurationQuery(known_version):
             frame.configurationQuery = known_version
         case ConfigurationCopy(version, document):
@@ -30,16 +32,9 @@
             copy.document = document
 
 
-def _write_heartbeat(builder: Any, heartbeat: Heartbeat) -> None:
-    builder.daemon = heartbeat.daemon
-    builder.incarnation = heartbeat.incarnation
-    builder.configurationVersion = heartbeat.configuration_version
-    builder.stopping = heartbeat.stopping
-    listed = builder.init('readiness', len(heartbeat.readiness))
-    for index, readiness in enumerate(heartbeat.readiness):
-        _write_readiness(listed[index], readiness)
-
-
-def _write_readiness(builder: Any, readiness: GroupReadiness) -> None:
-    builder.group = readiness.group
-    builder.remainingMs = seconds_to_ms(readiness.remaining_s)
+def _write_entry(builder: Any, entry: DaemonEntry) -> None:
+    builder.name = entry.name
+    builder.ip = entry.address.ip
+    builder.port = entry.address.port
+    builder.failureDomain = entry.failure_domain
+    builder.incarnation = entry.incarnation
--- a/libs/peers/src/cowslipstep/peers/_pending.py
+++ b/libs/peers/src/cowslipstep/peers/_pending.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 from eventlet.event import Event
 
-from cowslipstep.model import Message
+from cowslipstep.peers._frames import Frame
 
 
 @frozen
@@ -37,11 +37,11 @@
         finally:
             self._waiting.pop(pending.number, None)
 
-    def resolve(self, number: int, message: Message) -> None:
+    def resolve(self, reply: Frame) -> None:
         """Hand over a reply; one that nobody waits for is dropped."""
-        waiter = self._waiting.pop(number, None)
+        waiter = self._waiting.pop(reply.call, None)
         if waiter is not None:
-            waiter.send(message)
+            waiter.send(reply.message)
 
     def fail_all(self) -> None:
         """Tell all who wait that there will be no reply."""
--- a/libs/peers/src/cowslipstep/peers/_server.py
+++ b/libs/peers/src/cowslipstep/peers/_server.py
@@ -7,11 +7,13 @@
 
 import eventlet
 from eventlet.green import socket
-from eventlet.semaphore import Semaphore
+from loguru import logger
 
 from cowslipstep.model import Address, Message
+from cowslipstep.peers._connection import FrameConnection, Traffic
 from cowslipstep.peers._frames import Frame, FrameError
-from cowslipstep.peers._wire import receive_frame, send_frame
+
+_IDLE_TIMEOUT_S = 180
 
 Reply = Callable[[Message], None]
 MessageHandler = Callable[[Message, Reply], None]
@@ -27,38 +29,60 @@
     on_message
         Called with each message and a function that sends its reply. It may
         reply later; it must not wait itself.
+    traffic
+        Counts what passes.
+
+    Raises
+    ------
+    OSError
+        If the address is taken.
     """
 
-    def __init__(self, address: Address, on_message: MessageHandler) -> None:
-        self._listener = eventlet.listen((address.ip, address.port))
+    def __init__(
+        self,
+        address: Address,
+        on_message: MessageHandler,
+        traffic: Traffic,
+    ) -> None:
+        self._listener = eventlet.listen(
+            (address.ip, address.port),
+            reuse_port=False,
+        )
         self._on_message = on_message
+        self._traffic = traffic
 
     def run(self) -> None:
         """Accept connections until the task is ended."""
         while True:
             sock, _ = self._listener.accept()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             eventlet.spawn(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        sending = Semaphore()
-        with (
-            contextlib.closing(sock),
-            contextlib.suppress(OSError, FrameError),
-        ):
-            while True:
-                frame = receive_frame(sock)
-                self._on_message(
-                    frame.message,
-                    _make_reply(sock, sending, frame.call),
-                )
-
-
-def _make_reply(sock: socket.socket, sending: Semaphore, call: int) -> Reply:
+        with contextlib.closing(sock):
+            sock.settimeout(_IDLE_TIMEOUT_S)
+            try:
+                self._read(FrameConnection(sock, self._traffic))
+            except OSError as closed:
+                logger.debug('link closed: {}', closed)
+            except FrameError as error:
+                logger.warning('link closed, broken frame: {}', error)
+            except Exception:
+                logger.exception('link closed, message not handled')
+
+    def _read(self, connection: FrameConnection) -> None:
+        while True:
+            frame = connection.receive()
+            self._on_message(
+                frame.message,
+                _make_reply(connection, frame.call),
+            )
+
+
+def _make_reply(connection: FrameConnection, call: int) -> Reply:
     def reply(message: Message) -> None:  # noqa: WPS430
         if call == 0:
             return
-        with sending, contextlib.suppress(OSError):
-            send_frame(sock, Frame(call, reply=True, message=message))
+        with contextlib.suppress(OSError):
+            connection.send(Frame(call, reply=True, message=message))
 
     return reply
--- a/libs/peers/src/cowslipstep/peers/_wire.py
+++ b/libs/peers/src/cowslipstep/peers/_wire.py
@@ -10,6 +10,8 @@
 import struct
 import zlib
 
+from attrs import frozen
+
 from cowslipstep.peers._decode import decode_frame
 from cowslipstep.peers._encode import encode_frame
 from cowslipstep.peers._frames import Frame, FrameError
@@ -18,8 +20,16 @@
 _MAX_FRAME_BYTES = 4194304
 
 
-def send_frame(sock: socket.socket, frame: Frame) -> None:
-    """Send one frame.
+@frozen
+class ReceivedFrame:
+    """A frame and its size on the wire."""
+
+    frame: Frame
+    bytes_on_wire: int
+
+
+def send_frame(sock: socket.socket, frame: Frame) -> int:
+    """Send one frame and return its size on the wire.
 
     Raises
     ------
@@ -29,9 +39,10 @@
     payload = encode_frame(frame)
     header = _HEADER.pack(len(payload), zlib.crc32(payload))
     sock.sendall(header + payload)
+    return len(header) + len(payload)
 
 
-def receive_frame(sock: socket.socket) -> Frame:
+def receive_frame(sock: socket.socket) -> ReceivedFrame:
     """Wait for the next frame.
 
     Raises
@@ -48,7 +59,7 @@
     payload = _receive_exactly(sock, length)
     if zlib.crc32(payload) != checksum:
         raise FrameError('wrong checksum')
-    return decode_frame(payload)
+    return ReceivedFrame(decode_frame(payload), len(header) + length)
 
 
 def _receive_exactly(sock: socket.socket, count: int) -> bytes:
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -16,6 +16,7 @@
     heartbeat @8 :Heartbeat;
     configurationQuery @9 :UInt64;
     configurationCopy @10 :ConfigurationCopy;
+    daemonEntry @11 :DaemonEntry;
   }
 }
 
@@ -74,12 +75,36 @@
   remainingMs @1 :UInt32;
 }
 
+struct ReadinessReport {
+  table @0 :UInt32;
+  groups @1 :List(Text);
+  renewedMs @2 :UInt32;
+  exceptions @3 :List(GroupReadiness);
+}
+
+struct DaemonNews {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  ageMs @2 :UInt32;
+  stopping @3 :Bool;
+}
+
 struct Heartbeat {
   daemon @0 :Text;
   incarnation @1 :UInt64;
   configurationVersion @2 :UInt64;
-  readiness @3 :List(GroupReadiness);
-  stopping @4 :Bool;
+  stopping @3 :Bool;
+  knownTable @4 :UInt32;
+  readiness @5 :ReadinessReport;
+  news @6 :List(DaemonNews);
+}
+
+struct DaemonEntry {
+  name @0 :Text;
+  ip @1 :Text;
+  port @2 :UInt16;
+  failureDomain @3 :Text;
+  incarnation @4 :UInt64;
 }
 
 struct ConfigurationCopy {
--- a/libs/peers/tests/test_frames.py
+++ b/libs/peers/tests/test_frames.py
@@ -11,10 +11,13 @@
     Cell,
     ConfigurationCopy,
     ConfigurationQuery,
+    DaemonEntry,
+    DaemonNews,
     Grant,
     GroupReadiness,
     Heartbeat,
     NotRun,
+    ReadinessReport,
     Reason,
     Refusal,
     Release,
@@ -25,6 +28,9 @@
 
 CELL = Cell('drafting', 'ebene')
 REQUEST = Request('r1', 'grid-a', 'urgent', 'drafting', 900, 200, 30, True, 7)
+LATE = GroupReadiness('g1', 0.25)
+REPORT = ReadinessReport(7, ('g1', 'g2'), 1.5, (LATE,))
+NEWS = DaemonNews('d1', 3, 0.5)
 MESSAGES = (
     Acknowledgement(),
     Ask(CELL, REQUEST, ('g1', 'g2')),
@@ -32,13 +38,16 @@
     Refusal('r1', NotRun(Reason.no_capacity, 2)),
     Renewal(CELL, 'r1', 12),
     Release(CELL, 'r1', 12, True),
-    Heartbeat('d0', 2**62, 9, (GroupReadiness('g1', 1.25),), True),
+    Heartbeat('d0', 2**62, 9, True, 77, REPORT, (NEWS,)),
+    DaemonEntry('d0', Address('127.0.0.1', 80), 'ebene', 2**62),
     ConfigurationQuery(4),
     ConfigurationCopy(5, '{}'),
 )
 
 
-@pytest.mark.parametrize('message', MESSAGES, ids=repr)
+@pytest.mark.parametrize(
+    'message', MESSAGES, ids=lambda entry: type(entry).__name__
+)
 def test_messages_survive_the_codec(message):
     frame = Frame(3, True, message)
     assert decode_frame(encode_frame(frame)) == frame
--- a/libs/platform/src/cowslipstep/platform/_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_reader.py
@@ -8,6 +8,7 @@
 from cowslipstep.platform._caller import PlatformCaller
 from cowslipstep.platform._objects import ObjectKey, StoredObject
 
+_READ = 'GET'
 _NOT_MODIFIED = 304
 
 
@@ -38,7 +39,7 @@
         PlatformUnavailable
             If there was no answer.
         """
-        call = PlatformCall('GET', key.kind, f'/objects/{key}')
+        call = PlatformCall(_READ, key.kind, f'/objects/{key}')
         return _stored(key, self._caller.call(call).json())
 
     def watch(
@@ -57,7 +58,7 @@
             If there was no answer.
         """
         call = PlatformCall(
-            'GET',
+            _READ,
             key.kind,
             f'/objects/{key}?after={known_version}&wait_s={wait_s}',
             timeout_s=wait_s + CALL_TIMEOUT_S,
@@ -75,12 +76,22 @@
         PlatformUnavailable
             If there was no answer.
         """
-        call = PlatformCall('GET', kind, f'/objects/{kind}')
+        call = PlatformCall(_READ, kind, f'/objects/{kind}')
         listed = self._caller.call(call).json()['objects']
         return tuple(
             _stored(ObjectKey(kind, entry['name']), entry) for entry in listed
         )
 
+    def read_document(self, kind: str, path: str) -> Any:
+        """Read a JSON document that is no object, for example ``/hosts``.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If there was no answer.
+        """
+        return self._caller.call(PlatformCall(_READ, kind, path)).json()
+
 
 def _stored(key: ObjectKey, raw: dict[str, Any]) -> StoredObject:
     return StoredObject(key, raw['version'], raw['body'])
