Tell every mistake in a document at once, each with its place

Cause: attrs stops at the first validator of an object, so a rank with three wrong fields was told of one of them, and only with the path of the rank.

Ruled out: cattrs' own detailed validation, which places errors of conversion but not those of validators.

Change: hooks that build attrs classes and uniform tuples field by field and gather DocumentErrors; checks of duplicates and sizes in modules of their own; an optional submission_id in the configuration.

--- a/libs/model/src/cowslipstep/model/_configuration.py
+++ b/libs/model/src/cowslipstep/model/_configuration.py
@@ -8,6 +8,11 @@
 
 _DEFAULT_KEY_RETENTION_S = 86400
 _VALID_NAME = validators.matches_re('[a-z0-9][a-z0-9_.-]{0,62}')
+_VALID_DIGESTS = validators.deep_iterable(
+    validators.matches_re('[0-9a-f]{64}'),
+)
+_VALID_SUBMISSION_ID = validators.matches_re('[a-z0-9-]{0,64}')
+_VALID_PATHS = validators.deep_iterable(validators.matches_re('/.*'))
 
 
 @frozen
@@ -54,7 +59,7 @@
     """
 
     name: str = field(validator=_VALID_NAME)
-    key_sha256: tuple[str, ...] = ()
+    key_sha256: tuple[str, ...] = field(default=(), validator=_VALID_DIGESTS)
     weight: float = field(default=1, validator=validators.gt(0))
     tokens_per_s: float = field(default=0, validator=validators.ge(0))
     max_in_progress: int = field(default=0, validator=validators.ge(0))
@@ -101,12 +106,33 @@
     name: str = field(validator=_VALID_NAME)
     addresses: tuple[Address, ...] = ()
     slots_per_runner: int = field(default=8, validator=validators.ge(1))
-    non_idempotent_paths: tuple[str, ...] = ()
+    non_idempotent_paths: tuple[str, ...] = field(
+        default=(),
+        validator=_VALID_PATHS,
+    )
 
 
 @frozen
 class Configuration:
-    """All that operators configure, as one versioned document."""
+    """All that operators configure, as one versioned document.
+
+    Parameters
+    ----------
+    ranks
+        Classes of work, the most urgent first.
+    workspaces
+        Customers and their keys.
+    models
+        Language models and the groups wanted of each.
+    runners
+        Engine processes and their hosts.
+    services
+        Plain services.
+    key_retention_s
+        How long idempotency keys are remembered, seconds.
+    submission_id
+        Tells this printing of the document from all others; empty for none.
+    """
 
     ranks: tuple[Rank, ...] = field(validator=validators.min_len(1))
     workspaces: tuple[Workspace, ...] = ()
@@ -117,6 +143,7 @@
         default=_DEFAULT_KEY_RETENTION_S,
         validator=validators.gt(0),
     )
+    submission_id: str = field(default='', validator=_VALID_SUBMISSION_ID)
 
 
 @frozen
--- a/libs/settings/src/cowslipstep/settings/__init__.py
+++ b/libs/settings/src/cowslipstep/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from cowslipstep.settings._configuration import (
     check_configuration,
+    check_document,
     format_configuration,
     parse_configuration,
 )
--- a/libs/settings/src/cowslipstep/settings/_configuration.py
+++ b/libs/settings/src/cowslipstep/settings/_configuration.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import collections
 import json
-from collections.abc import Iterator
+from typing import Any
 
-from cowslipstep.model import Configuration, DocumentError
+from cowslipstep.model import Configuration
 from cowslipstep.settings._converter import parse_json, structure, unstructure
+from cowslipstep.settings._duplicates import duplicate_problems
+from cowslipstep.settings._sizes import size_problems
 
 
 def parse_configuration(text: str | bytes) -> Configuration:
@@ -18,14 +19,26 @@
     ExceptionGroup
         Holds one ``DocumentError`` for each mistake.
     """
-    configuration = structure(parse_json(text), Configuration)
+    return check_document(parse_json(text))
+
+
+def check_document(document: Any) -> Configuration:
+    """Check a decoded configuration document and return it.
+
+    Raises
+    ------
+    ExceptionGroup
+        Holds one ``DocumentError`` for each mistake.
+    """
+    configuration = structure(document, Configuration)
     check_configuration(configuration)
     return configuration
 
 
 def format_configuration(configuration: Configuration) -> str:
     """Return the JSON text of a configuration, indented for reading."""
-    return json.dumps(unstructure(configuration), indent=2)
+    text = json.dumps(unstructure(configuration), indent=2)
+    return f'{text}\n'
 
 
 def check_configuration(configuration: Configuration) -> None:
@@ -37,33 +50,8 @@
         Holds one ``DocumentError`` for each mistake.
     """
     problems = [
-        *_duplicate_problems(configuration),
-        *_floor_problems(configuration),
+        *duplicate_problems(configuration),
+        *size_problems(configuration),
     ]
     if problems:
         raise ExceptionGroup('invalid Configuration', problems)
-
-
-def _duplicate_problems(
-    configuration: Configuration,
-) -> Iterator[DocumentError]:
-    names = {
-        'ranks': [rank.name for rank in configuration.ranks],
-        'workspaces': [space.name for space in configuration.workspaces],
-        'models': [model.name for model in configuration.models],
-        'runners': [runner.host for runner in configuration.runners],
-        'services': [service.name for service in configuration.services],
-    }
-    for section, listed in names.items():
-        for name, count in collections.Counter(listed).items():
-            if count > 1:
-                yield DocumentError(
-                    f'$.{section}',
-                    f'{name!r} appears {count} times',
-                )
-
-
-def _floor_problems(configuration: Configuration) -> Iterator[DocumentError]:
-    total = sum(rank.floor_share for rank in configuration.ranks)
-    if total > 1:
-        yield DocumentError('$.ranks', f'floor shares add up to {total}')
--- a/libs/settings/src/cowslipstep/settings/_converter.py
+++ b/libs/settings/src/cowslipstep/settings/_converter.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import collections
 import json
-from typing import Any, TypeVar
-
-import cattrs
+from typing import Any, NoReturn, TypeVar
 
 from cowslipstep.model import DocumentError
 from cowslipstep.settings._hooks import make_checked_converter
+from cowslipstep.settings._located import locate
 
 _Document = TypeVar('_Document')
+_ROOT = '$'
 
 
 _CONVERTER = make_checked_converter()
@@ -26,8 +27,9 @@
     """
     try:
         return _CONVERTER.structure(raw, target)
-    except cattrs.BaseValidationError as error:
-        raise _collect(error, target) from None
+    except Exception as error:
+        problems = list(locate(_ROOT, error))
+    raise ExceptionGroup(f'invalid {target.__name__}', problems)
 
 
 def unstructure(document: Any) -> Any:
@@ -44,18 +46,23 @@
         Holds one ``DocumentError`` that names line and column.
     """
     try:
-        return json.loads(text)
+        return json.loads(
+            text,
+            parse_constant=_refuse_constant,
+            object_pairs_hook=_unique_members,
+        )
     except (ValueError, RecursionError) as error:
-        problem = DocumentError('$', f'not valid JSON: {error}')
+        problem = DocumentError(_ROOT, f'not valid JSON: {error}')
         raise ExceptionGroup('the document is not JSON', [problem]) from None
 
 
-def _collect(
-    error: cattrs.BaseValidationError,
-    target: type[Any],
-) -> ExceptionGroup[DocumentError]:
-    problems = []
-    for line in cattrs.transform_error(error):
-        message, _, path = line.rpartition(' @ ')
-        problems.append(DocumentError(path, message))
-    return ExceptionGroup(f'invalid {target.__name__}', problems)
+def _refuse_constant(constant: str) -> NoReturn:
+    raise ValueError(f'{constant} is no JSON number')
+
+
+def _unique_members(members: list[tuple[str, Any]]) -> dict[str, Any]:
+    counts = collections.Counter(name for name, _ in members)
+    repeated = [name for name, count in counts.items() if count > 1]
+    if repeated:
+        raise ValueError(f'the member {repeated[0]!r} is given twice')
+    return dict(members)
