Build configurations with plain functions, and print them as JSON

Cause: operators had only the JSON document itself.

Ruled out: constructing the checked classes directly, which raises at the first mistake instead of telling all of them with their paths.

Change: functions for ranks, workspaces, models, runners and services that build unchecked parts; build_configuration checks the whole document with the daemon's own checks; print_configuration prints the text that is submitted.

--- a/libs/operator/src/cowslipstep/operator/__init__.py
+++ b/libs/operator/src/cowslipstep/operator/__init__.py
@@ -1,3 +1,10 @@
 """Operators' library: builds configurations and prints them as JSON."""
 
+from cowslipstep.operator._addresses import address_range
+from cowslipstep.operator._document import (
+    build_configuration,
+    print_configuration,
+)
 from cowslipstep.operator._keys import hash_key
+from cowslipstep.operator._parts import model, rank, service, workspace
+from cowslipstep.operator._runners import runners
--- /dev/null
+++ b/libs/operator/src/cowslipstep/operator/_document.py
@@ -0,0 +1,64 @@
+"""The whole configuration: built, checked and printed."""
+
+from __future__ import annotations
+
+import sys
+import uuid
+from typing import Any
+
+from attrs import evolve
+
+from cowslipstep.model import Configuration
+from cowslipstep.settings import (
+    check_document,
+    format_configuration,
+    unstructure,
+)
+
+
+def build_configuration(**sections: Any) -> Configuration:
+    """Return a checked configuration.
+
+    Parameters
+    ----------
+    **sections
+        The fields of ``Configuration``: ``ranks``, ``workspaces``,
+        ``models``, ``runners``, ``services`` and so on.
+
+    Raises
+    ------
+    ExceptionGroup
+        Holds one ``DocumentError`` for each mistake, with its JSON path.
+
+    Examples
+    --------
+    >>> from cowslipstep.operator import rank
+    >>> built = build_configuration(
+    ...     ranks=[rank('urgent', target_first_token_s=1)],
+    ... )
+    >>> built.ranks[0].name
+    'urgent'
+    """
+    return check_document(
+        {name: unstructure(section) for name, section in sections.items()},
+    )
+
+
+def print_configuration(
+    configuration: Configuration,
+    submission_id: str | None = None,
+) -> None:
+    """Print a configuration as the JSON text to submit.
+
+    Parameters
+    ----------
+    configuration
+        What is printed.
+    submission_id
+        Tells this printing from all others; by default a new one.
+    """
+    identified = evolve(
+        configuration,
+        submission_id=submission_id or str(uuid.uuid4()),
+    )
+    sys.stdout.write(format_configuration(identified))
--- /dev/null
+++ b/libs/operator/src/cowslipstep/operator/_parts.py
@@ -0,0 +1,122 @@
+"""Parts of a configuration, built without checks.
+
+The document is checked as a whole, so that all mistakes are told at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, TypeVar
+
+from attrs import validators
+
+from cowslipstep.model import Model, PlainService, Rank, Workspace
+from cowslipstep.operator._addresses import LooseAddress
+from cowslipstep.operator._keys import hash_key
+
+_Part = TypeVar('_Part')
+
+
+def rank(name: str, *, target_first_token_s: float, **options: Any) -> Rank:
+    """Return a rank of work; list the most urgent first.
+
+    Parameters
+    ----------
+    name
+        Name that callers give in the ``X-Rank`` header.
+    target_first_token_s
+        Target time to the first token, seconds.
+    **options
+        ``worth`` and ``floor_share`` of the rank.
+
+    Examples
+    --------
+    >>> rank('urgent', target_first_token_s=1, floor_share=0.2).floor_share
+    0.2
+    """
+    options['target_first_token_s'] = target_first_token_s
+    return _unchecked(Rank, name=name, **options)
+
+
+def workspace(
+    name: str,
+    *,
+    keys: Iterable[str] = (),
+    key_sha256: Iterable[str] = (),
+    **options: Any,
+) -> Workspace:
+    """Return a workspace that holds only the digests of its keys.
+
+    Parameters
+    ----------
+    name
+        Name in logs, metrics and reports.
+    keys
+        Bearer keys; hashed here and not kept.
+    key_sha256
+        Digests of further bearer keys, from ``hash_key``.
+    **options
+        ``weight``, ``tokens_per_s`` and ``max_in_progress``.
+
+    Examples
+    --------
+    >>> len(workspace('small-firm', keys=['secret']).key_sha256)
+    1
+    """
+    digests = (*[hash_key(key) for key in keys], *key_sha256)
+    return _unchecked(Workspace, name=name, key_sha256=digests, **options)
+
+
+def model(name: str, *, groups: int, **options: Any) -> Model:
+    """Return a language model and the number of groups wanted of it.
+
+    Parameters
+    ----------
+    name
+        Name in the ``model`` field of requests.
+    groups
+        Number of groups wanted in the whole fleet.
+    **options
+        Other fields of ``Model``, for example ``hosts_per_group``.
+
+    Examples
+    --------
+    >>> model('drafting', groups=15, hosts_per_group=4).groups
+    15
+    """
+    return _unchecked(Model, name=name, groups=groups, **options)
+
+
+def service(
+    name: str,
+    addresses: Iterable[str],
+    *,
+    non_idempotent_paths: Iterable[str] = (),
+    **options: Any,
+) -> PlainService:
+    """Return a plain service.
+
+    Parameters
+    ----------
+    name
+        First path segment after ``/services/``.
+    addresses
+        Addresses of its runners, ``ip:port``.
+    non_idempotent_paths
+        Path prefixes whose POST calls may not be repeated.
+    **options
+        Other fields of ``PlainService``.
+
+    Examples
+    --------
+    >>> service('order-book', ['10.0.0.1:80']).name
+    'order-book'
+    """
+    options['addresses'] = tuple(LooseAddress(text) for text in addresses)
+    options['non_idempotent_paths'] = tuple(non_idempotent_paths)
+    return _unchecked(PlainService, name=name, **options)
+
+
+def _unchecked(part: type[_Part], **fields: Any) -> _Part:
+    with validators.disabled():
+        return part(**fields)
