--- a/libs/metrics/src/cowslipstep/metrics/__init__.py
+++ b/libs/metrics/src/cowslipstep/metrics/__init__.py
@@ -1,6 +1,23 @@
 """Counters, gauges, events, and histograms for each workspace and rank."""
 
-from cowslipstep.metrics._counters import CounterKey, Counters
+from cowslipstep.metrics._bounds import MAX_STATUS_BYTES, encode_bounded
+from cowslipstep.metrics._counters import CounterKey, Counters, Sample
+from cowslipstep.metrics._day import Day, day_of, merge_day
+from cowslipstep.metrics._durations import DurationHistogram, empty_histogram
 from cowslipstep.metrics._events import Event, EventLog
+from cowslipstep.metrics._folding import OTHER_WORKSPACES
 from cowslipstep.metrics._gauges import Gauges
-from cowslipstep.metrics._histograms import Histograms, Series
+from cowslipstep.metrics._histograms import EncodedSeries, Histograms, Series
+from cowslipstep.metrics._requests import RequestLog, RequestRecord
+from cowslipstep.metrics._status import (
+    DaemonIdentity,
+    Status,
+    decode_status,
+    encode_status,
+)
+from cowslipstep.metrics._timeline import (
+    SLOT_S,
+    SlotCount,
+    SlotKey,
+    Timeline,
+)
--- /dev/null
+++ b/libs/metrics/src/cowslipstep/metrics/_durations.py
@@ -0,0 +1,107 @@
+"""Histogram of durations with a relative error of one percent."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+
+from cowslipstep.model import DocumentError
+
+_US_PER_S = 1000000
+_LOWEST_US = 1
+_HIGHEST_US = 3600000000
+_SIGNIFICANT_DIGITS = 2
+_PERCENT = 100
+
+
+class DurationHistogram:
+    """Durations in seconds, kept in microseconds.
+
+    Parameters
+    ----------
+    counts
+        Holds the counts.
+    """
+
+    def __init__(self, counts: HdrHistogram) -> None:
+        self._counts = counts
+
+    @property
+    def counts(self) -> HdrHistogram:
+        """The counts by microseconds."""
+        return self._counts
+
+    @property
+    def count(self) -> int:
+        """Number of durations."""
+        return int(self._counts.total_count)
+
+    def record(self, seconds: float) -> None:
+        """Add one duration."""
+        microseconds = max(_LOWEST_US, int(seconds * _US_PER_S))
+        self._counts.record_value(min(microseconds, _HIGHEST_US))
+
+    def add(self, other: DurationHistogram) -> None:
+        """Add all durations of another histogram."""
+        self._counts.add(other.counts)
+
+    def quantile_s(self, quantile: float) -> float:
+        """Return the duration that a share of all does not exceed, seconds.
+
+        Examples
+        --------
+        >>> histogram = empty_histogram()
+        >>> histogram.record(0.1)
+        >>> round(histogram.quantile_s(0.5), 2)
+        0.1
+        """
+        bound_us = self._counts.get_value_at_percentile(quantile * _PERCENT)
+        return float(bound_us) / _US_PER_S
+
+    def count_within(self, bound_s: float) -> int:
+        """Return how many durations are at most ``bound_s``.
+
+        Examples
+        --------
+        >>> histogram = empty_histogram()
+        >>> for seconds in (0.1, 0.2, 3):
+        ...     histogram.record(seconds)
+        >>> histogram.count_within(1)
+        2
+        """
+        return sum(
+            entry.count_at_value_iterated_to
+            for entry in self._counts.get_recorded_iterator()
+            if entry.value_iterated_to <= bound_s * _US_PER_S
+        )
+
+
+def empty_histogram() -> DurationHistogram:
+    """Return a histogram without durations, up to one hour."""
+    return DurationHistogram(
+        HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS),
+    )
+
+
+def encode_histogram(histogram: DurationHistogram) -> str:
+    """Return a histogram in the compressed format of HdrHistogram."""
+    return str(histogram.counts.encode().decode())
+
+
+def decode_histogram(text: str) -> DurationHistogram:
+    """Read a histogram in the compressed format of HdrHistogram.
+
+    Raises
+    ------
+    DocumentError
+        If the text is no such histogram.
+
+    Examples
+    --------
+    >>> decode_histogram(encode_histogram(empty_histogram())).count
+    0
+    """
+    try:
+        return DurationHistogram(HdrHistogram.decode(text))
+    except Exception as error:
+        message = f'not a histogram: {type(error).__name__}'
+    raise DocumentError('$', message)
--- a/libs/metrics/src/cowslipstep/metrics/_events.py
+++ b/libs/metrics/src/cowslipstep/metrics/_events.py
@@ -4,6 +4,7 @@
 
 import collections
 import time
+from collections.abc import Callable
 
 from attrs import frozen
 
@@ -33,9 +34,22 @@
 
 
 class EventLog:
-    """The most recent events of a daemon."""
+    """The most recent events of a daemon.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    notify
+        Called with each event, for example to log it.
+
+    Examples
+    --------
+    >>> log = EventLog()
+    >>> log.add('lease_taken', 'ebene', 'it had lapsed').subject
+    'ebene'
+    """
+
+    def __init__(self, notify: Callable[[Event], None] | None = None) -> None:
+        self._notify = notify
         self._events: collections.deque[Event] = collections.deque(
             maxlen=_MAX_EVENTS,
         )
@@ -49,4 +63,10 @@
         """Note an event and return it."""
         event = Event(kind, subject, cause, time.time())
         self._events.append(event)
+        if self._notify is not None:
+            self._notify(event)
         return event
+
+    def clear(self) -> None:
+        """Forget all events."""
+        self._events.clear()
--- a/libs/metrics/src/cowslipstep/metrics/_gauges.py
+++ b/libs/metrics/src/cowslipstep/metrics/_gauges.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterator
 
-from cowslipstep.metrics._counters import CounterKey
+from cowslipstep.metrics._counters import CounterKey, Sample
+from cowslipstep.metrics._labels import render_series
 
 
 class Gauges:
@@ -13,12 +14,23 @@
     def __init__(self) -> None:
         self._figures: dict[CounterKey, float] = {}
 
+    @property
+    def samples(self) -> tuple[Sample, ...]:
+        """All figures, in the order of their keys."""
+        return tuple(
+            Sample(key, self._figures[key]) for key in sorted(self._figures)
+        )
+
     def set(self, key: CounterKey, figure: float) -> None:
         """Replace a figure."""
         self._figures[key] = figure
 
+    def remove(self, key: CounterKey) -> None:
+        """Forget a figure that this daemon no longer knows."""
+        self._figures.pop(key, None)
+
     def render(self) -> Iterator[str]:
         """Yield lines in the text format of Prometheus."""
-        for key, figure in self._figures.items():
-            name = key.render().replace('_total{', '{')
-            yield f'{name} {figure}'
+        for sample in self.samples:
+            series = render_series(sample.key.name, sample.key.labels)
+            yield f'{series} {sample.amount}'
--- a/libs/metrics/src/cowslipstep/metrics/_histograms.py
+++ b/libs/metrics/src/cowslipstep/metrics/_histograms.py
@@ -5,17 +5,18 @@
 from collections.abc import Iterator
 
 from attrs import frozen
-from hdrh.histogram import HdrHistogram
 
-_LOWEST_US = 1
-_HIGHEST_US = 3600000000
-_SIGNIFICANT_DIGITS = 2
-_US_PER_S = 1000000
+from cowslipstep.metrics._durations import (
+    DurationHistogram,
+    empty_histogram,
+    encode_histogram,
+)
+from cowslipstep.metrics._labels import Labels, render_series
+
 _QUANTILES = (0.5, 0.95, 0.99)  # noqa: WPS432
-_PERCENT = 100
 
 
-@frozen
+@frozen(order=True)
 class Series:
     """Name and labels of a histogram."""
 
@@ -24,36 +25,53 @@
     rank: str
 
 
+@frozen
+class EncodedSeries:
+    """A histogram in the compressed format of HdrHistogram."""
+
+    series: Series
+    encoded: str
+
+
 class Histograms:
     """Durations by name, workspace and rank."""
 
     def __init__(self) -> None:
-        self._by_series: dict[Series, HdrHistogram] = {}
+        self._by_series: dict[Series, DurationHistogram] = {}
+
+    def encode_each(self) -> Iterator[EncodedSeries]:
+        """Yield all histograms, in the order of their series."""
+        for series in sorted(self._by_series):
+            encoded = encode_histogram(self._by_series[series])
+            yield EncodedSeries(series, encoded)
 
     def record(self, series: Series, seconds: float) -> None:
         """Add one duration in seconds."""
         histogram = self._by_series.get(series)
         if histogram is None:
-            histogram = HdrHistogram(
-                _LOWEST_US,
-                _HIGHEST_US,
-                _SIGNIFICANT_DIGITS,
-            )
+            histogram = empty_histogram()
             self._by_series[series] = histogram
-        microseconds = max(_LOWEST_US, int(seconds * _US_PER_S))
-        histogram.record_value(min(microseconds, _HIGHEST_US))
+        histogram.record(seconds)
+
+    def clear(self) -> None:
+        """Forget all durations."""
+        self._by_series.clear()
 
     def render(self) -> Iterator[str]:
         """Yield lines in the text format of Prometheus."""
-        for series, histogram in self._by_series.items():
-            yield from _render_series(series, histogram)
+        for series in sorted(self._by_series):
+            yield from _render(series, self._by_series[series])
 
 
-def _render_series(series: Series, histogram: HdrHistogram) -> Iterator[str]:
-    labels = f'workspace="{series.workspace}",rank="{series.rank}"'
-    metric = f'cowslipstep_{series.name}_seconds'
+def _render(series: Series, histogram: DurationHistogram) -> Iterator[str]:
+    name = f'{series.name}_seconds'
+    labels = (('workspace', series.workspace), ('rank', series.rank))
     for quantile in _QUANTILES:
-        bound_us = histogram.get_value_at_percentile(quantile * _PERCENT)
-        bound_s = bound_us / _US_PER_S
-        yield f'{metric}{{{labels},quantile="{quantile}"}} {bound_s}'
-    yield f'{metric}_count{{{labels}}} {histogram.total_count}'
+        at_quantile = (*labels, ('quantile', str(quantile)))
+        yield _line(name, at_quantile, histogram.quantile_s(quantile))
+    yield _line(f'{name}_count', labels, histogram.count)
+
+
+def _line(name: str, labels: Labels, figure: float) -> str:
+    series = render_series(name, labels)
+    return f'{series} {figure}'
--- a/libs/model/src/cowslipstep/model/_configuration.py
+++ b/libs/model/src/cowslipstep/model/_configuration.py
@@ -130,6 +130,8 @@
         Plain services.
     key_retention_s
         How long idempotency keys are remembered, seconds.
+    weight_loads_at_once
+        Hosts of one fabric domain that load weights at the same time.
     submission_id
         Tells this printing of the document from all others; empty for none.
     """
@@ -143,6 +145,7 @@
         default=_DEFAULT_KEY_RETENTION_S,
         validator=validators.gt(0),
     )
+    weight_loads_at_once: int = field(default=4, validator=validators.ge(1))
     submission_id: str = field(default='', validator=_VALID_SUBMISSION_ID)
 
 
