Write a status object for each daemon, and flat log lines without secrets

Cause: nothing of a daemon's figures lasted, and loguru's own serialisation writes nested records with the values of variables in tracebacks. Messages of request errors quote what callers send and were logged.

Ruled out: logging error messages with a filter for keys; a filter cannot know a prompt.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -13,13 +13,12 @@
 eventlet.monkey_patch()
 
 import pathlib  # noqa: E402
-import sys  # noqa: E402
 from typing import Annotated  # noqa: E402
 
 import typer  # noqa: E402
-from loguru import logger  # noqa: E402
 
 from cowslipstep.daemon._daemon import run_daemon  # noqa: E402
+from cowslipstep.daemon._logs import start_logging  # noqa: E402
 from cowslipstep.settings import load_daemon_settings  # noqa: E402
 
 
@@ -30,14 +29,13 @@
     ],
 ) -> None:
     """Run a cowslipstep daemon."""
-    logger.remove()
-    logger.add(sys.stderr, serialize=True, level='INFO')
     try:
         loaded = load_daemon_settings(settings)
     except ExceptionGroup as group:
         for problem in group.exceptions:
             typer.echo(f'error: {problem}', err=True)
         raise typer.Exit(2) from None
+    start_logging(loaded.log_level)
     run_daemon(loaded)
 
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
@@ -8,6 +8,7 @@
 
 from cowslipstep.daemon._completions import new_request_id, parse_completion
 from cowslipstep.daemon._delivery import DeliveryService
+from cowslipstep.daemon._failures import note_failure
 from cowslipstep.daemon._health import answer_readiness, send_metrics
 from cowslipstep.daemon._hangup import CallerGone, raise_on_hangup
 from cowslipstep.daemon._http import (
@@ -70,7 +71,7 @@
             try:
                 return self._route(environ, start_response, request_id)
             except RequestError as error:
-                logger.bind(verdict=error.verdict.code).info('{}', error)
+                note_failure(self._state, environ, request_id, error)
                 answer = error_answer(error, request_id)
             except CallerGone:
                 logger.info('the caller closed its connection')
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
@@ -13,9 +13,13 @@
 
 def answer_readiness(state: DaemonState) -> JsonAnswer:
     """Say whether the daemon takes requests."""
-    if state.configuration is None or state.stopping:
-        return JsonAnswer(_UNAVAILABLE, {'ready': False})
-    return JsonAnswer(_OK, {'ready': True})
+    ready = state.configuration is not None and not state.stopping
+    document = {
+        'ready': ready,
+        'daemon': state.settings.name,
+        'version': state.version,
+    }
+    return JsonAnswer(_OK if ready else _UNAVAILABLE, document)
 
 
 def send_metrics(
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
@@ -0,0 +1,53 @@
+"""Figures taken at times: gauges over time, requests in slots of the day."""
+
+from __future__ import annotations
+
+import time
+
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.metrics import SLOT_S, CounterKey, SlotCount, Timeline
+
+_DAY_S = 86400
+_MS_PER_S = 1000
+_STRANDED = 'stranded_accelerators'
+_STRANDED_MS = 'stranded_accelerator_ms'
+
+
+class Sampler:
+    """Samples the state of a daemon.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: DaemonState) -> None:
+        self._state = state
+        self._timeline = Timeline()
+        self._sampled_at_s = time.monotonic()
+
+    @property
+    def timeline(self) -> tuple[SlotCount, ...]:
+        """Requests in slots of the day."""
+        return self._timeline.counts
+
+    def sample(self) -> None:
+        """Take the figures since the last call."""
+        now_s = time.monotonic()
+        self._integrate(now_s - self._sampled_at_s)
+        self._sampled_at_s = now_s
+        slot = int(time.time() % _DAY_S) // SLOT_S
+        self._timeline.note(slot, self._state.counters.samples)
+
+    def clear(self) -> None:
+        """Forget all slots."""
+        self._timeline.clear()
+
+    def _integrate(self, elapsed_s: float) -> None:
+        """Add stranded accelerators, times the time, to a counter."""
+        for gauge in self._state.gauges.samples:
+            if gauge.key.name == _STRANDED:
+                key = CounterKey(_STRANDED_MS, gauge.key.labels)
+                amount_ms = int(gauge.amount * elapsed_s * _MS_PER_S)
+                self._state.counters.add(key, amount_ms)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -6,8 +6,15 @@
 
 from attrs import define, field
 
+from cowslipstep.daemon._logs import log_event
 from cowslipstep.groups import DomainLedger, ReadinessTable
-from cowslipstep.metrics import Counters, EventLog, Gauges, Histograms
+from cowslipstep.metrics import (
+    Counters,
+    EventLog,
+    Gauges,
+    Histograms,
+    RequestLog,
+)
 from cowslipstep.model import Configuration, Heartbeat, VersionedConfiguration
 from cowslipstep.platform import PlatformClient
 from cowslipstep.settings import DaemonSettings
@@ -59,7 +66,8 @@
     histograms: Histograms = field(factory=Histograms)
     counters: Counters = field(factory=Counters)
     gauges: Gauges = field(factory=Gauges)
-    events: EventLog = field(factory=EventLog)
+    events: EventLog = field(factory=lambda: EventLog(log_event))
+    requests: RequestLog = field(factory=RequestLog)
     stopping: bool = False
 
     @property
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status_object.py
@@ -0,0 +1,49 @@
+"""Platform object that holds a status; only its daemon writes it."""
+
+from __future__ import annotations
+
+from cowslipstep.platform import (
+    ObjectKey,
+    ObjectMissing,
+    PlatformClient,
+    VersionConflict,
+)
+
+STATUS_KIND = 'status'
+
+
+class StatusObject:
+    """Creates the object on the first write and then replaces it.
+
+    Parameters
+    ----------
+    platform
+        Client of the platform.
+    """
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+        self._versions: dict[str, int] = {}
+
+    def write(self, name: str, body: str) -> None:
+        """Write the object.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If there was no answer.
+        """
+        key = ObjectKey(STATUS_KIND, name)
+        try:
+            self._versions = {name: self._replace(key, body)}
+        except (VersionConflict, ObjectMissing):
+            # An earlier write took effect though its answer was lost.
+            version = self._platform.read(key).version
+            version = self._platform.update(key, version, body)
+            self._versions = {name: version}
+
+    def _replace(self, key: ObjectKey, body: str) -> int:
+        known = self._versions.get(key.name)
+        if known is None:
+            return self._platform.create(key, body)
+        return self._platform.update(key, known, body)
--- a/libs/settings/src/cowslipstep/settings/_daemon.py
+++ b/libs/settings/src/cowslipstep/settings/_daemon.py
@@ -11,6 +11,8 @@
 
 _DEFAULT_MAX_BODY_BYTES = 1048576
 _DEFAULT_STOP_GRACE_S = 600
+_DEFAULT_STATUS_PERIOD_S = 60
+_LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
 @frozen
@@ -46,6 +48,10 @@
         Longest wait for streams in a planned stop, seconds.
     unready_delay_s
         Time between ``/readyz`` off and the end of intake, seconds.
+    status_period_s
+        Least time between writes of the status object, seconds.
+    log_level
+        Least level of log lines that are written.
     """
 
     name: str = field(validator=validators.min_len(1))
@@ -63,6 +69,14 @@
         validator=validators.ge(0),
     )
     unready_delay_s: float = field(default=2, validator=validators.ge(0))
+    status_period_s: float = field(
+        default=_DEFAULT_STATUS_PERIOD_S,
+        validator=validators.gt(0),
+    )
+    log_level: str = field(
+        default='INFO',
+        validator=validators.in_(_LOG_LEVELS),
+    )
 
 
 def parse_daemon_settings(text: str | bytes) -> DaemonSettings:
