--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -8,9 +8,16 @@
 from attrs import Factory, define, field
 
 from cowslipstep.daemon._live import daemons_in, live_daemons
+from cowslipstep.daemon._logs import log_event
 from cowslipstep.daemon._membership import Membership
 from cowslipstep.groups import DomainLedger, ReadinessTable
-from cowslipstep.metrics import Counters, EventLog, Gauges, Histograms
+from cowslipstep.metrics import (
+    Counters,
+    EventLog,
+    Gauges,
+    Histograms,
+    RequestLog,
+)
 from cowslipstep.model import Configuration, VersionedConfiguration
 from cowslipstep.peers import Traffic
 from cowslipstep.platform import PlatformClient
@@ -70,7 +77,8 @@
     histograms: Histograms = field(factory=Histograms)
     counters: Counters = field(factory=Counters)
     gauges: Gauges = field(factory=Gauges)
-    events: EventLog = field(factory=EventLog)
+    events: EventLog = field(factory=lambda: EventLog(log_event))
+    requests: RequestLog = field(factory=RequestLog)
     stopping: bool = False
     intake_closed: bool = False
     stop_hooks: list[Callable[[], None]] = field(factory=list)
