--- a/apps/cowslipstepd/src/cowslipstep/daemon/_completions.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_completions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import uuid
 from typing import Any
 
 from attrs import frozen
@@ -16,10 +15,15 @@
 from cowslipstep.daemon._headers import (
     find_rank,
     find_timeout_s,
-    find_workspace,
 )
-from cowslipstep.daemon._http import Environ
+from cowslipstep.daemon._http import REQUEST_ID, Environ
+from cowslipstep.daemon._keyed_orders import KeyedOrder
+from cowslipstep.daemon._order_headers import find_key, find_order
+from cowslipstep.daemon._outcomes import RequestLabels
+from cowslipstep.daemon._run_state import RunState
+from cowslipstep.daemon._upstream import UpstreamCall
 from cowslipstep.model import (
+    Address,
     Configuration,
     NotRun,
     Reason,
@@ -35,25 +39,29 @@
 
 @frozen
 class CallerRequest:
-    """A request for a completion and the body to pass on."""
+    """A request for a completion and the body to pass on.
+
+    ``order`` is ``None`` for a request without an idempotency key.
+    """
 
     request: Request
     body: bytes
     path: str
     stream: bool
     key: str
+    order: KeyedOrder | None
 
-
-def new_request_id() -> str:
-    """Return a unique request id."""
-    return uuid.uuid4().hex
+    @property
+    def labels(self) -> RequestLabels:
+        """Labels in logs and metrics."""
+        return RequestLabels(self.request.workspace, self.request.rank)
 
 
 def parse_completion(
     environ: Environ,
     body: bytes,
+    workspace: str,
     configuration: Configuration,
-    request_id: str,
 ) -> CallerRequest:
     """Read a request for a completion.
 
@@ -62,27 +70,52 @@
     RequestError
         If anything in it is wrong.
     """
-    workspace = find_workspace(environ, configuration)
     document = parse_document(body)
-    key = environ.get('HTTP_IDEMPOTENCY_KEY', '')
+    use = find_key(environ, workspace)
     prompt = prompt_text(document)
     request = Request(
-        request_id=request_id,
-        workspace=workspace.name,
+        request_id=environ[REQUEST_ID],
+        workspace=workspace,
         rank=find_rank(environ, configuration),
         model=_known_model(document, configuration),
         prompt_tokens=len(prompt) // _CHARS_PER_TOKEN,
         output_tokens=output_tokens(document),
         timeout_s=find_timeout_s(environ),
-        idempotent=not key,
+        idempotent=use is None,
         prefix_hash=_prefix_hash(prompt),
     )
+    path = environ['PATH_INFO']
     return CallerRequest(
         request,
         body,
-        environ['PATH_INFO'],
+        path,
         stream=document.get('stream') is True,
-        key=key,
+        key='' if use is None else use.key,
+        order=find_order(use, (path.encode(), body), configuration),
+    )
+
+
+def upstream_call(
+    caller: CallerRequest,
+    address: Address,
+    run: RunState,
+) -> UpstreamCall:
+    """Return the call that sends a request, or resumes its stream."""
+    headers = {
+        'Content-Type': 'application/json',
+        'X-Request-Id': caller.request.request_id,
+    }
+    if caller.key:
+        headers['Idempotency-Key'] = caller.key
+    if run.stream.last_id:
+        headers['Last-Event-ID'] = run.stream.last_id.decode('latin-1')
+    return UpstreamCall(
+        address,
+        'POST',
+        caller.path,
+        caller.body,
+        headers,
+        run.remaining_s,
     )
 
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -7,8 +7,12 @@
 from cowslipstep.daemon._delivery import DeliveryService
 from cowslipstep.daemon._entry import EntryApplication
 from cowslipstep.daemon._groups import PERIOD_S, GroupService
+from cowslipstep.daemon._keyed import KeyedRuns
 from cowslipstep.daemon._links import PeerLinks
+from cowslipstep.daemon._order_claims import OrderClaims
+from cowslipstep.daemon._order_ledger import OrderLedger
 from cowslipstep.daemon._peers import Heartbeats, PeerService
+from cowslipstep.daemon._segment_store import SegmentStore
 from cowslipstep.daemon._server import serve_until, stop_event
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._slots import SlotService
@@ -26,12 +30,18 @@
     links = PeerLinks()
     start_task('cells', cells.run)
     _start_control(state, cells, links)
-    application = EntryApplication(
+    slots = SlotService(state, cells, links)
+    serve_until(stop, _application(state, slots), state)
+
+
+def _application(state: DaemonState, slots: SlotService) -> EntryApplication:
+    ledger = OrderLedger(SegmentStore(state.platform))
+    keyed = KeyedRuns(OrderClaims(ledger), state.counters)
+    return EntryApplication(
         state,
-        DeliveryService(state, SlotService(state, cells, links)),
-        ServiceCalls(state),
+        DeliveryService(state, slots, keyed),
+        ServiceCalls(state, keyed),
     )
-    serve_until(stop, application, state)
 
 
 def _start_control(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
@@ -1,38 +1,23 @@
-"""Delivery of completions: slot, upstream call, answer to the caller."""
+"""Delivery of completions: tries, verdicts, answers to callers."""
 
 from __future__ import annotations
 
-import json
-import time
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from cowslipstep.daemon._completions import CallerRequest
-from cowslipstep.daemon._http import error_document
-from cowslipstep.daemon._relay import (
-    AnswerHead,
-    RelayProgress,
-    relay_answer,
-)
-from cowslipstep.daemon._slots import Slot, SlotService
+from cowslipstep.daemon._keyed import KeyedRuns
+from cowslipstep.daemon._outcomes import OutcomeLog, Timings, measured
+from cowslipstep.daemon._relay import Piece
+from cowslipstep.daemon._run_state import RunState, start_run
+from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.daemon._upstream import (
-    UpstreamCall,
-    UpstreamFailure,
-    UpstreamPool,
-)
-from cowslipstep.metrics import CounterKey, Series
-from cowslipstep.model import (
-    Completed,
-    MayHaveRun,
-    NotRun,
-    Reason,
-    RequestError,
-    Verdict,
-)
-
-_BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
+from cowslipstep.daemon._stream_errors import error_event, failed_request
+from cowslipstep.daemon._tries import CompletionTries, TryRefused
+from cowslipstep.daemon._upstream import UpstreamFailure
+from cowslipstep.delivery import RetryBudget, may_resume, may_retry
+from cowslipstep.model import Completed
+
+_MAX_RESUMES = 3
 
 
 class DeliveryService:
@@ -44,14 +29,23 @@
         State of the daemon.
     slots
         Gives slots.
+    keyed
+        Runs orders with an idempotency key.
     """
 
-    def __init__(self, state: DaemonState, slots: SlotService) -> None:
-        self._state = state
-        self._slots = slots
-        self._upstreams = UpstreamPool()
+    def __init__(
+        self,
+        state: DaemonState,
+        slots: SlotService,
+        keyed: KeyedRuns,
+    ) -> None:
+        self._tries = CompletionTries(state, slots)
+        self._keyed = keyed
+        self._budget = RetryBudget()
+        self._outcomes = OutcomeLog(state, 'requests')
+        self._timings = Timings(state)
 
-    def deliver(self, caller: CallerRequest) -> Iterator[AnswerHead | bytes]:
+    def deliver(self, caller: CallerRequest) -> Iterator[Piece]:
         """Yield the head of the answer, then its body piece by piece.
 
         Raises
@@ -59,108 +53,82 @@
         RequestError
             If the request fails before the head was yielded.
         """
-        started_s = time.monotonic()
-        request = caller.request
-        with self._slots.slot(request) as held:
-            self._record('queue_wait', caller, time.monotonic() - started_s)
-            match held:
-                case NotRun() as refused:
-                    raise self._failed(caller, refused, 'no group has room')
-                case Slot():
-                    yield from self._relay(caller, held)
-        self._record('total', caller, time.monotonic() - started_s)
-
-    def _relay(
-        self,
-        caller: CallerRequest,
-        held: Slot,
-    ) -> Iterator[AnswerHead | bytes]:
-        call = _upstream_call(caller, held)
-        progress = RelayProgress()
-        try:
-            yield from relay_answer(self._upstreams, call, progress)
-        except UpstreamFailure as failure:
-            yield self._end_early(caller, progress, failure)
-            return
-        if caller.stream and not progress.ended:
-            cut = UpstreamFailure(
-                MayHaveRun(Reason.upstream_cut),
-                'the stream ended early',
+        run = start_run(caller.request.timeout_s)
+        labels = caller.labels
+        with self._outcomes.noted(labels, run):
+            yield from measured(
+                self._answer(caller, run),
+                self._timings,
+                labels,
             )
-            yield self._end_early(caller, progress, cut)
-            return
-        self._count(caller, Completed())
 
-    def _end_early(
+    def _answer(self, caller: CallerRequest, run: RunState) -> Iterator[Piece]:
+        pieces = self._run(caller, run)
+        if caller.order is None:
+            return pieces
+        return self._keyed.run(caller.order, pieces, run)
+
+    def _run(
         self,
         caller: CallerRequest,
-        progress: RelayProgress,
-        failure: UpstreamFailure,
-    ) -> bytes:
-        if not progress.begun:
-            raise self._failed(caller, failure.verdict, str(failure))
-        self._count(caller, failure.verdict)
-        return _error_event(caller, failure)
-
-    def _failed(
+        run: RunState,
+    ) -> Generator[Piece, None, None]:
+        self._budget.add_first_try()
+        while run.verdict != Completed():
+            try:
+                yield from self._tries.once(caller, run)
+            except UpstreamFailure as failure:
+                run.note_failure(failure.verdict)
+                if not self._goes_on(caller, run, failure):
+                    yield _end(caller, run, failure)
+                    return
+                continue
+            run.verdict = Completed()
+
+    def _goes_on(
         self,
         caller: CallerRequest,
-        verdict: NotRun | MayHaveRun,
-        message: str,
-    ) -> RequestError:
-        self._count(caller, verdict)
-        return RequestError(verdict, message, _status(verdict))
-
-    def _record(
+        run: RunState,
+        failure: UpstreamFailure,
+    ) -> bool:
+        match failure:
+            case TryRefused():
+                return False
+        idempotent = caller.request.idempotent
+        if run.begun:
+            return self._resumes(caller, run, failure)
+        if run.overdue or not may_retry(
+            failure.verdict, idempotent=idempotent, begun=False
+        ):
+            return False
+        if not self._budget.take():
+            return False
+        self._outcomes.count('retries', caller.labels)
+        return True
+
+    def _resumes(
         self,
-        name: str,
         caller: CallerRequest,
-        seconds: float,
-    ) -> None:
-        request = caller.request
-        series = Series(name, request.workspace, request.rank)
-        self._state.histograms.record(series, seconds)
-
-    def _count(self, caller: CallerRequest, verdict: Verdict) -> None:
-        labels = (
-            ('workspace', caller.request.workspace),
-            ('rank', caller.request.rank),
-            ('verdict', verdict.code),
-        )
-        self._state.counters.add(CounterKey('requests', labels))
-
-
-def _upstream_call(caller: CallerRequest, held: Slot) -> UpstreamCall:
-    headers = {
-        'Content-Type': 'application/json',
-        'X-Request-Id': caller.request.request_id,
-    }
-    if caller.key:
-        headers['Idempotency-Key'] = caller.key
-    return UpstreamCall(
-        held.grant.address,
-        'POST',
-        caller.path,
-        caller.body,
-        headers,
-        caller.request.timeout_s,
-    )
-
-
-def _status(verdict: NotRun | MayHaveRun) -> int:
-    match verdict:
-        case NotRun():
-            return _UNAVAILABLE
-        case MayHaveRun(Reason.upstream_timeout):
-            return _GATEWAY_TIMEOUT
-        case MayHaveRun():
-            return _BAD_GATEWAY
-
-
-def _error_event(caller: CallerRequest, failure: UpstreamFailure) -> bytes:
-    document = error_document(
-        failure.verdict,
-        str(failure),
-        caller.request.request_id,
-    )
-    return f'event: error\ndata: {json.dumps(document)}\n\n'.encode()
+        run: RunState,
+        failure: UpstreamFailure,
+    ) -> bool:
+        idempotent = caller.request.idempotent
+        if not (caller.stream and run.resumes < _MAX_RESUMES):
+            return False
+        if not may_resume(failure.verdict, idempotent=idempotent):
+            return False
+        run.resumes += 1
+        run.stream.drop_rest()
+        self._outcomes.count('resumes', caller.labels)
+        return True
+
+
+def _end(
+    caller: CallerRequest,
+    run: RunState,
+    failure: UpstreamFailure,
+) -> bytes:
+    request_id = caller.request.request_id
+    if not run.begun:
+        raise failed_request(run.verdict, str(failure)) from failure
+    return error_event(run.verdict, str(failure), request_id)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
@@ -2,31 +2,42 @@
 
 from __future__ import annotations
 
+import uuid
 from collections.abc import Iterable, Iterator
 
 from loguru import logger
 
-from cowslipstep.daemon._completions import new_request_id, parse_completion
+from cowslipstep.daemon._answers import begin_answer
+from cowslipstep.daemon._completions import parse_completion
 from cowslipstep.daemon._delivery import DeliveryService
+from cowslipstep.daemon._hangup import CallerGone
+from cowslipstep.daemon._headers import find_workspace
 from cowslipstep.daemon._health import answer_readiness, send_metrics
-from cowslipstep.daemon._hangup import CallerGone, raise_on_hangup
 from cowslipstep.daemon._http import (
+    REQUEST_ID,
     Environ,
     JsonAnswer,
     StartResponse,
     error_answer,
     send_json,
-    status_line,
 )
 from cowslipstep.daemon._intake import read_body
-from cowslipstep.daemon._relay import AnswerHead
+from cowslipstep.daemon._order_headers import is_first_send
+from cowslipstep.daemon._relay import Piece
 from cowslipstep.daemon._service_requests import (
     SERVICES_PREFIX,
     parse_service_request,
 )
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.model import Configuration, NotRun, Reason, RequestError
+from cowslipstep.delivery import before_ledger
+from cowslipstep.model import (
+    Configuration,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    RequestError,
+)
 
 _COMPLETION_PATHS = ('/v1/chat/completions', '/v1/completions')
 _OK = 200
@@ -65,10 +76,11 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answer one request."""
-        request_id = new_request_id()
+        request_id = uuid.uuid4().hex
+        environ[REQUEST_ID] = request_id
         with logger.contextualize(request_id=request_id):
             try:
-                return self._route(environ, start_response, request_id)
+                return self._route(environ, start_response)
             except RequestError as error:
                 logger.bind(verdict=error.verdict.code).info('{}', error)
                 answer = error_answer(error, request_id)
@@ -84,7 +96,6 @@
         self,
         environ: Environ,
         start_response: StartResponse,
-        request_id: str,
     ) -> Iterable[bytes]:
         match environ['PATH_INFO']:
             case '/healthz':
@@ -94,76 +105,49 @@
             case '/metrics':
                 return send_metrics(start_response, self._state)
             case path if path in _COMPLETION_PATHS:
-                pieces = self._complete(environ, request_id)
+                pieces = self._complete(environ)
             case path if path.startswith(SERVICES_PREFIX):
-                pieces = self._call_service(environ, request_id)
+                pieces = self._call_service(environ)
             case path:
                 raise RequestError(
                     NotRun(Reason.not_found),
                     f'nothing at {path}',
                     _NOT_FOUND,
                 )
-        with raise_on_hangup(environ):
-            head = next(pieces)
-        return _begin(head, pieces, start_response, request_id)
+        return begin_answer(pieces, environ, start_response)
 
-    def _configuration(self) -> Configuration:
+    def _configuration(self, environ: Environ) -> Configuration:
         if self._state.configuration is None or self._state.stopping:
             raise RequestError(
-                NotRun(Reason.not_ready, retry_after_s=1),
+                before_ledger(
+                    NotRun(Reason.not_ready, retry_after_s=1),
+                    first_send=is_first_send(environ),
+                ),
                 'the daemon is not ready',
                 _UNAVAILABLE,
             )
         return self._state.configuration
 
-    def _complete(
-        self,
-        environ: Environ,
-        request_id: str,
-    ) -> Iterator[AnswerHead | bytes]:
-        configuration = self._configuration()
+    def _complete(self, environ: Environ) -> Iterator[Piece]:
+        configuration = self._configuration(environ)
+        workspace = find_workspace(environ, configuration).name
         body = read_body(environ, self._state.settings.max_body_bytes)
         return self._delivery.deliver(
-            parse_completion(environ, body, configuration, request_id),
+            parse_completion(environ, body, workspace, configuration),
         )
 
-    def _call_service(
-        self,
-        environ: Environ,
-        request_id: str,
-    ) -> Iterator[AnswerHead | bytes]:
-        configuration = self._configuration()
+    def _call_service(self, environ: Environ) -> Iterator[Piece]:
+        configuration = self._configuration(environ)
+        workspace = find_workspace(environ, configuration).name
         body = read_body(environ, self._state.settings.max_body_bytes)
-        request = parse_service_request(
-            environ,
-            body,
-            configuration,
-            request_id,
+        return self._services.deliver(
+            parse_service_request(environ, body, workspace, configuration),
         )
-        return self._services.deliver(request, configuration)
-
-
-def _begin(
-    head: AnswerHead | bytes,
-    pieces: Iterator[AnswerHead | bytes],
-    start_response: StartResponse,
-    request_id: str,
-) -> Iterable[bytes]:
-    match head:
-        case AnswerHead(status, content_type):
-            start_response(
-                status_line(status),
-                [
-                    ('Content-Type', content_type or 'application/json'),
-                    ('X-Request-Id', request_id),
-                ],
-            )
-    return pieces  # type: ignore[return-value]
 
 
 def _internal_error() -> RequestError:
     return RequestError(
-        NotRun(Reason.internal),
+        MayHaveRun(Reason.internal),
         'internal error',
         _INTERNAL_ERROR,
     )
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
@@ -20,7 +20,9 @@
 def raise_on_hangup(environ: Environ) -> Iterator[None]:
     """Raise ``CallerGone`` in the current task when the caller hangs up.
 
-    The exception is raised at the point where the task waits.
+    The exception is raised at the point where the task waits. A caller that
+    has sent its next request already is watched no more: what it sent stays
+    unread, and a close behind it cannot be seen.
     """
     connection = environ['wsgi.input'].get_socket()
     watcher = spawn(_watch, connection, getcurrent())
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_http.py
@@ -14,6 +14,7 @@
 
 Environ = dict[str, Any]
 Header = tuple[str, str]
+REQUEST_ID = 'cowslipstep.request_id'
 StartResponse = Callable[[str, list[Header]], Any]
 
 
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
@@ -0,0 +1,98 @@
+"""Claims of keyed orders: entered, answered and withdrawn."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+import eventlet
+from loguru import logger
+
+from cowslipstep.daemon._keyed_orders import KeyedOrder
+from cowslipstep.daemon._order_ledger import OrderLedger
+from cowslipstep.daemon._run_state import RunState
+from cowslipstep.daemon._segment_writer import LedgerUnavailable
+from cowslipstep.delivery import (
+    AnswerOrder,
+    EnterOrder,
+    EntryResult,
+    OrderAnswer,
+    OrderChange,
+    WithdrawOrder,
+    before_ledger,
+)
+from cowslipstep.model import NotRun, Reason, RequestError
+
+_UNAVAILABLE = 503
+
+Task = Any
+
+
+class OrderClaims:
+    """Keeps claims in the ledger.
+
+    Parameters
+    ----------
+    ledger
+        Ledger of orders.
+    """
+
+    def __init__(self, ledger: OrderLedger) -> None:
+        self._ledger = ledger
+
+    def enter(self, order: KeyedOrder) -> EntryResult:
+        """Enter a claim and wait for the platform to confirm it.
+
+        Raises
+        ------
+        RequestError
+            If the platform does not confirm it.
+        """
+        try:
+            return self._change(order, EnterOrder(order.claim))
+        except LedgerUnavailable as error:
+            down = NotRun(Reason.platform_down, retry_after_s=1)
+            raise RequestError(
+                before_ledger(down, first_send=order.first_send),
+                f'the order ledger cannot be written: {error}',
+                _UNAVAILABLE,
+            ) from error
+        except BaseException:
+            # The caller is gone, but its claim may be on its way.
+            self._withdraw(order)
+            raise
+
+    @contextlib.contextmanager
+    def held(self, order: KeyedOrder, run: RunState) -> Iterator[None]:
+        """Withdraw the claim if the order has not run by the end."""
+        try:
+            yield
+        except RequestError as error:
+            if isinstance(error.verdict, NotRun):
+                self._withdraw(order).wait()
+            raise
+        except BaseException:
+            # The caller is gone; nobody waits for the ledger.
+            if isinstance(run.verdict, NotRun):
+                self._withdraw(order)
+            raise
+
+    def answer(self, order: KeyedOrder, answer: OrderAnswer) -> None:
+        """Begin to keep the answer of an order that ran."""
+        change = AnswerOrder(order.claim, answer)
+        eventlet.spawn(self._try_change, order, change)
+
+    def _withdraw(self, order: KeyedOrder) -> Task:
+        change = WithdrawOrder(order.claim)
+        return eventlet.spawn(self._try_change, order, change)
+
+    def _try_change(self, order: KeyedOrder, change: OrderChange) -> None:
+        try:
+            self._change(order, change)
+        except LedgerUnavailable as error:
+            # The entry stays open, so that the order cannot run again.
+            logger.warning('an order entry stays open: {}', error)
+
+    def _change(self, order: KeyedOrder, change: OrderChange) -> EntryResult:
+        return self._ledger.change(order.place, change, order.retention_s)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_codec.py
@@ -0,0 +1,73 @@
+"""JSON text of segments of the order ledger."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+from cowslipstep.delivery import (
+    OrderAnswer,
+    OrderClaim,
+    OrderEntry,
+    Segment,
+)
+
+_ATTEMPT = 'attempt'
+_FINGERPRINT = 'fingerprint'
+_ENTERED = 'entered'
+_STATUS = 'status'
+_TYPE = 'type'
+_BODY = 'body'
+
+
+def encode_segment(segment: Segment) -> str:
+    """Return the JSON text of a segment."""
+    return json.dumps(
+        {
+            digest: _encode_entry(entry)
+            for digest, entry in segment.entries.items()
+        },
+        separators=(',', ':'),
+    )
+
+
+def decode_segment(text: str) -> Segment:
+    """Read a segment from its JSON text."""
+    return Segment(
+        {
+            digest: _decode_entry(digest, raw)
+            for digest, raw in json.loads(text).items()
+        },
+    )
+
+
+def _encode_entry(entry: OrderEntry) -> dict[str, Any]:
+    raw: dict[str, Any] = {
+        _ATTEMPT: entry.claim.attempt,
+        _FINGERPRINT: entry.claim.fingerprint,
+        _ENTERED: entry.entered_unix_s,
+    }
+    match entry.answer:
+        case OrderAnswer(status, content_type, body):
+            raw[_STATUS] = status
+            raw[_TYPE] = content_type
+            if body is not None:
+                raw[_BODY] = base64.b64encode(body).decode()
+    return raw
+
+
+def _decode_entry(digest: str, raw: dict[str, Any]) -> OrderEntry:
+    claim = OrderClaim(digest, raw[_ATTEMPT], raw[_FINGERPRINT])
+    return OrderEntry(claim, raw[_ENTERED], _decode_answer(raw))
+
+
+def _decode_answer(raw: dict[str, Any]) -> OrderAnswer | None:
+    if _STATUS not in raw:
+        return None
+    body = raw.get(_BODY)
+    return OrderAnswer(
+        raw[_STATUS],
+        raw[_TYPE],
+        None if body is None else base64.b64decode(body),
+    )
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
@@ -0,0 +1,124 @@
+"""Order ledger: claims of keyed orders, kept in platform objects."""
+
+from __future__ import annotations
+
+import collections
+import math
+import time
+from collections.abc import Iterable
+
+import eventlet
+from attrs import field, frozen
+from eventlet.event import Event
+
+from cowslipstep.daemon._segment_store import SegmentStore
+from cowslipstep.daemon._segment_writer import (
+    LedgerUnavailable,
+    SegmentBatch,
+    write_batch,
+)
+from cowslipstep.delivery import (
+    Applied,
+    EntryResult,
+    OrderChange,
+    SegmentPlace,
+)
+
+_WRITE_TIMEOUT_S = 4
+_WRITE_PERIOD_S = 0.25
+_MAX_BATCH = 500
+
+
+@frozen(eq=False)
+class _Waiting:
+    change: OrderChange
+    retention_s: float
+    done: Event = field(factory=Event)
+
+
+class OrderLedger:
+    """Applies changes to segments, many in one conditional write.
+
+    One task writes each segment that has changes waiting. The first change
+    is written at once; those that come meanwhile share the next write.
+
+    Parameters
+    ----------
+    store
+        Reads and writes segments.
+    write_timeout_s
+        How long the outcome of a write is looked up, seconds.
+    """
+
+    def __init__(
+        self,
+        store: SegmentStore,
+        write_timeout_s: float = _WRITE_TIMEOUT_S,
+    ) -> None:
+        self._store = store
+        self._write_timeout_s = write_timeout_s
+        self._waiting: dict[str, collections.deque[_Waiting]] = {}
+
+    def change(
+        self,
+        place: SegmentPlace,
+        change: OrderChange,
+        retention_s: float,
+    ) -> EntryResult:
+        """Apply a change and wait until the platform has confirmed it.
+
+        Raises
+        ------
+        LedgerUnavailable
+            If the platform did not confirm it in time.
+        """
+        kept_s = retention_s if place.expires else math.inf
+        entry = _Waiting(change, kept_s)
+        waiting = self._waiting.get(place.name)
+        if waiting is None:
+            self._waiting[place.name] = collections.deque([entry])
+            eventlet.spawn(self._write_segment, place.name)
+        else:
+            waiting.append(entry)
+        return entry.done.wait()
+
+    def _write_segment(self, name: str) -> None:
+        waiting = self._waiting[name]
+        while waiting:
+            batch = _take(waiting)
+            next_s = time.monotonic() + _WRITE_PERIOD_S
+            self._write(name, batch)
+            if waiting:
+                eventlet.sleep(max(0, next_s - time.monotonic()))
+        self._waiting.pop(name)
+
+    def _write(self, name: str, batch: list[_Waiting]) -> None:
+        try:
+            applied = write_batch(
+                self._store,
+                SegmentBatch(
+                    name,
+                    tuple(entry.change for entry in batch),
+                    min(entry.retention_s for entry in batch),
+                    time.monotonic() + self._write_timeout_s,
+                ),
+            )
+        except Exception as error:
+            _fail_all(batch, error)
+            return
+        _answer_all(batch, applied)
+
+
+def _take(waiting: collections.deque[_Waiting]) -> list[_Waiting]:
+    size = min(len(waiting), _MAX_BATCH)
+    return [waiting.popleft() for _ in range(size)]
+
+
+def _answer_all(batch: Iterable[_Waiting], applied: Applied) -> None:
+    for entry, outcome in zip(batch, applied.outcomes, strict=True):
+        entry.done.send(outcome)
+
+
+def _fail_all(batch: Iterable[_Waiting], error: Exception) -> None:
+    for entry in batch:
+        entry.done.send_exception(LedgerUnavailable(str(error)))
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -0,0 +1,114 @@
+"""How requests ended and how long they took: log lines and metrics."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Iterator
+
+from attrs import frozen
+from loguru import logger
+
+from cowslipstep.daemon._relay import Piece
+from cowslipstep.daemon._run_state import RunState
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.metrics import CounterKey, Series
+from cowslipstep.model import RequestError
+
+_TOTAL = 'total'
+_FIRST_TOKEN = 'first_token'
+_BETWEEN_TOKENS = 'between_tokens'
+
+
+@frozen
+class RequestLabels:
+    """Labels of a request in logs and metrics.
+
+    ``rank`` is the name of the service for calls to plain services.
+    """
+
+    workspace: str
+    rank: str
+
+
+class OutcomeLog:
+    """Notes how requests ended.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    name
+        Name of the counter.
+    """
+
+    def __init__(self, state: DaemonState, name: str) -> None:
+        self._counters = state.counters
+        self._name = name
+
+    @contextlib.contextmanager
+    def noted(self, labels: RequestLabels, run: RunState) -> Iterator[None]:
+        """Note the verdict of a request at the end of the block."""
+        try:
+            yield
+        except RequestError as error:
+            run.verdict = error.verdict
+            raise
+        finally:
+            self._note(labels, run.verdict.code)
+
+    def count(self, name: str, labels: RequestLabels) -> None:
+        """Add one to another counter of requests."""
+        pairs = (('workspace', labels.workspace), ('rank', labels.rank))
+        self._counters.add(CounterKey(name, pairs))
+
+    def _note(self, labels: RequestLabels, verdict: str) -> None:
+        pairs = (
+            ('workspace', labels.workspace),
+            ('rank', labels.rank),
+            ('verdict', verdict),
+        )
+        self._counters.add(CounterKey(self._name, pairs))
+        logger.bind(**dict(pairs)).info('request ended')
+
+
+class Timings:
+    """Records durations of answers by workspace and rank.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: DaemonState) -> None:
+        self._histograms = state.histograms
+
+    def record(
+        self,
+        name: str,
+        labels: RequestLabels,
+        seconds: float,
+    ) -> None:
+        """Add one duration."""
+        series = Series(name, labels.workspace, labels.rank)
+        self._histograms.record(series, seconds)
+
+
+def measured(
+    pieces: Iterator[Piece],
+    timings: Timings,
+    labels: RequestLabels,
+) -> Iterator[Piece]:
+    """Yield pieces and record when they came."""
+    started_s = time.monotonic()
+    latest_s = started_s
+    between = _FIRST_TOKEN
+    for piece in pieces:
+        if isinstance(piece, bytes):
+            now_s = time.monotonic()
+            timings.record(between, labels, now_s - latest_s)
+            latest_s = now_s
+            between = _BETWEEN_TOKENS
+        yield piece
+    timings.record(_TOTAL, labels, time.monotonic() - started_s)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -1,69 +1,121 @@
-"""Relay of an upstream's answer, piece by piece."""
+"""Relay of an upstream's answer, whole or event by event."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 
-from attrs import define, frozen
+import urllib3
+from attrs import frozen
 
+from cowslipstep.daemon._run_state import RunState
+from cowslipstep.daemon._streams import StreamProgress, first_id
 from cowslipstep.daemon._upstream import (
     UpstreamCall,
+    UpstreamFailure,
     UpstreamPool,
     read_pieces,
 )
+from cowslipstep.model import MayHaveRun, Reason
 
-_END_MARK = b'data: [DONE]'
-_TAIL_BYTES = len(_END_MARK) + 2
+_OK = 200
 
 
 @frozen
 class AnswerHead:
-    """Status and content type of an answer about to begin."""
+    """Status and content type of an answer about to begin.
+
+    ``length`` is ``None`` for a stream; ``replayed`` is true for the kept
+    answer of an order that ran before.
+    """
 
     status: int
     content_type: str
+    length: int | None = None
+    replayed: bool = False
 
 
-@define
-class RelayProgress:
-    """How far an answer has come.
-
-    Attributes
-    ----------
-    begun
-        Whether the head was passed on.
-    tail
-        The last bytes passed on.
-    """
+Piece = AnswerHead | bytes
 
-    begun: bool = False
-    tail: bytes = b''
 
-    @property
-    def ended(self) -> bool:
-        """Whether a stream has reached its end mark."""
-        return _END_MARK in self.tail
+def relay_whole(
+    upstreams: UpstreamPool,
+    call: UpstreamCall,
+    run: RunState,
+) -> Iterator[Piece]:
+    """Yield the head and the body of an answer that has come in whole.
 
-    def add(self, piece: bytes) -> None:
-        """Note a piece that was passed on."""
-        self.tail = (self.tail + piece)[-_TAIL_BYTES:]
+    Raises
+    ------
+    UpstreamFailure
+        If there is no answer or it breaks off.
+    """
+    with upstreams.open(call) as answer:
+        yield from _whole(answer, run)
 
 
-def relay_answer(
+def relay_stream(
     upstreams: UpstreamPool,
     call: UpstreamCall,
-    progress: RelayProgress,
-) -> Iterator[AnswerHead | bytes]:
-    """Yield the head of an upstream's answer, then its body.
+    run: RunState,
+) -> Iterator[Piece]:
+    """Yield the head of a stream, unless it was passed on, then its events.
 
     Raises
     ------
     UpstreamFailure
-        If there is no answer or it breaks off.
+        If there is no answer, or the stream breaks off before its end.
     """
     with upstreams.open(call) as answer:
-        progress.begun = True
-        yield AnswerHead(answer.status, answer.headers.get('Content-Type', ''))
-        for piece in read_pieces(answer):
-            progress.add(piece)
-            yield piece
+        if answer.status != _OK:
+            yield from _whole(answer, run)
+            return
+        yield from _events(answer, run)
+    if not run.stream.ended:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_cut),
+            'the stream ended early',
+        )
+
+
+def _whole(
+    answer: urllib3.BaseHTTPResponse,
+    run: RunState,
+) -> Iterator[Piece]:
+    body = b''.join(read_pieces(answer))
+    if run.begun:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_failed),
+            f'the stream was not resumed: status {answer.status}',
+        )
+    run.begun = True
+    yield AnswerHead(answer.status, _content_type(answer), len(body))
+    yield body
+
+
+def _events(
+    answer: urllib3.BaseHTTPResponse,
+    run: RunState,
+) -> Iterator[Piece]:
+    resumed = bool(run.stream.last_id)
+    for piece in read_pieces(answer):
+        if resumed:
+            _raise_if_restarted(run.stream, piece)
+            resumed = False
+        whole = run.stream.take(piece)
+        if whole and not run.begun:
+            run.begun = True
+            yield AnswerHead(answer.status, _content_type(answer))
+        if whole:
+            yield whole
+
+
+def _raise_if_restarted(stream: StreamProgress, piece: bytes) -> None:
+    if first_id(piece) in {stream.first_id, stream.last_id}:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_failed),
+            'the engine began again instead of resuming',
+        )
+
+
+def _content_type(answer: urllib3.BaseHTTPResponse) -> str:
+    return answer.headers.get('Content-Type', '')
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_service_requests.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_service_requests.py
@@ -2,52 +2,158 @@
 
 from __future__ import annotations
 
+import posixpath
+from urllib.parse import unquote
+
 from attrs import frozen
 
-from cowslipstep.daemon._headers import find_workspace
-from cowslipstep.daemon._http import Environ
-from cowslipstep.model import Configuration
+from cowslipstep.daemon._headers import find_timeout_s
+from cowslipstep.daemon._http import REQUEST_ID, Environ
+from cowslipstep.daemon._keyed_orders import KeyedOrder
+from cowslipstep.daemon._order_headers import find_key, find_order
+from cowslipstep.daemon._outcomes import RequestLabels
+from cowslipstep.daemon._run_state import RunState
+from cowslipstep.daemon._upstream import UpstreamCall
+from cowslipstep.model import (
+    Address,
+    Configuration,
+    NotRun,
+    PlainService,
+    Reason,
+    RequestError,
+)
 
 SERVICES_PREFIX = '/services/'
+_SAFE_METHODS = ('GET', 'HEAD')
+_NOT_FOUND = 404
+
+
+@frozen
+class ServiceTarget:
+    """Service, method and path of a call.
+
+    ``path`` is sent as the caller wrote it; ``plain_path`` is what it means,
+    so that no spelling of a path escapes its prefix.
+    """
+
+    service: PlainService
+    method: str
+    path: str
+    plain_path: str
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the call may be repeated."""
+        if self.method in _SAFE_METHODS:
+            return True
+        prefixes = self.service.non_idempotent_paths
+        return not self.plain_path.startswith(prefixes)
+
+    def asked(self, body: bytes) -> tuple[bytes, ...]:
+        """Return all that tells one request from another."""
+        name = self.service.name.encode()
+        return (name, self.method.encode(), self.path.encode(), body)
 
 
 @frozen
 class ServiceRequest:
-    """A call to a plain service."""
+    """A call to a plain service.
+
+    ``order`` is ``None`` unless the call is non-idempotent and has a key.
+    """
 
     request_id: str
     workspace: str
-    service: str
-    method: str
-    path: str
+    target: ServiceTarget
     body: bytes
-    key: str
     content_type: str
+    timeout_s: float
+    key: str
+    order: KeyedOrder | None
+
+    @property
+    def labels(self) -> RequestLabels:
+        """Labels in logs and metrics."""
+        return RequestLabels(self.workspace, self.target.service.name)
 
 
 def parse_service_request(
     environ: Environ,
     body: bytes,
+    workspace: str,
     configuration: Configuration,
-    request_id: str,
 ) -> ServiceRequest:
     """Read a call to ``/services/<name>/...``.
 
     Raises
     ------
     RequestError
-        If the bearer key is missing or unknown.
+        If the service is unknown or a header is wrong.
     """
-    rest = environ['PATH_INFO'].removeprefix(SERVICES_PREFIX)
-    service, _, path = rest.partition('/')
-    query = environ.get('QUERY_STRING', '')
+    target = _find_target(environ, configuration)
+    use = None if target.idempotent else find_key(environ, workspace)
     return ServiceRequest(
-        request_id,
-        find_workspace(environ, configuration).name,
-        service,
+        request_id=environ[REQUEST_ID],
+        workspace=workspace,
+        target=target,
+        body=body,
+        content_type=environ.get('CONTENT_TYPE', ''),
+        timeout_s=find_timeout_s(environ),
+        key=environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+        order=find_order(use, target.asked(body), configuration),
+    )
+
+
+def service_call(
+    request: ServiceRequest,
+    runner: Address,
+    run: RunState,
+) -> UpstreamCall:
+    """Return the call that sends a request to a runner."""
+    headers = {
+        'X-Request-Id': request.request_id,
+        'X-Workspace': request.workspace,
+    }
+    if request.key:
+        headers['Idempotency-Key'] = request.key
+    if request.content_type:
+        headers['Content-Type'] = request.content_type
+    return UpstreamCall(
+        runner,
+        request.target.method,
+        request.target.path,
+        request.body,
+        headers,
+        run.remaining_s,
+    )
+
+
+def _find_target(
+    environ: Environ,
+    configuration: Configuration,
+) -> ServiceTarget:
+    path = environ['RAW_PATH_INFO'].removeprefix(SERVICES_PREFIX)
+    name, _, rest = path.partition('/')
+    query = environ.get('QUERY_STRING', '')
+    return ServiceTarget(
+        _find_service(name, configuration),
         environ['REQUEST_METHOD'],
-        f'/{path}?{query}' if query else f'/{path}',
-        body,
-        environ.get('HTTP_IDEMPOTENCY_KEY', ''),
-        environ.get('CONTENT_TYPE', ''),
+        f'/{rest}?{query}' if query else f'/{rest}',
+        _plain_path(rest),
+    )
+
+
+def _plain_path(rest: str) -> str:
+    decoded = unquote(rest)
+    return posixpath.normpath(f'/{decoded}').replace('//', '/')
+
+
+def _find_service(name: str, configuration: Configuration) -> PlainService:
+    for service in configuration.services:
+        if service.name == name and service.addresses:
+            return service
+    raise RequestError(
+        NotRun(Reason.unknown_service),
+        f'unknown service {name!r}',
+        _NOT_FOUND,
     )
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_tries.py
@@ -0,0 +1,99 @@
+"""Tries of a completion: slot, upstream call, retry or resumption."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Iterator
+
+import attrs
+import eventlet
+
+from cowslipstep.daemon._completions import CallerRequest, upstream_call
+from cowslipstep.daemon._outcomes import Timings
+from cowslipstep.daemon._relay import Piece, relay_stream, relay_whole
+from cowslipstep.daemon._run_state import RunState
+from cowslipstep.daemon._slots import Slot, SlotService
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._upstream import UpstreamFailure, UpstreamPool
+from cowslipstep.model import NotRun, Reason
+
+_RENEWAL_PERIOD_S = 1
+
+
+class TryRefused(UpstreamFailure):
+    """There was no slot, or no time left, for a try."""
+
+
+class CompletionTries:
+    """Makes single tries of completions.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    slots
+        Gives slots.
+    """
+
+    def __init__(self, state: DaemonState, slots: SlotService) -> None:
+        self._timings = Timings(state)
+        self._slots = slots
+        self._upstreams = UpstreamPool()
+
+    def once(self, caller: CallerRequest, run: RunState) -> Iterator[Piece]:
+        """Yield the pieces of an answer from one group.
+
+        Raises
+        ------
+        TryRefused
+            If nothing was sent.
+        UpstreamFailure
+            If the group gave no whole answer.
+        """
+        request = attrs.evolve(caller.request, timeout_s=run.remaining_s)
+        asked_s = time.monotonic()
+        with self._slots.slot(request, tuple(run.avoid)) as held:
+            waited_s = time.monotonic() - asked_s
+            self._timings.record('queue_wait', caller.labels, waited_s)
+            match held:
+                case NotRun():
+                    raise TryRefused(held, 'no group has room')
+                case Slot():
+                    run.avoid.append(held.grant.group)
+                    yield from self._send(caller, held, run)
+
+    def _send(
+        self,
+        caller: CallerRequest,
+        held: Slot,
+        run: RunState,
+    ) -> Iterator[Piece]:
+        relay = relay_stream if caller.stream else relay_whole
+        call = upstream_call(caller, held.grant.address, run)
+        earlier_tokens = run.stream.tokens
+        if run.overdue:
+            raise TryRefused(NotRun(Reason.deadline), 'the deadline has passed')
+        run.note_sending()
+        with _renewed(self._slots, held):
+            for piece in relay(self._upstreams, call, run):
+                held.use.streamed_tokens = run.stream.tokens - earlier_tokens
+                yield piece
+
+
+@contextlib.contextmanager
+def _renewed(slots: SlotService, held: Slot) -> Iterator[None]:
+    renewal = eventlet.spawn_after(_RENEWAL_PERIOD_S, _renew, slots, held)
+    try:
+        yield
+    except UpstreamFailure:
+        held.use.failed = True
+        raise
+    finally:
+        renewal.kill()
+
+
+def _renew(slots: SlotService, held: Slot) -> None:
+    while True:
+        slots.renew(held)
+        eventlet.sleep(_RENEWAL_PERIOD_S)
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_order_ledger.py
@@ -0,0 +1,260 @@
+"""Seeded cases of keyed orders under kills, pauses, cuts and lost answers.
+
+Each case sends one order one to five times through random daemons, some of
+the sends at the same time. The daemons are the real ledger code; platform
+and upstream are fakes that fail at random and at each step may kill or pause
+the daemon that calls them.
+"""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import random
+
+import eventlet
+from attrs import define, field
+
+from cowslipstep.daemon._keyed import KeyedRuns
+from cowslipstep.daemon._keyed_orders import KeyUse, keyed_order
+from cowslipstep.daemon._order_claims import OrderClaims
+from cowslipstep.daemon._order_ledger import OrderLedger
+from cowslipstep.daemon._relay import AnswerHead
+from cowslipstep.daemon._run_state import start_run
+from cowslipstep.daemon._segment_store import SegmentStore
+from cowslipstep.daemon._stream_errors import failed_request
+from cowslipstep.metrics import Counters
+from cowslipstep.model import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    RequestError,
+)
+from cowslipstep.platform import (
+    ObjectMissing,
+    PlatformUnavailable,
+    StoredObject,
+    VersionConflict,
+)
+
+CASES = 1200
+TIMEOUT_S = 5
+RETENTION_S = 3600
+WRITE_TIMEOUT_S = 0.15
+DOWN = NotRun(Reason.platform_down)
+LOST = MayHaveRun(Reason.platform_down)
+CUT = MayHaveRun(Reason.upstream_cut)
+REFUSED = NotRun(Reason.upstream_refused)
+
+
+@define
+class Answer:
+    """What the caller of one send saw, and after how many runs."""
+
+    verdict: str
+    body: bytes
+    runs_before: int
+
+
+@define(eq=False)
+class Case:
+    """Objects, runs and answers of one seeded case."""
+
+    rng: random.Random
+    stored: dict = field(factory=dict)
+    version: int = 0
+    outage: bool = False
+    runs: list = field(factory=list)
+    answers: list = field(factory=list)
+
+    def chance(self, percent: int) -> bool:
+        """Say yes in so many of a hundred cases."""
+        return self.rng.randrange(100) < percent
+
+    def store(self, key, version, body) -> bool:
+        """Replace an object if it still has a version."""
+        known, _ = self.stored.get(key, (None, ''))
+        if known != version:
+            return False
+        self.version += 1
+        self.stored[key] = (self.version, body)
+        return True
+
+
+class Daemon:
+    """One daemon, whose every step may be its last."""
+
+    def __init__(self, case: Case) -> None:
+        self._case = case
+        ledger = OrderLedger(SegmentStore(self), WRITE_TIMEOUT_S)
+        self.keyed = KeyedRuns(OrderClaims(ledger), Counters())
+        self._dead = False
+
+    def step(self) -> None:
+        """Let others go on; then perhaps pause or die."""
+        eventlet.sleep(self._case.rng.random() / 1000)
+        self._dead = self._dead or self._case.chance(2)
+        if self._dead:
+            eventlet.Event().wait()
+        if self._case.chance(3):
+            eventlet.sleep(self._case.rng.random() / 20)
+
+    def read(self, key):
+        """Read an object."""
+        self._call()
+        if key not in self._case.stored:
+            raise ObjectMissing(str(key))
+        version, body = self._case.stored[key]
+        return StoredObject(key, version, body)
+
+    def create(self, key, body):
+        """Create an object."""
+        self._write(key, None, body)
+
+    def update(self, key, version, body):
+        """Replace an object of that version."""
+        self._write(key, version, body)
+
+    def _call(self) -> None:
+        self.step()
+        if self._case.outage or self._case.chance(3):
+            raise PlatformUnavailable(DOWN, 'no connection')
+
+    def _write(self, key, version, body) -> None:
+        self._call()
+        if self._case.chance(10):
+            # The change takes effect after the writer has given it up.
+            delay_s = self._case.rng.random() / 10
+            eventlet.spawn_after(delay_s, self._case.store, key, version, body)
+            raise PlatformUnavailable(LOST, 'timed out')
+        if not self._case.store(key, version, body):
+            raise VersionConflict(str(key))
+        if self._case.chance(15):
+            raise PlatformUnavailable(LOST, 'answer lost')
+        self.step()
+
+
+def send_upstream(case, daemon, run):
+    """Send the order to an upstream that may refuse, cut or run it."""
+    daemon.step()
+    if run.overdue:
+        raise failed_request(NotRun(Reason.deadline), 'too late')
+    run.note_sending()
+    fate = case.rng.choice(['refuse', 'cut early', 'cut late', 'run', 'run'])
+    if fate == 'refuse':
+        run.note_failure(REFUSED)
+        raise failed_request(run.verdict, fate)
+    if fate != 'cut early':
+        case.runs.append(f'answer {len(case.runs)}'.encode())
+    daemon.step()
+    if fate != 'run':
+        run.note_failure(CUT)
+        raise failed_request(run.verdict, fate)
+    run.verdict = Completed()
+    yield AnswerHead(200, 'text/plain', len(case.runs[-1]))
+    yield case.runs[-1]
+
+
+def send(case, daemon, run_once, first_send) -> None:
+    """Send the order through a daemon and note the answer."""
+    run = start_run(TIMEOUT_S)
+    pieces = send_upstream(case, daemon, run)
+    answers = run_once(daemon)(new_order(first_send), pieces, run)
+    body = b''
+    try:
+        body = list(answers)[-1]
+    except RequestError as error:
+        run.verdict = error.verdict
+    answer = Answer(run.verdict.code, body, len(case.runs))
+    case.answers.append(answer)
+
+
+def new_order(first_send):
+    """Return a new attempt of the one order of a case."""
+    use = KeyUse('joiners', 'order 1', first_send)
+    return keyed_order(use, (b'two mallets',), RETENTION_S)
+
+
+def run_case(seed: int, run_once) -> Case:
+    """Send one order several times; a send may overlap the one before."""
+    case = Case(random.Random(seed))
+    daemons = [Daemon(case) for _ in range(3)]
+    resends = case.rng.randrange(5)
+    sends = [
+        start_send(case, case.rng.choice(daemons), run_once, first_send)
+        for first_send in (True, *itertools.repeat(False, resends))
+    ]
+    eventlet.sleep(0.5)
+    for task in sends:
+        task.kill()
+    return case
+
+
+def start_send(case, daemon, run_once, first_send):
+    """Start a send and wait for its answer, for a shorter or longer time."""
+    case.outage = case.chance(10)
+    task = eventlet.spawn(send, case, daemon, run_once, first_send)
+    with eventlet.Timeout(case.rng.choice([0.002, 0.4]), False):
+        task.wait()
+    return task
+
+
+def with_ledger(daemon):
+    """Run an order under the rules of the ledger."""
+    return daemon.keyed.run
+
+
+def without_ledger(_daemon):
+    """Run an order each time it is sent."""
+    return lambda _order, pieces, _run: pieces
+
+
+def tally(run_once, cases: int) -> collections.Counter:
+    """Run cases side by side and count what came of them."""
+    counts = collections.Counter()
+    pool = eventlet.GreenPool(200)
+    for case in pool.starmap(
+        run_case, ((seed, run_once) for seed in range(cases))
+    ):
+        counts['doubled'] += len(case.runs) > 1
+        for answer in case.answers:
+            counts[answer.verdict] += 1
+            counts['false_not_run'] += is_false(answer)
+            counts['wrong_answer'] += is_wrong(answer, case)
+    return counts
+
+
+def is_false(answer: Answer) -> bool:
+    return answer.verdict == 'not_run' and answer.runs_before > 0
+
+
+def is_wrong(answer: Answer, case: Case) -> bool:
+    return answer.verdict == 'completed' and answer.body not in case.runs
+
+
+def test_no_order_runs_twice(record_property):
+    counts = tally(with_ledger, CASES)
+    for name, count in counts.items():
+        record_property(name, count)
+    assert counts['doubled'] == 0
+    assert counts['false_not_run'] == 0
+    assert counts['wrong_answer'] == 0
+    assert counts['completed'] > CASES / 2
+    assert counts['may_have_run'] > 0
+
+
+def test_without_the_ledger_orders_run_twice():
+    counts = tally(without_ledger, 100)
+    assert counts['doubled'] > 0
+    assert counts['false_not_run'] > 0
+
+
+def test_a_platform_that_is_down_starts_nothing():
+    case = Case(random.Random(1), outage=True)
+    daemon = Daemon(case)
+    for first_send in (True, False):
+        send(case, daemon, with_ledger, first_send)
+    assert not case.runs
+    verdicts = [answer.verdict for answer in case.answers]
+    assert verdicts == ['not_run', 'may_have_run']
--- a/libs/delivery/src/cowslipstep/delivery/__init__.py
+++ b/libs/delivery/src/cowslipstep/delivery/__init__.py
@@ -4,4 +4,44 @@
 passed in.
 """
 
-from cowslipstep.delivery._retries import may_retry
+from cowslipstep.delivery._budget import RetryBudget
+from cowslipstep.delivery._entry_results import (
+    Answered,
+    Entered,
+    EntryResult,
+    InUse,
+    Noted,
+    OtherRequest,
+    SegmentFull,
+)
+from cowslipstep.delivery._keys import (
+    ExpiredKey,
+    FutureKey,
+    KeyPlace,
+    SegmentPlace,
+    digest_of,
+    locate_key,
+    slot_segment,
+)
+from cowslipstep.delivery._orders import (
+    AnswerOrder,
+    EnterOrder,
+    OrderAnswer,
+    OrderChange,
+    OrderClaim,
+    OrderEntry,
+    WithdrawOrder,
+)
+from cowslipstep.delivery._retries import (
+    before_ledger,
+    combine_tries,
+    may_resume,
+    may_retry,
+)
+from cowslipstep.delivery._runners import RunnerLoads
+from cowslipstep.delivery._segments import (
+    MAX_ANSWER_BYTES,
+    Applied,
+    Segment,
+    apply_changes,
+)
--- /dev/null
+++ b/libs/delivery/src/cowslipstep/delivery/_budget.py
@@ -0,0 +1,45 @@
+"""Budget of retries: a ratio of first tries."""
+
+from __future__ import annotations
+
+_RATIO = 0.1
+_MAX_SAVED = 10
+
+
+class RetryBudget:
+    """Allows retries in proportion to first tries.
+
+    Parameters
+    ----------
+    ratio
+        Retries allowed for each first try.
+    max_saved
+        Largest number of retries saved up for later.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(ratio=0.5)
+    >>> budget.add_first_try()
+    >>> budget.take(), budget.take()
+    (True, False)
+    """
+
+    def __init__(
+        self,
+        ratio: float = _RATIO,
+        max_saved: float = _MAX_SAVED,
+    ) -> None:
+        self._ratio = ratio
+        self._max_saved = max_saved
+        self._saved = 1 - ratio
+
+    def add_first_try(self) -> None:
+        """Note a first try."""
+        self._saved = min(self._max_saved, self._saved + self._ratio)
+
+    def take(self) -> bool:
+        """Take one retry if the budget allows it."""
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
--- a/libs/delivery/src/cowslipstep/delivery/_retries.py
+++ b/libs/delivery/src/cowslipstep/delivery/_retries.py
@@ -31,3 +31,61 @@
             return not begun
         case MayHaveRun():
             return idempotent and not begun
+
+
+def may_resume(verdict: Verdict, *, idempotent: bool) -> bool:
+    """Say whether a stream that was cut may be opened again.
+
+    Examples
+    --------
+    >>> from cowslipstep.model import Reason
+    >>> may_resume(MayHaveRun(Reason.upstream_cut), idempotent=True)
+    True
+    """
+    match verdict:
+        case Completed():
+            return False
+        case NotRun() | MayHaveRun():
+            return idempotent
+
+
+def combine_tries(
+    earlier: NotRun | MayHaveRun | None,
+    latest: NotRun | MayHaveRun,
+) -> NotRun | MayHaveRun:
+    """Return the verdict over two tries of one request.
+
+    A request has not run only if none of its tries may have run it.
+
+    Examples
+    --------
+    >>> from cowslipstep.model import Reason
+    >>> cut = MayHaveRun(Reason.upstream_cut)
+    >>> combine_tries(cut, NotRun(Reason.no_capacity)) == cut
+    True
+    """
+    match earlier, latest:
+        case MayHaveRun(), NotRun():
+            return earlier  # type: ignore[return-value]
+    return latest
+
+
+def before_ledger(
+    refusal: NotRun,
+    *,
+    first_send: bool,
+) -> NotRun | MayHaveRun:
+    """Return the verdict of an order refused before its key was looked up.
+
+    An earlier send may have run the order, unless the caller says that
+    this is its first one.
+
+    Examples
+    --------
+    >>> from cowslipstep.model import Reason
+    >>> before_ledger(NotRun(Reason.platform_down), first_send=False).code
+    'may_have_run'
+    """
+    if first_send:
+        return refusal
+    return MayHaveRun(refusal.reason)
--- a/libs/model/src/cowslipstep/model/_verdicts.py
+++ b/libs/model/src/cowslipstep/model/_verdicts.py
@@ -36,6 +36,7 @@
     caller_gone = 'caller_gone'
     stopping = 'stopping'
     internal = 'internal'
+    key_reused = 'key_reused'
 
 
 @frozen
--- a/standins/src/cowslipstep_standins/_caller.py
+++ b/standins/src/cowslipstep_standins/_caller.py
@@ -38,6 +38,7 @@
                 self._read(answer, outcome)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             outcome.code = type(error).__name__
+        outcome.ended_s = time.monotonic()
         return outcome
 
     def _open(self, address: str, call: Call) -> urllib3.BaseHTTPResponse:
@@ -48,6 +49,7 @@
         }
         if call.key:
             headers['Idempotency-Key'] = call.key
+            headers['Idempotency-Attempt'] = str(call.attempt)
         path = '/services/order-book/orders'
         if not call.service:
             path = '/v1/completions'
--- a/standins/src/cowslipstep_standins/_outcomes.py
+++ b/standins/src/cowslipstep_standins/_outcomes.py
@@ -10,7 +10,7 @@
     """One request of a caller.
 
     ``key`` is the idempotency key; ``service`` is true for an order that is
-    posted to the plain service.
+    posted to the plain service; ``attempt`` counts the sends of an order.
     """
 
     prompt: str
@@ -20,6 +20,7 @@
     stream: bool = False
     key: str = ''
     service: bool = False
+    attempt: int = 1
 
 
 @define
@@ -37,6 +38,8 @@
         Whether a completed answer is the whole and right one.
     first_byte_s
         Time to the first byte of the answer, seconds.
+    ended_s
+        When the answer was whole or lost, by the monotonic clock.
     """
 
     call: Call
@@ -45,6 +48,7 @@
     code: str = ''
     correct: bool = False
     first_byte_s: float = 0
+    ended_s: float = 0
     request_id: str = ''
     text: str = ''
     headers: dict[str, str] = field(factory=dict)
