Judge not_run by what ran before the send or by the send

Ruled out: a fault of the ledger (no send that began after a run, and none that ran itself, was told not_run).

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keyed.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keyed.py
@@ -48,7 +48,7 @@
         RequestError
             If the order may not run, or fails before its answer begins.
         """
-        with self._counted(run):
+        with self._counted(order, run):
             yield from self._run_once(order, pieces, run)
 
     def _run_once(
@@ -81,12 +81,15 @@
             self._claims.answer(order, kept.answer)
 
     @contextlib.contextmanager
-    def _counted(self, run: RunState) -> Iterator[None]:
+    def _counted(self, order: KeyedOrder, run: RunState) -> Iterator[None]:
         try:
             yield
         except RequestError as error:
             run.verdict = error.verdict
             raise
         finally:
-            labels = (('verdict', run.verdict.code),)
+            labels = (
+                ('workspace', order.workspace),
+                ('verdict', run.verdict.code),
+            )
             self._counters.add(CounterKey('orders', labels))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keyed_orders.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keyed_orders.py
@@ -43,6 +43,7 @@
 class KeyedOrder:
     """An order, its claim and where the claim is kept."""
 
+    workspace: str
     claim: OrderClaim
     place: SegmentPlace
     retention_s: float
@@ -65,7 +66,13 @@
     match place:
         case SegmentPlace(digest=digest):
             claim = OrderClaim(digest, uuid.uuid4().hex, digest_of(*asked))
-            return KeyedOrder(claim, place, retention_s, use.first_send)
+            return KeyedOrder(
+                use.workspace,
+                claim,
+                place,
+                retention_s,
+                use.first_send,
+            )
         case ExpiredKey():
             raise RequestError(
                 MayHaveRun(Reason.key_expired),
--- a/standins/src/cowslipstep_standins/_checker.py
+++ b/standins/src/cowslipstep_standins/_checker.py
@@ -28,7 +28,7 @@
     misdelivered
         Completed answers that are not whole or not the caller's own.
     false_not_run
-        Requests answered ``not_run`` that had run by then.
+        Requests answered ``not_run`` that ran, or that an earlier send ran.
     """
 
     requests: int = 0
@@ -65,12 +65,15 @@
 
 
 def _is_false(outcome: Outcome, records: Iterable[Any]) -> bool:
-    """Say whether a request told ``not_run`` had run or ran later."""
+    """Say whether a request told ``not_run`` ran, then or by an earlier send.
+
+    A later send of the same order may run it: it stands after this one.
+    """
     if outcome.verdict != 'not_run':
         return False
     return any(
         record['request_id'] == outcome.request_id
-        or record['started_s'] < outcome.ended_s
+        or record['started_s'] < outcome.started_s
         for record in records
         if _footprint(outcome.call)
         in {record.get('digest'), record.get('body')}
--- a/standins/src/cowslipstep_standins/_outcomes.py
+++ b/standins/src/cowslipstep_standins/_outcomes.py
@@ -38,8 +38,8 @@
         Whether a completed answer is the whole and right one.
     first_byte_s
         Time to the first byte of the answer, seconds.
-    ended_s
-        When the answer was whole or lost, by the monotonic clock.
+    started_s
+        When the request was sent, by the monotonic clock.
     """
 
     call: Call
@@ -48,7 +48,7 @@
     code: str = ''
     correct: bool = False
     first_byte_s: float = 0
-    ended_s: float = 0
+    started_s: float = 0
     request_id: str = ''
     text: str = ''
     headers: dict[str, str] = field(factory=dict)
