--- a/apps/cowslipstepd/tests/test_completions.py
+++ b/apps/cowslipstepd/tests/test_completions.py
@@ -11,6 +11,8 @@
 from hypothesis import strategies as st
 
 from cowslipstep.daemon._completions import parse_completion
+from cowslipstep.daemon._headers import find_workspace
+from cowslipstep.daemon._http import REQUEST_ID
 from cowslipstep.daemon._intake import read_body
 from cowslipstep.daemon._service_requests import parse_service_request
 from cowslipstep.model import NotRun, RequestError
@@ -52,6 +54,8 @@
         'CONTENT_LENGTH': str(len(body)),
         'HTTP_AUTHORIZATION': 'Bearer secret',
         'wsgi.input': io.BytesIO(body),
+        'RAW_PATH_INFO': '/v1/completions',
+        REQUEST_ID: 'r1',
         **headers,
     }
 
@@ -64,9 +68,10 @@
 
 
 def _parse(environ: dict[str, Any]) -> None:
+    workspace = find_workspace(environ, _CONFIGURATION).name
     body = read_body(environ, _MAX_BYTES)
-    parse_completion(environ, body, _CONFIGURATION, 'r1')
-    parse_service_request(environ, body, _CONFIGURATION, 'r1')
+    parse_completion(environ, body, workspace, _CONFIGURATION)
+    parse_service_request(environ, body, workspace, _CONFIGURATION)
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
