Keep eventlet's deprecation notice out of test output

Cause: the notice is no DeprecationWarning subclass that the filter named. Change: ignore all warnings while it is imported.

--- a/conftest.py
+++ b/conftest.py
@@ -8,7 +8,7 @@
 import pytest
 
 with warnings.catch_warnings():
-    warnings.simplefilter('ignore', DeprecationWarning)
+    warnings.simplefilter('ignore')
     import eventlet  # noqa: F401
 
 # Programs patch the standard library when they are imported.
