--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -3,45 +3,54 @@
 from __future__ import annotations
 
 from cowslipstep.daemon._cells import CellService
-from cowslipstep.daemon._configuration import ConfigurationFeed
+from cowslipstep.daemon._control import start_control
 from cowslipstep.daemon._delivery import DeliveryService
 from cowslipstep.daemon._entry import EntryApplication
-from cowslipstep.daemon._groups import GroupService
+from cowslipstep.daemon._keyed import KeyedRuns
 from cowslipstep.daemon._links import PeerLinks
-from cowslipstep.daemon._peers import Heartbeats, PeerService
-from cowslipstep.daemon._server import serve_until, stop_event
+from cowslipstep.daemon._listening import listen_http
+from cowslipstep.daemon._opening import open_state
+from cowslipstep.daemon._order_claims import OrderClaims
+from cowslipstep.daemon._order_ledger import OrderLedger
+from cowslipstep.daemon._planned_stop import stop_as_planned
+from cowslipstep.daemon._segment_store import SegmentStore
+from cowslipstep.daemon._server import CallerServer, stop_event
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.daemon._tasks import repeat, start_task
-from cowslipstep.platform import PlatformClient
+from cowslipstep.daemon._status_tasks import status_kept
+from cowslipstep.daemon._tasks import start_task
 from cowslipstep.settings import DaemonSettings
 
 
 def run_daemon(settings: DaemonSettings) -> None:
-    """Run a daemon until a planned stop has ended."""
+    """Run a daemon until a planned stop has ended.
+
+    Raises
+    ------
+    ListenError
+        If an address is taken.
+    """
     stop = stop_event()
-    state = DaemonState(settings, PlatformClient(settings.platform_address))
+    state = open_state(settings)
+    listener = listen_http(settings.http_address)
+    server = CallerServer(listener, _start(state), state)
+    server.start()
+    with status_kept(state):
+        stop.wait()
+        stop_as_planned(server, state)
+
+
+def _start(state: DaemonState) -> EntryApplication:
     cells = CellService(state)
-    links = PeerLinks()
+    links = PeerLinks(state)
     start_task('cells', cells.run)
-    _start_control(state, cells, links)
-    application = EntryApplication(
+    start_control(state, cells, links)
+    slots = SlotService(state, cells, links)
+    ledger = OrderLedger(SegmentStore(state.platform))
+    keyed = KeyedRuns(OrderClaims(ledger), state.counters)
+    return EntryApplication(
         state,
-        DeliveryService(state, SlotService(state, cells, links)),
-        ServiceCalls(state),
+        DeliveryService(state, slots, keyed),
+        ServiceCalls(state, keyed),
     )
-    serve_until(stop, application, state)
-
-
-def _start_control(
-    state: DaemonState,
-    cells: CellService,
-    links: PeerLinks,
-) -> None:
-    feed = ConfigurationFeed(state)
-    groups = GroupService(state)
-    start_task('configuration', repeat(0, feed.watch))
-    groups.start()
-    PeerService(state, feed, cells).start()
-    Heartbeats(state, feed, groups.own_readiness).start(links)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
@@ -13,7 +13,7 @@
 
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.model import CowslipstepError
-from cowslipstep.platform import HostList, HostListClient, StoredObject
+from cowslipstep.platform import HostList, StoredObject, read_host_list
 from cowslipstep.settings import parse_json, structure, unstructure
 
 _DRAIN_KIND = 'drain'
@@ -72,7 +72,6 @@
 
     def __init__(self, state: DaemonState) -> None:
         self._state = state
-        self._client = HostListClient(state.settings.platform_address)
         self._hosts = HostList()
         self._drains: tuple[StoredDrain, ...] = ()
 
@@ -116,7 +115,7 @@
             self.read()
 
     def _read_both(self) -> None:
-        self._hosts = self._client.read()
+        self._hosts = read_host_list(self._state.platform)
         listed = self._state.platform.read_all(_DRAIN_KIND)
         self._drains = tuple(_decode_all(listed))
 
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -1,7 +1,14 @@
 """Client of the platform's object API: versions, conditions and watches."""
 
+from cowslipstep.platform._budget import (
+    BudgetLimits,
+    CallBudget,
+    Priority,
+    priority_of,
+)
+from cowslipstep.platform._calls import CallOutcome, CallRecord
 from cowslipstep.platform._client import PlatformClient
-from cowslipstep.platform._host_list import HostList, HostListClient
+from cowslipstep.platform._host_list import HostList, read_host_list
 from cowslipstep.platform._objects import (
     ObjectKey,
     ObjectMissing,
@@ -9,3 +16,4 @@
     StoredObject,
     VersionConflict,
 )
+from cowslipstep.platform._change import ChangeOverwritten
--- a/libs/platform/src/cowslipstep/platform/_host_list.py
+++ b/libs/platform/src/cowslipstep/platform/_host_list.py
@@ -4,8 +4,7 @@
 
 from attrs import frozen
 
-from cowslipstep.model import Address
-from cowslipstep.platform._transport import PlatformTransport
+from cowslipstep.platform._reader import ObjectReader
 
 
 @frozen
@@ -16,28 +15,16 @@
     leaving: frozenset[str] = frozenset()
 
 
-class HostListClient:
-    """Reads the list of hosts.
+def read_host_list(platform: ObjectReader) -> HostList:
+    """Read the list.
 
-    Parameters
-    ----------
-    address
-        Address of the platform's API.
+    Raises
+    ------
+    PlatformUnavailable
+        If there was no answer.
     """
-
-    def __init__(self, address: Address) -> None:
-        self._transport = PlatformTransport(address)
-
-    def read(self) -> HostList:
-        """Read the list.
-
-        Raises
-        ------
-        PlatformUnavailable
-            If there was no answer.
-        """
-        listed = self._transport.call('GET', '/hosts').json()
-        return HostList(
-            frozenset(listed['live']),
-            frozenset(listed['leaving']),
-        )
+    listed = platform.read_document('hosts', '/hosts')
+    return HostList(
+        frozenset(listed['live']),
+        frozenset(listed['leaving']),
+    )
