Share weight loads out by hosts, and give the gauges of kept domains only

Cause: the load limit was a constant that counted groups, the gauges of a domain stayed after it had gone to another daemon, and events were logged twice since the event log writes its own lines.

Change: `weight_loads_at_once` of the configuration limits the hosts of a fabric domain that load at a time; hosts that hold the weights already do not count, and one group may always load. groups_serving and groups_wanted carry model and fabric domain and are removed with the domain. `state.daemons_in` replaces the settings' peers.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
@@ -4,7 +4,6 @@
 
 import time
 
-from cowslipstep.daemon._events import note_event
 from cowslipstep.daemon._leaving import DrainState, LeavingFeed
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import (
@@ -64,7 +63,7 @@
             self._barred_until_s[host] = now + _STRAGGLER_BAR_S
         draining = draining_groups(ledger, self.barred, records)
         for started in draining - self._since_s.keys():
-            note_event(self._state, 'drain_started', started, _CAUSE)
+            self._state.events.add('drain_started', started, _CAUSE)
             self._since_s[started] = now
         for name in tuple(self._since_s):
             if _is_of(name, ledger) and name not in draining:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_group_events.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_group_events.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from cowslipstep.daemon._events import note_event
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import DomainLedger, DomainView, lost_member
 from cowslipstep.model import Group
@@ -21,7 +20,7 @@
         if group not in before:
             members = ', '.join(group.members)
             cause = f'{group.model} lacked a group; members {members}'
-            note_event(state, 'group_formed', group.name, cause)
+            state.events.add('group_formed', group.name, cause)
 
 
 def _note_dissolved(
@@ -30,9 +29,9 @@
     group: Group,
 ) -> None:
     if group.name in view.finished:
-        note_event(state, 'drain_finished', group.name, 'its work has ended')
-        note_event(state, 'group_dissolved', group.name, 'drained')
+        state.events.add('drain_finished', group.name, 'its work has ended')
+        state.events.add('group_dissolved', group.name, 'drained')
         return
     member = lost_member(group, view.records)
-    note_event(state, 'member_lost', member, f'of group {group.name}')
-    note_event(state, 'group_dissolved', group.name, f'lost {member}')
+    state.events.add('member_lost', member, f'of group {group.name}')
+    state.events.add('group_dissolved', group.name, f'lost {member}')
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
@@ -4,10 +4,13 @@
 
 import collections
 import time
+from collections.abc import Iterator
 
 from cowslipstep.daemon._keeper import KeeperTools
+from cowslipstep.daemon._scopes import DomainScope
 from cowslipstep.groups import DomainView, stranded_accelerators
 from cowslipstep.metrics import CounterKey
+from cowslipstep.model import Model
 
 _MS_PER_S = 1000
 
@@ -26,61 +29,81 @@
     def __init__(self, tools: KeeperTools) -> None:
         self._tools = tools
         self._counted_s = time.monotonic()
+        self._keys: frozenset[CounterKey] = frozenset()
 
     def update(self) -> None:
-        """Count the time since the last update."""
+        """Count the time since the last update and set the gauges."""
         now = time.monotonic()
-        wanted = self._count_wanted()
-        serving = self._count_serving()
-        self._add_down_ms(wanted - serving, now - self._counted_s)
+        elapsed_ms = round((now - self._counted_s) * _MS_PER_S)
         self._counted_s = now
+        figures: dict[CounterKey, float] = {}
+        for scope in self._tools.scopes.owned.values():
+            figures.update(self._measure(scope, elapsed_ms))
+        self._set(figures)
+
+    def _set(self, figures: dict[CounterKey, float]) -> None:
         gauges = self._tools.state.gauges
-        gauges.set(CounterKey('groups_wanted'), wanted.total())
-        gauges.set(CounterKey('groups_serving'), serving.total())
-        self._note_stranded(now)
+        for stale in self._keys - figures.keys():
+            gauges.remove(stale)
+        for key, figure in figures.items():
+            gauges.set(key, figure)
+        self._keys = frozenset(figures)
+
+    def _measure(
+        self,
+        scope: DomainScope,
+        elapsed_ms: int,
+    ) -> Iterator[tuple[CounterKey, float]]:
+        serving = self._count_serving(scope.domain)
+        for model in scope.models:
+            number = serving[model.name]
+            yield _key('groups_wanted', scope, model), model.groups
+            yield _key('groups_serving', scope, model), number
+            self._add_down_ms(model, model.groups - number, elapsed_ms)
+        yield _key('stranded_accelerators', scope), self._count_stranded(scope)
 
     def _add_down_ms(
         self,
-        missing: collections.Counter[str],
-        elapsed_s: float,
+        model: Model,
+        missing: int,
+        elapsed_ms: int,
     ) -> None:
-        elapsed_ms = round(elapsed_s * _MS_PER_S)
-        for model, number in missing.items():
-            key = CounterKey('group_down_ms', (('model', model),))
-            self._tools.state.counters.add(key, number * elapsed_ms)
+        key = CounterKey('group_down_ms', (('model', model.name),))
+        counters = self._tools.state.counters
+        counters.add(key, max(0, missing) * elapsed_ms)
 
-    def _count_wanted(self) -> collections.Counter[str]:
-        wanted: collections.Counter[str] = collections.Counter()
-        for scope in self._tools.scopes.owned.values():
-            for model in scope.models:
-                wanted[model.name] += model.groups
-        return wanted
-
-    def _count_serving(self) -> collections.Counter[str]:
+    def _count_serving(self, domain: str) -> collections.Counter[str]:
         state = self._tools.state
+        ledger = state.ledgers.get(domain)
+        if ledger is None:
+            return collections.Counter()
         now = time.monotonic()
         return collections.Counter(
             group.model
-            for domain in self._tools.scopes.owned.keys() & state.ledgers.keys()
-            for group in state.ledgers[domain].groups
+            for group in ledger.groups
             if state.readiness.ready_until_s(group.name) > now
         )
 
-    def _note_stranded(self, now_s: float) -> None:
-        state = self._tools.state
-        for domain, scope in self._tools.scopes.owned.items():
-            if domain not in state.ledgers:
-                continue
-            view = DomainView(
-                state.ledgers[domain],
-                scope.runners,
-                self._tools.prober.records,
-                now_s,
-                leaving=self._tools.drains.barred,
-            )
-            stranded = stranded_accelerators(view, scope.models)
-            state.gauges.set(_stranded_key(domain), stranded)
-
-
-def _stranded_key(domain: str) -> CounterKey:
-    return CounterKey('stranded_accelerators', (('fabric_domain', domain),))
+    def _count_stranded(self, scope: DomainScope) -> int:
+        ledger = self._tools.state.ledgers.get(scope.domain)
+        if ledger is None:
+            return 0
+        view = DomainView(
+            ledger,
+            scope.runners,
+            self._tools.prober.records,
+            time.monotonic(),
+            leaving=self._tools.drains.barred,
+        )
+        return stranded_accelerators(view, scope.models)
+
+
+def _key(
+    name: str,
+    scope: DomainScope,
+    model: Model | None = None,
+) -> CounterKey:
+    labels = (('fabric_domain', scope.domain),)
+    if model is None:
+        return CounterKey(name, labels)
+    return CounterKey(name, (('model', model.name), *labels))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -11,7 +11,6 @@
 from loguru import logger
 
 from cowslipstep.daemon._drains import DrainTracker
-from cowslipstep.daemon._events import note_event
 from cowslipstep.daemon._group_events import note_changes
 from cowslipstep.daemon._ledger_feed import LedgerFeed
 from cowslipstep.daemon._ledgers import PlatformLedger
@@ -100,7 +99,7 @@
     def _keep(self) -> bool:
         scope = self._tools.scopes.owned[self._domain]
         view = self._view(scope)
-        planned = plan_domain(view, scope.models)
+        planned = plan_domain(view, scope.models, scope.loads_at_once)
         if not keep_ledger(self._lease, planned, view.now_s):
             return False
         seen = self._lease.state.seen
@@ -137,7 +136,7 @@
         self._tools.orders.send_all(list(orders), right)
 
     def _note(self, kind: str, cause: str) -> None:
-        note_event(self._tools.state, kind, self._domain, cause)
+        self._tools.state.events.add(kind, self._domain, cause)
 
 
 def _new_lease(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ownership.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ownership.py
@@ -47,21 +47,12 @@
             for runner in configuration.runners
         }
         for domain, home in locations.items():
-            local = daemons & _daemons_in(home, self._state)
+            local = daemons & self._state.daemons_in(home)
             owner = rank_owners(domain, local or daemons)[0]
             if owner == self._state.settings.name:
                 yield domain
 
 
-def _daemons_in(failure_domain: str, state: DaemonState) -> frozenset[str]:
-    settings = state.settings
-    homes = {peer.name: peer.failure_domain for peer in settings.peers}
-    homes[settings.name] = settings.failure_domain
-    return frozenset(
-        name for name, home in homes.items() if home == failure_domain
-    )
-
-
 def _candidates(state: DaemonState) -> frozenset[str]:
     live = frozenset(state.live_daemons)
     if not state.stopping:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_scopes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_scopes.py
@@ -12,11 +12,12 @@
 
 @frozen
 class DomainScope:
-    """A fabric domain: its runners and the groups that it should hold."""
+    """A fabric domain, the groups that it should hold and the load limit."""
 
     domain: str
     runners: tuple[Runner, ...]
     models: tuple[Model, ...]
+    loads_at_once: int
 
     @property
     def hosts(self) -> frozenset[str]:
@@ -68,6 +69,7 @@
                 if runner.fabric_domain == domain
             ),
             models,
+            configuration.weight_loads_at_once,
         )
         for domain, models in shares.items()
     }
--- a/libs/groups/src/cowslipstep/groups/_packing.py
+++ b/libs/groups/src/cowslipstep/groups/_packing.py
@@ -9,7 +9,7 @@
 from cowslipstep.groups._health import Records, broken_groups
 from cowslipstep.groups._hosts import HostRecord, is_usable
 from cowslipstep.groups._ledger import DomainLedger, add_group, drop_groups
-from cowslipstep.groups._readiness import group_readiness
+from cowslipstep.groups._loads import count_loading, must_load
 from cowslipstep.groups._shares import lacking
 from cowslipstep.model import Model, Runner
 
@@ -53,18 +53,17 @@
 
     Broken groups and drained ones are dissolved, and their hosts, with
     the spares, form new groups at once: the model that lacks the largest
-    share of its groups goes first. No more than ``loads_at_once`` groups
-    load weights at a time.
+    share of its groups goes first. A group is formed while some host loads
+    weights only if no more than ``loads_at_once`` hosts load then.
     """
     gone = broken_groups(view.ledger, view.records) | view.finished
-    ledger = drop_groups(view.ledger, gone)
     wanted = tuple(models)
-    for _ in range(loads_at_once - _count_loading(view, ledger)):
-        grown = _form_one(evolve(view, ledger=ledger), wanted)
+    planned = evolve(view, ledger=drop_groups(view.ledger, gone))
+    while True:
+        grown = _form_one(planned, wanted, loads_at_once)
         if grown is None:
-            break
-        ledger = grown
-    return ledger
+            return planned.ledger
+        planned = evolve(planned, ledger=grown)
 
 
 def free_runners(view: DomainView) -> list[Runner]:
@@ -88,13 +87,20 @@
 def _form_one(
     view: DomainView,
     models: Collection[Model],
+    loads_at_once: int,
 ) -> DomainLedger | None:
     free = free_runners(view)
+    loading = count_loading(view.ledger, view.records)
     for model in lacking(view.ledger, models):
         if len(free) < model.hosts_per_group:
             continue
         members = _pick_members(free, model, view.records)
-        return add_group(view.ledger, model.name, members)
+        loads = sum(
+            must_load(runner.host, model.name, view.records)
+            for runner in members
+        )
+        if not loading or loading + loads <= loads_at_once:
+            return add_group(view.ledger, model.name, members)
     return None
 
 
@@ -104,15 +110,8 @@
     records: Records,
 ) -> tuple[Runner, ...]:
     # Hosts that hold the model's weights already need not load them.
-    def must_load(runner: Runner) -> bool:  # noqa: WPS430
-        report = records[runner.host].report
-        return report is None or report.model != model.name
-
-    return tuple(sorted(free, key=must_load)[: model.hosts_per_group])
-
-
-def _count_loading(view: DomainView, ledger: DomainLedger) -> int:
-    return sum(
-        not group_readiness(group, view.records, view.now_s).remaining_s
-        for group in ledger.groups
+    ordered = sorted(
+        free,
+        key=lambda runner: must_load(runner.host, model.name, records),
     )
+    return tuple(ordered[: model.hosts_per_group])
