--- a/standins/src/cowslipstep_standins/_background.py
+++ b/standins/src/cowslipstep_standins/_background.py
@@ -5,7 +5,7 @@
 import contextlib
 import itertools
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from cowslipstep_standins._caller import Caller
 from cowslipstep_standins._fleet import LocalFleet
@@ -58,9 +58,17 @@
     fleet: LocalFleet,
     callers: int = 4,
     tokens: int = 40,
+    daemons: Sequence[str] = (),
 ) -> Iterator[BackgroundLoad]:
-    """Run callers; at the end their last requests are waited for."""
-    addresses = [daemon.http for daemon in fleet.plan.daemons]
+    """Run callers; at the end their last requests are waited for.
+
+    They call the named daemons, by default all.
+    """
+    addresses = [
+        daemon.http
+        for daemon in fleet.plan.daemons
+        if not daemons or daemon.name in daemons
+    ]
     load = BackgroundLoad(addresses, tokens)
     threads = [threading.Thread(target=load.run) for _ in range(callers)]
     for started in threads:
