Dispatch by rank floors, fair shares, limits and estimated wait

Cause: the first dispatcher sorted one list by rank; a flood of one rank or one workspace took everything, and each operation was linear in the queue.

Change: start-time fair queueing by workspace on tokens inside each rank, floors by tokens earned, corrected by streamed tokens; limits shared out to cells by slots; admission by the measured rate of the rank; a backlog bounded in seconds; free slots kept for a rank whose target is shorter than slots are held, and for others beside a dominant workspace; grants that run out, and that a new dispatcher takes over from renewals, which now name the group. Entries ask each cell for a slot at once before they queue at two of them, leave an owner that gives no sign of life, and renew what they hold every 2 s. Grants say for how long they may be started.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from collections.abc import Iterable, Iterator
 
 import eventlet
 
 from cowslipstep.daemon._state import DaemonState
+from cowslipstep.metrics import CounterKey
 from cowslipstep.model import (
     Address,
     Ask,
@@ -17,9 +19,17 @@
     Release,
     Renewal,
 )
-from cowslipstep.routing import Dispatcher, GroupSlots, ReplyToAsk
+from cowslipstep.routing import (
+    CellPolicy,
+    Dispatcher,
+    DispatcherLoad,
+    GroupSlots,
+    ReplyToAsk,
+    share_limits,
+)
 
 _UPDATE_PERIOD_S = 0.1
+_LEARNING_S = 1
 
 
 class CellService:
@@ -29,10 +39,13 @@
     ----------
     state
         State of the daemon.
+    local
+        Whether only this daemon asks: it uses its share of the slots then.
     """
 
-    def __init__(self, state: DaemonState) -> None:
+    def __init__(self, state: DaemonState, *, local: bool = False) -> None:
         self._state = state
+        self._local = local
         self._dispatchers: dict[Cell, Dispatcher] = {}
 
     def run(self) -> None:
@@ -40,6 +53,7 @@
         while True:
             for cell in tuple(self._dispatchers):
                 self._update(cell)
+                _show(cell, self._dispatchers[cell].load, self._state)
             eventlet.sleep(_UPDATE_PERIOD_S)
 
     def submit(self, ask: Ask, reply: ReplyToAsk) -> None:
@@ -56,7 +70,8 @@
 
     def _dispatcher(self, cell: Cell) -> Dispatcher:
         if cell not in self._dispatchers:
-            self._dispatchers[cell] = Dispatcher(time.monotonic)
+            learning_s = _LEARNING_S if len(self._state.live_daemons) > 1 else 0
+            self._dispatchers[cell] = Dispatcher(time.monotonic, learning_s)
             self._update(cell)
         return self._dispatchers[cell]
 
@@ -64,36 +79,66 @@
         configuration = self._state.configuration
         if configuration is None:
             return
-        groups = _groups_of(cell, self._state)
+        sharing = len(self._state.live_daemons) if self._local else 1
         self._dispatchers[cell].update(
-            [rank.name for rank in configuration.ranks],
-            _group_slots(groups, self._state, configuration),
+            _policy(cell, self._state, configuration),
+            _group_slots(cell, self._state, configuration, sharing),
         )
 
 
-def _groups_of(cell: Cell, state: DaemonState) -> Iterator[Group]:
+def known_cells(state: DaemonState) -> tuple[Cell, ...]:
+    """Return the cells that have groups."""
+    return tuple(
+        {Cell(group.model, group.failure_domain) for group in _groups(state)}
+    )
+
+
+def _show(cell: Cell, load: DispatcherLoad, state: DaemonState) -> None:
+    labels = (('cell', str(cell)),)
+    state.gauges.set(CounterKey('queued', labels), load.queued)
+    state.gauges.set(CounterKey('outstanding', labels), load.outstanding)
+
+
+def _policy(
+    cell: Cell,
+    state: DaemonState,
+    configuration: Configuration,
+) -> CellPolicy:
+    per_group = _slots_per_group(configuration)
+    slots: collections.Counter[Cell] = collections.Counter({cell: 0})
+    for group in _groups(state):
+        own = Cell(group.model, group.failure_domain)
+        slots[own] += per_group.get(group.model, 0)
+    shares = share_limits(configuration.workspaces, cell, slots)
+    return CellPolicy(configuration.ranks, shares)
+
+
+def _groups(state: DaemonState) -> Iterator[Group]:
     for ledger in state.ledgers.values():
-        for group in ledger.groups:
-            if Cell(group.model, group.failure_domain) == cell:
-                yield group
+        yield from ledger.groups
+
+
+def _slots_per_group(configuration: Configuration) -> dict[str, int]:
+    return {model.name: model.slots_per_group for model in configuration.models}
 
 
 def _group_slots(
-    groups: Iterable[Group],
+    cell: Cell,
     state: DaemonState,
     configuration: Configuration,
-) -> Iterator[GroupSlots]:
-    slots = {
-        model.name: model.slots_per_group for model in configuration.models
-    }
+    sharing: int,
+) -> Iterable[GroupSlots]:
+    slots = _slots_per_group(configuration)
     addresses: dict[str, Address] = {
         runner.host: runner.address for runner in configuration.runners
     }
-    for group in groups:
+    for group in _groups(state):
+        if Cell(group.model, group.failure_domain) != cell:
+            continue
         if group.leader in addresses and group.model in slots:
             yield GroupSlots(
                 group.name,
                 addresses[group.leader],
-                slots[group.model],
+                max(1, slots[group.model] // sharing),
                 state.readiness.ready_until_s(group.name),
             )
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -42,8 +42,10 @@
     links = PeerLinks(state)
     start_task('cells', cells.run)
     start_control(state, cells, links)
+    slots = SlotService(state, cells, links)
+    slots.start()
     return EntryApplication(
         state,
-        DeliveryService(state, SlotService(state, cells, links)),
+        DeliveryService(state, slots),
         ServiceCalls(state),
     )
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_owner_calls.py
@@ -0,0 +1,87 @@
+"""Messages to the owners of cells, in this process or another."""
+
+from __future__ import annotations
+
+import contextlib
+
+import eventlet
+from eventlet.event import Event
+
+from cowslipstep.daemon._cells import CellService
+from cowslipstep.daemon._links import PeerLinks
+from cowslipstep.daemon._owners import LOCAL, Owners
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.model import Ask, Message, Release, Renewal
+from cowslipstep.peers import PeerUnreachable
+
+_REPLY_MARGIN_S = 0.5
+_TELL_TIMEOUT_S = 1
+
+
+class OwnerCalls:
+    """Calls the owners of cells by name.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    cells
+        Serves the cells that this daemon owns.
+    links
+        Links to the other owners.
+    """
+
+    def __init__(
+        self,
+        state: DaemonState,
+        cells: CellService,
+        links: PeerLinks,
+    ) -> None:
+        self._links = links
+        self._owners = Owners(state, links)
+        self._services = {
+            state.settings.name: cells,
+            LOCAL: CellService(state, local=True),
+        }
+
+    @property
+    def owners(self) -> Owners:
+        """Owners of the cells."""
+        return self._owners
+
+    def run_local(self) -> None:
+        """Keep the dispatchers up to date that only this daemon uses."""
+        self._services[LOCAL].run()
+
+    def ask(self, owner: str, ask: Ask) -> Message | None:
+        """Return the owner's reply, or nothing if it cannot be reached."""
+        service = self._services.get(owner)
+        if service is not None:
+            replied = Event()
+            service.submit(ask, replied.send)
+            return replied.wait()
+        timeout_s = ask.request.timeout_s + _REPLY_MARGIN_S
+        with (
+            contextlib.suppress(PeerUnreachable),
+            self._owners.watched(owner),
+        ):
+            return self._links.call(owner, ask, timeout_s)
+        return None
+
+    def tell(self, owner: str, message: Release | Renewal) -> None:
+        """Tell an owner that a grant goes on or has ended."""
+        service = self._services.get(owner)
+        match message:
+            case Release() if service:
+                service.release(message)
+            case Renewal() if service:
+                service.renew(message)
+            case _:
+                self._tell_peer(owner, message)
+
+    def _tell_peer(self, owner: str, message: Release | Renewal) -> None:
+        with (
+            contextlib.suppress(PeerUnreachable),
+            eventlet.Timeout(_TELL_TIMEOUT_S, False),
+        ):
+            self._links.tell(owner, message)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_slots.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_slots.py
@@ -3,30 +3,23 @@
 from __future__ import annotations
 
 import contextlib
+import time
 from collections.abc import Iterator
 
-from attrs import define, field, frozen
-from eventlet.event import Event
+import eventlet
+from attrs import define, field
 
+from cowslipstep.daemon._asks import AskSender
 from cowslipstep.daemon._cells import CellService
 from cowslipstep.daemon._links import PeerLinks
+from cowslipstep.daemon._owner_calls import OwnerCalls
+from cowslipstep.daemon._owners import CHECK_PERIOD_S
+from cowslipstep.daemon._search import SlotFinder
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.model import (
-    Ask,
-    Cell,
-    Grant,
-    Message,
-    NotRun,
-    Reason,
-    Refusal,
-    Release,
-    Renewal,
-    Request,
-)
-from cowslipstep.peers import PeerUnreachable
-from cowslipstep.routing import order_cells, rank_owners
-
-_REPLY_MARGIN_S = 0.5
+from cowslipstep.daemon._tasks import start_task
+from cowslipstep.model import Cell, Grant, NotRun, Release, Renewal, Request
+
+_RENEWAL_PERIOD_S = 2
 
 
 @define
@@ -37,18 +30,20 @@
     failed: bool = False
 
 
-@frozen
+@define
 class Slot:
     """A grant, the owner of the cell that gave it, and its use so far."""
 
     cell: Cell
     owner: str
     grant: Grant
+    request: Request
     use: SlotUse = field(factory=SlotUse)
+    renewed_s: float = field(factory=time.monotonic)
 
 
 class SlotService:
-    """Asks the owners of cells for slots.
+    """Asks the owners of cells for slots and renews them while in use.
 
     Parameters
     ----------
@@ -67,8 +62,14 @@
         links: PeerLinks,
     ) -> None:
         self._state = state
-        self._cells = cells
-        self._links = links
+        self._calls = OwnerCalls(state, cells, links)
+        self._finder = SlotFinder(state, AskSender(self._calls))
+        self._held: dict[str, Slot] = {}
+
+    def start(self) -> None:
+        """Start the tasks that renew slots and watch the owners."""
+        start_task('slots', self._run)
+        start_task('own share of slots', self._calls.run_local)
 
     @contextlib.contextmanager
     def slot(
@@ -76,85 +77,64 @@
         request: Request,
         avoid: tuple[str, ...] = (),
     ) -> Iterator[Slot | NotRun]:
-        """Hold a slot for a request, or learn why there is none."""
-        held = self._acquire(request, avoid)
+        """Hold a slot for a request, or learn why there is none.
+
+        The slot is renewed until the end, however long the answer takes to
+        begin.
+        """
+        found = self._finder.find(request, avoid)
+        if isinstance(found, NotRun):
+            yield found
+            return
+        held = Slot(found.cell, found.owner, found.grant, request)
+        self._held[request.request_id] = held
         try:
             yield held
         finally:
-            if isinstance(held, Slot):
-                self._tell(held.owner, _release(held))
+            self._held.pop(request.request_id)
+            self._tell(held, _release(held))
 
     def renew(self, held: Slot) -> None:
-        """Extend the grant of a slot that is still in use."""
-        renewal = Renewal(
-            held.cell,
-            held.grant.request_id,
-            held.use.streamed_tokens,
-        )
-        self._tell(held.owner, renewal)
-
-    def _acquire(
-        self,
-        request: Request,
-        avoid: tuple[str, ...],
-    ) -> Slot | NotRun:
-        verdict = NotRun(Reason.no_capacity, retry_after_s=1)
-        for cell in _cells_for(request, self._state):
-            owner = rank_owners(str(cell), self._state.live_daemons)[0]
-            match self._ask(owner, Ask(cell, request, avoid)):
-                case Grant() as grant:
-                    return Slot(cell, owner, grant)
-                case Refusal(verdict=refused):
-                    verdict = refused
-        return verdict
-
-    def _ask(self, owner: str, ask: Ask) -> Message | None:
-        timeout_s = ask.request.timeout_s + _REPLY_MARGIN_S
-        with (
-            contextlib.suppress(PeerUnreachable),
-            self._withdrawn_on_error(owner, ask),
-        ):
-            if owner != self._state.settings.name:
-                return self._links.call(owner, ask, timeout_s)
-            replied = Event()
-            self._cells.submit(ask, replied.send)
-            return replied.wait()
-        return None
-
-    @contextlib.contextmanager
-    def _withdrawn_on_error(self, owner: str, ask: Ask) -> Iterator[None]:
-        try:
-            yield
-        except BaseException:
-            request_id = ask.request.request_id
-            self._tell(owner, Release(ask.cell, request_id, 0))
-            raise
-
-    def _tell(self, owner: str, message: Release | Renewal) -> None:
-        if owner != self._state.settings.name:
-            with contextlib.suppress(PeerUnreachable):
-                self._links.tell(owner, message)
+        """Extend the grant of a slot and report its use."""
+        held.renewed_s = time.monotonic()
+        self._tell(held, _renewal(held))
+
+    def _run(self) -> None:
+        while True:
+            eventlet.sleep(CHECK_PERIOD_S)
+            self._calls.owners.check()
+            oldest_s = time.monotonic() - _RENEWAL_PERIOD_S
+            for held in tuple(self._held.values()):
+                present = next(self._calls.owners.candidates(held.cell))
+                if present != held.owner or held.renewed_s < oldest_s:
+                    self.renew(held)
+
+    def _tell(self, held: Slot, message: Release | Renewal) -> None:
+        self._calls.tell(held.owner, message)
+        present = next(self._calls.owners.candidates(held.cell))
+        if present == held.owner:
             return
-        match message:
-            case Release():
-                self._cells.release(message)
-            case Renewal():
-                self._cells.renew(message)
+        self._calls.tell(present, message)
+        if isinstance(message, Renewal):
+            held.owner = present
 
 
 def _release(held: Slot) -> Release:
     return Release(
         held.cell,
-        held.grant.request_id,
+        held.request.request_id,
         held.use.streamed_tokens,
         held.use.failed,
     )
 
 
-def _cells_for(request: Request, state: DaemonState) -> tuple[Cell, ...]:
-    cells = {
-        Cell(group.model, group.failure_domain)
-        for ledger in state.ledgers.values()
-        for group in ledger.groups
-    }
-    return order_cells(cells, request.model, state.settings.failure_domain)
+def _renewal(held: Slot) -> Renewal:
+    return Renewal(
+        held.cell,
+        held.request.request_id,
+        held.use.streamed_tokens,
+        held.grant.group,
+        held.request.workspace,
+        held.request.rank,
+        held.request.prompt_tokens,
+    )
--- a/libs/model/src/cowslipstep/model/_grants.py
+++ b/libs/model/src/cowslipstep/model/_grants.py
@@ -13,12 +13,14 @@
 class Ask:
     """An entry daemon asks the dispatcher of a cell for a slot.
 
-    ``avoid`` names groups on which an earlier try failed.
+    ``avoid`` names groups on which an earlier try failed; ``immediate`` asks
+    for a slot now or a refusal.
     """
 
     cell: Cell
     request: Request
     avoid: tuple[str, ...] = ()
+    immediate: bool = False
 
 
 @frozen
@@ -35,12 +37,16 @@
         Address of the leading runner.
     valid_s
         Seconds until the slot is taken back unless renewed.
+    startable_s
+        Seconds within which the request may be sent to the group, since the
+        group's readiness runs out then.
     """
 
     request_id: str
     group: str
     address: Address
     valid_s: float
+    startable_s: float = 0
 
 
 @frozen
@@ -53,11 +59,19 @@
 
 @frozen
 class Renewal:
-    """Extends a grant and reports the tokens streamed so far."""
+    """Extends a grant and reports the tokens streamed so far.
+
+    The other fields describe the grant to a dispatcher that has taken over
+    the cell and does not know it.
+    """
 
     cell: Cell
     request_id: str
     streamed_tokens: int
+    group: str = ''
+    workspace: str = ''
+    rank: str = ''
+    prompt_tokens: int = 0
 
 
 @frozen
--- a/libs/peers/src/cowslipstep/peers/_decode_grants.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_grants.py
@@ -34,7 +34,7 @@
 
 def _ask(raw: Any) -> Ask:
     request = decode_request(raw.request)
-    return Ask(_cell(raw.cell), request, tuple(raw.avoid))
+    return Ask(_cell(raw.cell), request, tuple(raw.avoid), raw.immediate)
 
 
 def _grant(raw: Any) -> Grant:
@@ -43,6 +43,7 @@
         raw.group,
         Address(raw.ip, raw.port),
         ms_to_seconds(raw.validMs),
+        ms_to_seconds(raw.startableMs),
     )
 
 
@@ -52,7 +53,15 @@
 
 
 def _renewal(raw: Any) -> Renewal:
-    return Renewal(_cell(raw.cell), raw.requestId, raw.streamedTokens)
+    return Renewal(
+        _cell(raw.cell),
+        raw.requestId,
+        raw.streamedTokens,
+        raw.group,
+        raw.workspace,
+        raw.rank,
+        raw.promptTokens,
+    )
 
 
 def _release(raw: Any) -> Release:
--- a/libs/peers/src/cowslipstep/peers/_encode_grants.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_grants.py
@@ -27,7 +27,7 @@
         case Refusal():
             _write_refusal(frame.init('refusal'), message)
         case Renewal():
-            _write_progress(frame.init('renewal'), message)
+            _write_renewal(frame.init('renewal'), message)
         case Release(failed=failed):
             release = frame.init('release')
             _write_progress(release, message)
@@ -45,6 +45,7 @@
     avoid = builder.init('avoid', len(ask.avoid))
     for index, group in enumerate(ask.avoid):
         avoid[index] = group
+    builder.immediate = ask.immediate
 
 
 def _write_grant(builder: Any, grant: Grant) -> None:
@@ -53,6 +54,7 @@
     builder.ip = grant.address.ip
     builder.port = grant.address.port
     builder.validMs = seconds_to_ms(grant.valid_s)
+    builder.startableMs = seconds_to_ms(grant.startable_s)
 
 
 def _write_refusal(builder: Any, refusal: Refusal) -> None:
@@ -61,6 +63,14 @@
     builder.retryAfterMs = seconds_to_ms(refusal.verdict.retry_after_s)
 
 
+def _write_renewal(builder: Any, renewal: Renewal) -> None:
+    _write_progress(builder, renewal)
+    builder.group = renewal.group
+    builder.workspace = renewal.workspace
+    builder.rank = renewal.rank
+    builder.promptTokens = renewal.prompt_tokens
+
+
 def _write_progress(builder: Any, progress: Renewal | Release) -> None:
     _write_cell(builder.init('cell'), progress.cell)
     builder.requestId = progress.request_id
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -41,6 +41,7 @@
   cell @0 :Cell;
   request @1 :Request;
   avoid @2 :List(Text);
+  immediate @3 :Bool;
 }
 
 struct Grant {
@@ -49,6 +50,7 @@
   ip @2 :Text;
   port @3 :UInt16;
   validMs @4 :UInt32;
+  startableMs @5 :UInt32;
 }
 
 struct Refusal {
@@ -61,6 +63,10 @@
   cell @0 :Cell;
   requestId @1 :Text;
   streamedTokens @2 :UInt32;
+  group @3 :Text;
+  workspace @4 :Text;
+  rank @5 :Text;
+  promptTokens @6 :UInt32;
 }
 
 struct Release {
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -4,12 +4,15 @@
 passed in.
 """
 
-from cowslipstep.routing._cells import order_cells
+from cowslipstep.routing._cells import CellChoice, CellTry, order_cells
 from cowslipstep.routing._dispatcher import Dispatcher
+from cowslipstep.routing._limits import share_limits
 from cowslipstep.routing._ownership import rank_owners
 from cowslipstep.routing._views import (
+    CellPolicy,
     Clock,
     DispatcherLoad,
     GroupSlots,
     ReplyToAsk,
+    WorkspaceShare,
 )
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_accounts.py
@@ -0,0 +1,114 @@
+"""Accounts of the work that a dispatcher granted."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from cowslipstep.model import Release, Renewal
+from cowslipstep.routing._grant_table import Granted, GrantedWork, GrantTable
+from cowslipstep.routing._headroom import Headroom
+from cowslipstep.routing._limits import WorkspaceLimits
+from cowslipstep.routing._outliers import OutlierDetector
+from cowslipstep.routing._ranked_queue import RankedQueue, correct_cost
+from cowslipstep.routing._views import Clock, QueuedAsk
+
+
+@frozen
+class Books:
+    """What is counted of the grants in use and of those that ended."""
+
+    grants: GrantTable
+    limits: WorkspaceLimits
+    outliers: OutlierDetector
+    headroom: Headroom
+
+
+def open_books(clock: Clock) -> Books:
+    """Return books without entries."""
+    return Books(
+        GrantTable(clock),
+        WorkspaceLimits(clock),
+        OutlierDetector(clock),
+        Headroom(clock),
+    )
+
+
+class Accounts:
+    """Counts grants in use and charges ranks, workspaces and groups for them.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+    queue
+        Its ranks and workspaces are charged.
+    books
+        Where all is counted.
+    """
+
+    def __init__(self, clock: Clock, queue: RankedQueue, books: Books) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._books = books
+
+    def begin(self, queued: QueuedAsk, group: str) -> None:
+        """Count a new grant; its cost was charged when it left the queue."""
+        request = queued.ask.request
+        work = GrantedWork(
+            request.request_id,
+            group,
+            request.workspace,
+            request.rank,
+            request.prompt_tokens,
+        )
+        self._books.grants.add(work, request.cost_tokens)
+
+    def renew(self, renewal: Renewal) -> None:
+        """Extend a grant, or take over one that another dispatcher gave."""
+        granted = self._books.grants.renew(renewal.request_id)
+        if granted is not None:
+            spent = granted.work.prompt_tokens + renewal.streamed_tokens
+            self._charge(granted, max(granted.charged_tokens, spent))
+            return
+        if not renewal.group:
+            return
+        work = GrantedWork(
+            renewal.request_id,
+            renewal.group,
+            renewal.workspace,
+            renewal.rank,
+            renewal.prompt_tokens,
+        )
+        charged_tokens = renewal.prompt_tokens + renewal.streamed_tokens
+        self._books.grants.add(work, charged_tokens)
+        self._books.limits.begin(work.workspace, charged_tokens)
+
+    def end(self, release: Release) -> None:
+        """End a grant and put its charges right."""
+        granted = self._books.grants.remove(release.request_id)
+        if granted is None:
+            return
+        if release.streamed_tokens:
+            spent = granted.work.prompt_tokens + release.streamed_tokens
+            self._charge(granted, spent)
+        self._books.limits.end(granted.work.workspace)
+        held_s = self._clock() - granted.granted_at_s
+        self._books.headroom.note_held(held_s)
+        self._books.outliers.note(
+            granted.work.group,
+            granted.charged_tokens,
+            held_s,
+            failed=release.failed,
+        )
+
+    def expire(self) -> None:
+        """End the grants whose time has run out."""
+        for granted in self._books.grants.expire():
+            self._books.limits.end(granted.work.workspace)
+
+    def _charge(self, granted: Granted, tokens: int) -> None:
+        work = granted.work
+        extra = tokens - granted.charged_tokens
+        granted.charged_tokens = tokens
+        self._books.limits.charge(work.workspace, extra)
+        correct_cost(self._queue, work.rank, work.workspace, extra)
--- a/libs/routing/src/cowslipstep/routing/_dispatcher.py
+++ b/libs/routing/src/cowslipstep/routing/_dispatcher.py
@@ -4,128 +4,117 @@
 
 from collections.abc import Iterable
 
-from cowslipstep.model import Ask, Grant, Reason, Release, Renewal
-from cowslipstep.routing._grant_table import GRANT_VALID_S, GrantTable
+from cowslipstep.model import Ask, NotRun, Reason, Refusal, Release, Renewal
+from cowslipstep.routing._accounts import Accounts, open_books
+from cowslipstep.routing._choice import GroupChoice
+from cowslipstep.routing._granting import Granter
+from cowslipstep.routing._intake import Intake
+from cowslipstep.routing._learning import Learning
+from cowslipstep.routing._ranked_queue import RankedQueue, apply_reserves
 from cowslipstep.routing._views import (
+    CellPolicy,
     Clock,
     DispatcherLoad,
     GroupSlots,
-    QueuedAsk,
     ReplyToAsk,
 )
-
-_MAX_QUEUED = 10000
+from cowslipstep.routing._waiting import WaitingAsks
 
 
 class Dispatcher:
     """Queues asks of one cell and grants slots.
 
+    Explanation
+    -----------
+    Submitting, granting, renewing and ending take time that grows with the
+    logarithm of the number of workspaces that wait, and with the number of
+    groups of the cell, which is bounded.
+
     Parameters
     ----------
     clock
         Monotonic clock, seconds.
+    learning_s
+        How long a new dispatcher, or one that was paused, uses only a part
+        of the slots, since grants of another one may be in use.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._rank_order: tuple[str, ...] = ()
-        self._groups: tuple[GroupSlots, ...] = ()
-        self._queue: list[QueuedAsk] = []
-        self._grants = GrantTable(clock)
+    def __init__(self, clock: Clock, learning_s: float = 0) -> None:
+        self._learning = Learning(clock, learning_s)
+        self._queue = RankedQueue(clock)
+        self._books = open_books(clock)
+        self._accounts = Accounts(clock, self._queue, self._books)
+        self._waiting = WaitingAsks(clock, self._queue)
+        self._choice = GroupChoice(
+            clock,
+            self._books.grants,
+            self._books.outliers,
+        )
+        self._intake = Intake(
+            clock,
+            self._queue,
+            self._waiting,
+            self._books.limits,
+        )
+        self._granter = Granter(
+            clock,
+            self._waiting,
+            self._choice,
+            self._accounts,
+        )
 
     @property
     def load(self) -> DispatcherLoad:
         """Numbers of queued asks and of grants in use."""
-        return DispatcherLoad(len(self._queue), self._grants.size)
+        return DispatcherLoad(self._waiting.size, self._books.grants.size)
 
     def update(
         self,
-        rank_order: Iterable[str],
+        policy: CellPolicy,
         groups: Iterable[GroupSlots],
     ) -> None:
-        """Take over the ranks, first the most urgent, and the groups.
+        """Take over the policy and the groups; to be called periodically.
 
         Grants whose time has run out end, and asks past their deadline are
         refused.
         """
-        self._rank_order = tuple(rank_order)
-        self._groups = tuple(groups)
-        self._grants.expire()
-        self._queue = _refuse_late(self._queue, self._clock())
-        self._grant_waiting()
+        self._choice.use_groups(groups, self._learning.slot_share())
+        self._accounts.expire()
+        self._apply(policy)
+        for late in self._waiting.late():
+            self._intake.refuse(late, Reason.deadline)
+        self._granter.grant_waiting()
+        self._intake.shed()
 
     def submit(self, ask: Ask, reply: ReplyToAsk) -> None:
         """Queue an ask; ``reply`` is called once, now or later."""
-        expires_s = self._clock() + ask.request.timeout_s
-        queued = QueuedAsk(ask, reply, expires_s)
-        if ask.request.rank not in self._rank_order:
-            queued.refuse(Reason.unknown_rank)
+        request_id = ask.request.request_id
+        if not self._choice.may_serve(ask):
+            verdict = NotRun(Reason.no_capacity, retry_after_s=1)
+            reply(Refusal(request_id, verdict))
             return
-        if len(self._queue) >= _MAX_QUEUED:
-            queued.refuse(Reason.queue_full)
+        if not self._intake.admit(ask, reply):
             return
-        self._queue.append(queued)
-        self._queue.sort(
-            key=lambda entry: self._rank_order.index(entry.ask.request.rank),
-        )
-        self._grant_waiting()
+        self._granter.grant_waiting()
+        if ask.immediate:
+            self._intake.refuse_waiting(request_id, Reason.no_capacity)
+        self._intake.shed()
 
     def renew(self, renewal: Renewal) -> None:
-        """Extend a grant."""
-        self._grants.renew(renewal.request_id)
+        """Extend a grant, or take over one that another dispatcher gave."""
+        self._accounts.renew(renewal)
 
     def release(self, release: Release) -> None:
         """End a grant or withdraw a queued ask."""
-        self._grants.remove(release.request_id)
-        self._queue = [
-            queued
-            for queued in self._queue
-            if queued.request_id != release.request_id
-        ]
-        self._grant_waiting()
-
-    def _grant_waiting(self) -> None:
-        now = self._clock()
-        for queued in tuple(self._queue):
-            group = _pick_group(queued.ask, self._groups, self._grants, now)
-            if group is None:
-                continue
-            self._queue.remove(queued)
-            self._grants.add(queued.request_id, group.group)
-            queued.reply(_grant(queued, group))
-
-
-def _refuse_late(queue: list[QueuedAsk], now_s: float) -> list[QueuedAsk]:
-    for late in queue:
-        if late.expires_s <= now_s:
-            late.refuse(Reason.deadline)
-    return [queued for queued in queue if queued.expires_s > now_s]
-
-
-def _pick_group(
-    ask: Ask,
-    groups: Iterable[GroupSlots],
-    grants: GrantTable,
-    now_s: float,
-) -> GroupSlots | None:
-    usable = [
-        group
-        for group in groups
-        if group.ready_until_s > now_s
-        and group.group not in ask.avoid
-        and grants.in_use(group.group) < group.slots
-    ]
-    return min(
-        usable,
-        key=lambda group: grants.in_use(group.group),
-        default=None,
-    )
-
-
-def _grant(queued: QueuedAsk, group: GroupSlots) -> Grant:
-    return Grant(
-        queued.request_id,
-        group.group,
-        group.address,
-        GRANT_VALID_S,
-    )
+        self._accounts.end(release)
+        self._intake.withdraw(release.request_id, served=True)
+        self._granter.grant_waiting()
+
+    def _apply(self, policy: CellPolicy) -> None:
+        books = self._books
+        books.limits.apply_shares(policy.workspaces)
+        for gone in self._queue.apply_policy(policy):
+            self._waiting.queued.pop(gone.request_id)
+            self._intake.refuse(gone, Reason.unknown_rank)
+        reserves = books.headroom.reserves(policy.ranks, books.grants.uses)
+        apply_reserves(self._queue, reserves)
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_fair_queue.py
@@ -0,0 +1,157 @@
+"""Fair queue between the workspaces of one rank.
+
+References
+----------
+P. Goyal, H. M. Vin and H. Cheng, "Start-time fair queueing: a scheduling
+algorithm for integrated services packet switching networks", IEEE/ACM
+Transactions on Networking 5(5), 1997.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+from collections.abc import Mapping
+
+from attrs import define, field
+
+from cowslipstep.routing._longest import LongestBacklog
+from cowslipstep.routing._views import QueuedAsk
+
+_DEFAULT_WEIGHT = 1
+
+
+@define
+class Flow:
+    """Queued asks of one workspace and the start tag of its next one."""
+
+    workspace: str
+    weight: float = _DEFAULT_WEIGHT
+    start: float = 0
+    tokens: int = 0
+    in_heap: bool = False
+    asks: collections.OrderedDict[str, QueuedAsk] = field(
+        factory=collections.OrderedDict,
+    )
+
+
+class FairQueue:
+    """Start-time fair queue; each workspace has one entry in the heap.
+
+    Parameters
+    ----------
+    weights
+        Weight by workspace; one that is missing weighs 1.
+    """
+
+    def __init__(self, weights: Mapping[str, float]) -> None:
+        self._weights = weights
+        self._virtual: float = 0
+        self._heap: list[tuple[float, str]] = []
+        self._flows: dict[str, Flow] = {}
+        self._sums = _Sums()
+
+    @property
+    def sums(self) -> _Sums:
+        """Sums over all that is queued."""
+        return self._sums
+
+    def push(self, queued: QueuedAsk) -> None:
+        """Queue an ask behind those of its workspace."""
+        flow = self.flow(queued.workspace)
+        if not flow.asks:
+            flow.weight = self._weights.get(flow.workspace, _DEFAULT_WEIGHT)
+            flow.start = max(flow.start, self._virtual)
+            self._sums.weight += flow.weight
+        flow.asks[queued.request_id] = queued
+        flow.tokens += queued.cost_tokens
+        self._sums.add(queued)
+        if flow.in_heap:
+            return
+        flow.in_heap = True
+        heapq.heappush(self._heap, (flow.start, flow.workspace))
+
+    def first(self) -> QueuedAsk | None:
+        """Return the next ask without taking it."""
+        while self._heap:
+            tag, workspace = self._heap[0]
+            flow = self._flows[workspace]
+            if flow.asks and flow.start <= tag:
+                return next(iter(flow.asks.values()))
+            heapq.heappop(self._heap)
+            flow.in_heap = bool(flow.asks)
+            if flow.in_heap:
+                heapq.heappush(self._heap, (flow.start, workspace))
+        return None
+
+    def take(self, queued: QueuedAsk) -> None:
+        """Take the ask that ``first`` returned and charge its workspace."""
+        flow = self._flows[queued.workspace]
+        self._virtual = max(self._virtual, flow.start)
+        flow.start += queued.cost_tokens / flow.weight
+        self.remove(queued)
+
+    def remove(self, queued: QueuedAsk) -> None:
+        """Take an ask out of the queue."""
+        flow = self._flows[queued.workspace]
+        flow.asks.pop(queued.request_id)
+        flow.tokens -= queued.cost_tokens
+        self._sums.remove(queued)
+        if not flow.asks:
+            self._sums.weight -= flow.weight
+
+    def flow(self, workspace: str) -> Flow:
+        """Return the asks of one workspace."""
+        if workspace not in self._flows:
+            self._flows[workspace] = Flow(workspace)
+        return self._flows[workspace]
+
+
+def charge(queue: FairQueue, workspace: str, tokens: float) -> None:
+    """Charge a workspace for work that it was not charged for yet."""
+    flow = queue.flow(workspace)
+    flow.start += tokens / flow.weight
+
+
+def newest_of_longest(queue: FairQueue) -> QueuedAsk:
+    """Return the newest ask of the workspace with the most asks."""
+    workspace = queue.sums.longest.workspace
+    asks = queue.flow(workspace).asks
+    return next(reversed(asks.values()))
+
+
+def tokens_ahead(queue: FairQueue, workspace: str, cost_tokens: int) -> float:
+    """Estimate the tokens that are served before a new ask.
+
+    Explanation
+    -----------
+    While the workspace's own backlog is served, each other one gets its
+    weight's worth; none gets more than it has queued.
+    """
+    flow = queue.flow(workspace)
+    sums = queue.sums
+    weight = sums.weight if flow.asks else sums.weight + flow.weight
+    own = flow.tokens + cost_tokens
+    return min(sums.tokens, own * weight / flow.weight - cost_tokens)
+
+
+@define
+class _Sums:
+    """Sums over a fair queue."""
+
+    size: int = 0
+    tokens: int = 0
+    weight: float = 0
+    longest: LongestBacklog = field(factory=LongestBacklog)
+
+    def add(self, queued: QueuedAsk) -> None:
+        """Count an ask."""
+        self.size += 1
+        self.tokens += queued.cost_tokens
+        self.longest.add(queued.workspace)
+
+    def remove(self, queued: QueuedAsk) -> None:
+        """Count an ask no more."""
+        self.size -= 1
+        self.tokens -= queued.cost_tokens
+        self.longest.remove(queued.workspace)
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_learning.py
@@ -0,0 +1,37 @@
+"""Caution of a dispatcher that may not know all grants in use."""
+
+from __future__ import annotations
+
+from cowslipstep.routing._views import Clock
+
+_CAUTIOUS_SHARE = 0.5
+_PAUSE_S = 1
+
+
+class Learning:
+    """Share of the slots that a dispatcher uses.
+
+    It is reduced for a while at the start and after a pause: meanwhile the
+    grants that another dispatcher gave arrive with their renewals.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+    learning_s
+        How long; zero for never.
+    """
+
+    def __init__(self, clock: Clock, learning_s: float) -> None:
+        self._clock = clock
+        self._learning_s = learning_s
+        self._seen_s = clock()
+        self._until_s = self._seen_s + learning_s
+
+    def slot_share(self) -> float:
+        """Return the share to use now; to be called periodically."""
+        now = self._clock()
+        if now - self._seen_s > _PAUSE_S:
+            self._until_s = now + self._learning_s
+        self._seen_s = now
+        return _CAUTIOUS_SHARE if now < self._until_s else 1
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_outliers.py
@@ -0,0 +1,92 @@
+"""Weight of groups by what they did: slow ones less, failing ones none."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from cowslipstep.routing._rates import ServiceRate
+from cowslipstep.routing._views import Clock
+
+_SLOW_SHARE = 0.5
+_LEAST_WEIGHT = 0.1
+_FAILURES_TO_EJECT = 3
+_FAILURE_FACTOR = 0.5
+_EJECTED_S = 5
+_MAX_EJECTED_SHARE = 1 / 3
+
+
+@define
+class _Record:
+    """What a group did lately."""
+
+    speed: ServiceRate = field(factory=ServiceRate)
+    failures: int = 0
+    ejected_until_s: float = 0
+
+
+class OutlierDetector:
+    """Watches how fast groups serve and how often they fail.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._records: dict[str, _Record] = {}
+        self._usual_per_s: float = 0
+
+    def watch_groups(self, groups: Iterable[str]) -> None:
+        """Forget the groups that are gone and find the usual speed."""
+        old = self._records
+        self._records = {group: old.get(group, _Record()) for group in groups}
+        speeds = [record.speed.per_s for record in self._records.values()]
+        measured = [speed for speed in speeds if speed]
+        self._usual_per_s = statistics.median(measured) if measured else 0
+
+    def note(
+        self,
+        group: str,
+        tokens: float,
+        held_s: float,
+        *,
+        failed: bool,
+    ) -> None:
+        """Note the end of a request on a group."""
+        record = self._records.get(group)
+        if record is None:
+            return
+        record.speed.add(tokens, held_s)
+        record.failures = record.failures + 1 if failed else 0
+        if record.failures >= _FAILURES_TO_EJECT and self._may_eject():
+            record.ejected_until_s = self._clock() + _EJECTED_S
+
+    def weight(self, group: str) -> float:
+        """Return the share of its slots that a group should use, 0 to 1.
+
+        A slow or failing group keeps a small share, to show its recovery.
+        """
+        record = self._records.get(group, _Record())
+        trust = _FAILURE_FACTOR**record.failures
+        speed = self._relative_speed(record)
+        return max(speed * trust, _LEAST_WEIGHT)
+
+    def ejected(self, group: str) -> bool:
+        """Whether a group gets no requests for now."""
+        record = self._records.get(group)
+        return record is not None and record.ejected_until_s > self._clock()
+
+    def _relative_speed(self, record: _Record) -> float:
+        if not (self._usual_per_s and record.speed.per_s):
+            return 1
+        speed = record.speed.per_s / self._usual_per_s
+        return speed if speed < _SLOW_SHARE else 1
+
+    def _may_eject(self) -> bool:
+        ejected = sum(self.ejected(group) for group in self._records)
+        return ejected + 1 <= len(self._records) * _MAX_EJECTED_SHARE
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_ranked_queue.py
@@ -0,0 +1,139 @@
+"""Queue of a cell: ranks by priority with floors, fair inside each rank."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator, Mapping
+
+from cowslipstep.routing._fair_queue import FairQueue, charge, tokens_ahead
+from cowslipstep.routing._headroom import Reserve
+from cowslipstep.routing._lane import Lane, expected_wait_s
+from cowslipstep.routing._rates import BusyMeter, ServiceRate
+from cowslipstep.routing._views import CellPolicy, Clock, QueuedAsk
+
+
+class RankedQueue:
+    """Asks of all ranks of a cell.
+
+    Explanation
+    -----------
+    Each grant earns every rank its floor share of the granted tokens. A rank
+    whose earnings cover its first ask goes next, the one with the largest
+    surplus first; without such a rank the most urgent one with work goes.
+    So each rank keeps its floor in a flood of any other.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lanes: dict[str, Lane] = {}
+        self._weights: dict[str, float] = {}
+
+    @property
+    def lanes(self) -> Mapping[str, Lane]:
+        """Lanes by rank, the most urgent first."""
+        return self._lanes
+
+    def apply_policy(self, policy: CellPolicy) -> Iterator[QueuedAsk]:
+        """Take over ranks and weights; yield asks of ranks that are gone."""
+        old = self._lanes
+        self._weights.clear()
+        for share in policy.workspaces:
+            self._weights[share.workspace] = share.weight
+        self._lanes = {}
+        for rank in policy.ranks:
+            lane = old.pop(rank.name, self._new_lane())
+            lane.floor_share = rank.floor_share
+            self._lanes[rank.name] = lane
+        for gone in old.values():
+            yield from _drain(gone)
+
+    def push(self, queued: QueuedAsk) -> None:
+        """Queue an ask; its rank must be known."""
+        lane = self._lanes[queued.rank]
+        lane.meter.observe(self._clock(), lane.busy)
+        lane.asks.push(queued)
+
+    def pop(self, free_slots: int) -> QueuedAsk | None:
+        """Take the ask that goes next, if the free slots suffice for it."""
+        chosen = _choose(self._lanes.values(), free_slots)
+        queued = None if chosen is None else chosen.asks.first()
+        if chosen is None or queued is None:
+            return None
+        cost_tokens = queued.cost_tokens
+        chosen.meter.observe(self._clock(), busy=True, tokens=cost_tokens)
+        chosen.asks.take(queued)
+        for lane in self._lanes.values():
+            lane.settle(cost_tokens * lane.floor_share)
+        chosen.settle(-cost_tokens)
+        return queued
+
+    def remove(self, queued: QueuedAsk, *, served: bool) -> None:
+        """Take out an ask; ``served`` if another cell has granted it."""
+        lane = self._lanes[queued.rank]
+        tokens = queued.cost_tokens if served else 0
+        lane.meter.observe(self._clock(), lane.busy, tokens)
+        lane.asks.remove(queued)
+
+    def _new_lane(self) -> Lane:
+        meter = BusyMeter(ServiceRate(), self._clock())
+        return Lane(FairQueue(self._weights), meter)
+
+
+def apply_reserves(
+    queue: RankedQueue,
+    reserves: Mapping[str, Reserve],
+) -> None:
+    """Take over the free slots that are kept in each rank."""
+    for rank, lane in queue.lanes.items():
+        lane.reserve = reserves[rank]
+
+
+def queue_wait_s(queue: RankedQueue, queued: QueuedAsk) -> float:
+    """Estimate how long a new ask would wait."""
+    lane = queue.lanes.get(queued.rank)
+    if lane is None or not lane.busy:
+        return 0
+    ahead = tokens_ahead(lane.asks, queued.workspace, queued.cost_tokens)
+    return expected_wait_s(lane, ahead)
+
+
+def correct_cost(
+    queue: RankedQueue,
+    rank: str,
+    workspace: str,
+    tokens: float,
+) -> None:
+    """Charge work beyond the expected cost; a negative one gives back."""
+    lane = queue.lanes.get(rank)
+    if lane is None:
+        return
+    charge(lane.asks, workspace, tokens)
+    lane.settle(-tokens)
+
+
+def _choose(lanes: Collection[Lane], free_slots: int) -> Lane | None:
+    owed = max(lanes, key=Lane.surplus, default=None)
+    if owed is not None and owed.surplus() >= 0 and free_slots > 0:
+        return owed
+    for lane in lanes:
+        first = lane.asks.first()
+        if first is not None and first.workspace in lane.reserve.dominant:
+            free_slots -= lane.reserve.for_others
+        if free_slots <= 0:
+            return None
+        if first is not None:
+            return lane
+        free_slots -= lane.reserve.for_rank
+    return None
+
+
+def _drain(lane: Lane) -> Iterator[QueuedAsk]:
+    while lane.busy:
+        queued = lane.asks.first()
+        if queued is not None:
+            lane.asks.remove(queued)
+            yield queued
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_rates.py
@@ -0,0 +1,58 @@
+"""Service rates, measured while there is work to do."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define
+
+_HORIZON_S = 3
+_SHORTEST_S = 0.5
+
+
+@define
+class ServiceRate:
+    """Tokens served a second of busy time; recent ones count more.
+
+    Examples
+    --------
+    >>> rate = ServiceRate()
+    >>> rate.add(500, busy_s=1)
+    >>> rate.per_s
+    500.0
+    """
+
+    _tokens: float = 0
+    _busy_s: float = 0
+
+    @property
+    def per_s(self) -> float:
+        """Tokens a second; zero while too little was measured."""
+        if self._busy_s < _SHORTEST_S:
+            return 0
+        return self._tokens / self._busy_s
+
+    def add(self, tokens: float, busy_s: float) -> None:
+        """Note served tokens and the busy time since the last call."""
+        kept = math.exp(-busy_s / _HORIZON_S)
+        self._tokens = max(0, self._tokens * kept + tokens)
+        self._busy_s = self._busy_s * kept + busy_s
+
+
+@define
+class BusyMeter:
+    """Service rate of a queue, fed with the times at which it had work."""
+
+    _rate: ServiceRate
+    _seen_s: float
+
+    @property
+    def per_s(self) -> float:
+        """Tokens a second; zero while too little was measured."""
+        return self._rate.per_s
+
+    def observe(self, now_s: float, busy: bool, tokens: float = 0) -> None:
+        """Note whether the queue had work since the last call."""
+        busy_s = now_s - self._seen_s if busy else 0
+        self._seen_s = now_s
+        self._rate.add(tokens, busy_s)
--- a/libs/routing/src/cowslipstep/routing/_views.py
+++ b/libs/routing/src/cowslipstep/routing/_views.py
@@ -4,9 +4,17 @@
 
 from collections.abc import Callable
 
-from attrs import frozen
-
-from cowslipstep.model import Address, Ask, Grant, NotRun, Reason, Refusal
+from attrs import define, frozen
+
+from cowslipstep.model import (
+    Address,
+    Ask,
+    Grant,
+    NotRun,
+    Rank,
+    Reason,
+    Refusal,
+)
 
 Clock = Callable[[], float]
 ReplyToAsk = Callable[[Grant | Refusal], None]
@@ -34,6 +42,45 @@
     ready_until_s: float
 
 
+@frozen
+class WorkspaceShare:
+    """Weight of a workspace and a cell's share of its limits.
+
+    Parameters
+    ----------
+    workspace
+        Name of the workspace.
+    weight
+        Weight in fair queueing.
+    tokens_per_s
+        Share of the rate limit; ``None`` for no limit.
+    max_in_progress
+        Share of the requests in progress; ``None`` for no limit, and zero
+        where other cells hold all of them.
+    """
+
+    workspace: str
+    weight: float = 1
+    tokens_per_s: float | None = None
+    max_in_progress: int | None = None
+
+
+@frozen
+class CellPolicy:
+    """What the configuration says of a cell.
+
+    Parameters
+    ----------
+    ranks
+        Ranks, the most urgent first.
+    workspaces
+        Workspaces, with this cell's share of their limits.
+    """
+
+    ranks: tuple[Rank, ...]
+    workspaces: tuple[WorkspaceShare, ...] = ()
+
+
 @frozen
 class DispatcherLoad:
     """Numbers of queued asks and of grants in use."""
@@ -42,7 +89,7 @@
     outstanding: int
 
 
-@frozen
+@define(eq=False)
 class QueuedAsk:
     """An ask that waits, and how to answer it."""
 
@@ -55,7 +102,22 @@
         """The request that asks."""
         return self.ask.request.request_id
 
-    def refuse(self, reason: Reason) -> None:
+    @property
+    def workspace(self) -> str:
+        """The workspace of the request."""
+        return self.ask.request.workspace
+
+    @property
+    def rank(self) -> str:
+        """The rank of the request."""
+        return self.ask.request.rank
+
+    @property
+    def cost_tokens(self) -> int:
+        """Prompt and expected answer together."""
+        return self.ask.request.cost_tokens
+
+    def refuse(self, reason: Reason, retry_after_s: float = 1) -> None:
         """Answer that there will be no slot."""
-        verdict = NotRun(reason, retry_after_s=1)
+        verdict = NotRun(reason, retry_after_s=retry_after_s)
         self.reply(Refusal(self.request_id, verdict))
