--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -9,6 +9,7 @@
     Model,
     PlainService,
     Rank,
+    Targets,
     VersionedConfiguration,
     Workspace,
 )
--- a/libs/model/src/cowslipstep/model/_configuration.py
+++ b/libs/model/src/cowslipstep/model/_configuration.py
@@ -7,6 +7,10 @@
 from cowslipstep.model._fleet import Address, Runner
 
 _DEFAULT_KEY_RETENTION_S = 86400
+_DEFAULT_SERVING_SHARE = 0.99
+_DEFAULT_STRANDED_SHARE = 0.1
+_DEFAULT_WITHIN_TARGET_SHARE = 0.95
+_DEFAULT_UNCERTAIN_SHARE = 0.001
 _VALID_NAME = validators.matches_re('[a-z0-9][a-z0-9_.-]{0,62}')
 _VALID_DIGESTS = validators.deep_iterable(
     validators.matches_re('[0-9a-f]{64}'),
@@ -112,6 +116,41 @@
     )
 
 
+@frozen
+class Targets:
+    """What a good day is; the evening page compares with it.
+
+    Parameters
+    ----------
+    group_serving_share
+        Least share of the wanted group time in which groups serve.
+    stranded_share
+        Largest share of accelerator time without a group to serve.
+    within_target_share
+        Least share of answers whose first token comes within the target
+        time of their rank.
+    uncertain_share
+        Largest share of requests that may have run without an answer.
+    """
+
+    group_serving_share: float = field(
+        default=_DEFAULT_SERVING_SHARE,
+        validator=[validators.ge(0), validators.le(1)],
+    )
+    stranded_share: float = field(
+        default=_DEFAULT_STRANDED_SHARE,
+        validator=[validators.ge(0), validators.le(1)],
+    )
+    within_target_share: float = field(
+        default=_DEFAULT_WITHIN_TARGET_SHARE,
+        validator=[validators.ge(0), validators.le(1)],
+    )
+    uncertain_share: float = field(
+        default=_DEFAULT_UNCERTAIN_SHARE,
+        validator=[validators.ge(0), validators.le(1)],
+    )
+
+
 @frozen
 class Configuration:
     """All that operators configure, as one versioned document.
@@ -132,6 +171,8 @@
         How long idempotency keys are remembered, seconds.
     weight_loads_at_once
         Hosts of one fabric domain that load weights at the same time.
+    targets
+        What a good day is.
     submission_id
         Tells this printing of the document from all others; empty for none.
     """
@@ -146,6 +187,7 @@
         validator=validators.gt(0),
     )
     weight_loads_at_once: int = field(default=4, validator=validators.ge(1))
+    targets: Targets = Targets()
     submission_id: str = field(default='', validator=_VALID_SUBMISSION_ID)
 
 
--- a/libs/operator/src/cowslipstep/operator/__init__.py
+++ b/libs/operator/src/cowslipstep/operator/__init__.py
@@ -1,6 +1,7 @@
 """Operators' library: builds configurations and prints them as JSON."""
 
 from cowslipstep.operator._addresses import address_range
+from cowslipstep.operator._changes import Change, list_changes
 from cowslipstep.operator._document import (
     build_configuration,
     print_configuration,
