Give operators a tool: check, diff, submit, status, explain, drain, report

Cause: the tool could only submit, and printed tracebacks on some errors.

Ruled out: storing a submission id beside the text, which would not be the text that was read; the id is part of the printed document instead, and the stored text is compared byte for byte after a lost answer.

--- a/apps/cowslipstep/src/cowslipstep/cli/__main__.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/__main__.py
@@ -2,48 +2,42 @@
 
 from __future__ import annotations
 
-import pathlib
 import sys
 
 import typer
 
-from cowslipstep.model import Address, CowslipstepError
-from cowslipstep.platform import ObjectKey, ObjectMissing, PlatformClient
-from cowslipstep.settings import parse_configuration
-
-_CONFIGURATION_KEY = ObjectKey('configuration', 'fleet')
-
-app = typer.Typer(no_args_is_help=True, add_completion=False)
-
-
-@app.callback()
-def describe() -> None:
-    """Operate a cowslipstep fleet."""
-
-
-@app.command()
-def submit(document: pathlib.Path, platform: str = '127.0.0.1:9000') -> None:
-    """Check a configuration document and submit it to the platform."""
-    body = document.read_text()
-    parse_configuration(body)
-    client = PlatformClient(Address.parse(platform))
-    try:
-        stored = client.read(_CONFIGURATION_KEY)
-    except ObjectMissing:
-        version = client.create(_CONFIGURATION_KEY, body)
-    else:
-        version = client.update(_CONFIGURATION_KEY, stored.version, body)
-    typer.echo(f'submitted version {version}')
+from cowslipstep.cli._check import check
+from cowslipstep.cli._diff import diff
+from cowslipstep.cli._drain import drain, undrain
+from cowslipstep.cli._endings import ending_of
+from cowslipstep.cli._explain import explain
+from cowslipstep.cli._report import report
+from cowslipstep.cli._status import status
+from cowslipstep.cli._submit import submit
+from cowslipstep.cli._top import top
+
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help='Operate a cowslipstep fleet.',
+    epilog='Exit codes: 0 ok, 1 failed or not well, 2 wrong usage or '
+    'document, 3 conflict, 4 platform or daemon does not answer.',
+)
+_COMMANDS = (check, diff, submit, status, drain, undrain, report, top)
+_REGISTERED = tuple(app.command()(command) for command in _COMMANDS)
+app.add_typer(explain, name='explain')
 
 
 def main() -> None:
     """Run the tool and print each error as one line."""
     try:
         app()
-    except* (CowslipstepError, OSError) as group:
-        for error in group.exceptions:
-            typer.echo(f'error: {error}', err=True)
-        sys.exit(1)
+    except* Exception as group:
+        ending = ending_of(group.exceptions)
+        for line in ending.lines:
+            typer.echo(line, err=True)
+        sys.exit(ending.code)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/apps/cowslipstep/src/cowslipstep/cli/_daemons.py
@@ -0,0 +1,88 @@
+"""What live daemons say of themselves."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import urllib3
+from attrs import frozen
+
+from cowslipstep.metrics import Status
+
+_TIMEOUT_S = 2
+
+
+@frozen
+class DaemonView:
+    """A daemon as seen from here.
+
+    Parameters
+    ----------
+    name
+        Name of the daemon.
+    failure_domain
+        Failure domain of its host.
+    address
+        Where callers connect.
+    reachable
+        Whether it answered.
+    ready
+        Whether it takes requests.
+    version
+        Version of the configuration that it has in force.
+    """
+
+    name: str
+    failure_domain: str
+    address: str
+    reachable: bool = False
+    ready: bool = False
+    version: int = 0
+
+
+def view_daemons(statuses: Iterable[Status]) -> tuple[DaemonView, ...]:
+    """Ask each daemon whether it is ready and which version it has."""
+    http = urllib3.PoolManager(retries=False)
+    return tuple(_view(http, status) for status in statuses)
+
+
+def get_json(http: urllib3.PoolManager, address: str, path: str) -> Any:
+    """Return the JSON answer of an address, or ``None`` without one."""
+    text = get_text(http, address, path)
+    try:
+        return json.loads(text or '')
+    except ValueError:
+        return None
+
+
+def get_text(
+    http: urllib3.PoolManager,
+    address: str,
+    path: str,
+) -> str | None:
+    """Return the answer of an address, or ``None`` without one."""
+    try:
+        answer = http.request(
+            'GET',
+            f'http://{address}{path}',
+            timeout=_TIMEOUT_S,
+        )
+    except urllib3.exceptions.HTTPError:
+        return None
+    return answer.data.decode(errors='replace')
+
+
+def _view(http: urllib3.PoolManager, status: Status) -> DaemonView:
+    daemon = status.daemon
+    place = (daemon.name, daemon.failure_domain, daemon.http_address)
+    answer = get_json(http, daemon.http_address, '/readyz')
+    if not isinstance(answer, dict):
+        return DaemonView(*place)
+    return DaemonView(
+        *place,
+        reachable=True,
+        ready=answer.get('ready') is True,
+        version=int(answer.get('version', 0)),
+    )
--- /dev/null
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
@@ -0,0 +1,57 @@
+"""Group downtime and stranded accelerators."""
+
+from __future__ import annotations
+
+from cowslipstep.cli._evening._facts import Facts
+from cowslipstep.cli._evening._numbers import (
+    duration_text,
+    ratio,
+    share_text,
+)
+from cowslipstep.cli._evening._parts import Measure, Section
+from cowslipstep.cli._evening._targets import at_least, at_most
+from cowslipstep.model import Model
+
+_MS_PER_S = 1000
+
+
+def group_section(facts: Facts) -> Section:
+    """Return the measures of groups."""
+    measures = [_downtime(facts, model) for model in facts.configuration.models]
+    return Section('Groups', (*measures, _stranded(facts)))
+
+
+def _downtime(facts: Facts, model: Model) -> Measure:
+    target = facts.configuration.targets.group_serving_share
+    down_s = _down_s(facts, model.name)
+    wanted_s = model.groups * facts.elapsed_s
+    down = ratio(down_s, wanted_s)
+    serving = None if down is None else 1 - down
+    return Measure(
+        f'groups of {model.name} serving',
+        share_text(serving, f'of the time, {duration_text(down_s)} down'),
+        f'at least {share_text(target)}',
+        at_least(serving, target),
+    )
+
+
+def _down_s(facts: Facts, model: str) -> float:
+    return facts.day.total('group_down_ms', model=model) / _MS_PER_S
+
+
+def _stranded(facts: Facts) -> Measure:
+    limit = facts.configuration.targets.stranded_share
+    accelerators = sum(
+        runner.accelerators for runner in facts.configuration.runners
+    )
+    known = list(facts.day.select('stranded_accelerator_ms'))
+    stranded_s = sum(sample.amount for sample in known) / _MS_PER_S
+    share = ratio(stranded_s, accelerators * facts.elapsed_s)
+    if not known:
+        share = None
+    return Measure(
+        'accelerators stranded',
+        share_text(share, 'of the time'),
+        f'at most {share_text(limit)}',
+        at_most(share, limit),
+    )
--- /dev/null
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
@@ -0,0 +1,98 @@
+"""Service by rank against its target."""
+
+from __future__ import annotations
+
+from cowslipstep.cli._evening._facts import COMPLETED, VERDICTS, Facts
+from cowslipstep.cli._evening._numbers import (
+    duration_text,
+    quantile_text,
+    ratio,
+    share_text,
+)
+from cowslipstep.cli._evening._parts import (
+    Chart,
+    Measure,
+    Section,
+    ShareBar,
+    Table,
+)
+from cowslipstep.cli._evening._targets import at_least
+from cowslipstep.model import Rank
+
+_FIRST_TOKEN = 'first_token'
+_HEAD = ('rank', 'target', 'median', '95%', 'answered', 'refused', 'uncertain')
+_MEDIAN = 0.5
+_MOST = 0.95
+
+
+def rank_section(facts: Facts) -> Section:
+    """Return the measures of ranks, the most urgent first."""
+    ranks = facts.configuration.ranks
+    return Section(
+        'Service by rank',
+        (
+            *[_in_time(facts, rank) for rank in ranks],
+            _urgent_answered(facts, ranks[0]),
+        ),
+        (
+            Table(
+                'First token', _HEAD, tuple(_row(facts, one) for one in ranks)
+            ),
+        ),
+        (_chart(facts),),
+    )
+
+
+def share_in_time(
+    facts: Facts, rank: Rank, workspace: str = ''
+) -> float | None:
+    """Return the share of answers whose first token came in time."""
+    durations = facts.durations(_FIRST_TOKEN, rank.name, workspace)
+    within = durations.count_within(rank.target_first_token_s)
+    return ratio(within, durations.count)
+
+
+def _in_time(facts: Facts, rank: Rank) -> Measure:
+    target = facts.configuration.targets.within_target_share
+    share = share_in_time(facts, rank)
+    bound = duration_text(rank.target_first_token_s)
+    return Measure(
+        f'{rank.name}: first token within {bound}',
+        share_text(share),
+        f'at least {share_text(target)} of the answers',
+        at_least(share, target),
+    )
+
+
+def _urgent_answered(facts: Facts, rank: Rank) -> Measure:
+    target = facts.configuration.targets.within_target_share
+    asked = facts.asked(rank=rank.name)
+    share = ratio(facts.count(COMPLETED, rank=rank.name), asked)
+    return Measure(
+        f'{rank.name}: requests answered',
+        share_text(share),
+        f'at least {share_text(target)}',
+        at_least(share, target),
+    )
+
+
+def _row(facts: Facts, rank: Rank) -> tuple[str, ...]:
+    durations = facts.durations(_FIRST_TOKEN, rank.name)
+    times = (
+        duration_text(rank.target_first_token_s),
+        quantile_text(durations, _MEDIAN),
+        quantile_text(durations, _MOST),
+    )
+    counts = [facts.count(verdict, rank=rank.name) for verdict in VERDICTS]
+    return (rank.name, *times, *map(str, counts))
+
+
+def _chart(facts: Facts) -> Chart:
+    target = facts.configuration.targets.within_target_share
+    return Chart(
+        'Share of first tokens in time',
+        tuple(
+            ShareBar(rank.name, share_in_time(facts, rank) or 0, target)
+            for rank in facts.configuration.ranks
+        ),
+    )
--- a/standins/src/cowslipstep_standins/_documents.py
+++ b/standins/src/cowslipstep_standins/_documents.py
@@ -25,6 +25,7 @@
         'peer_address': daemon.peer,
         'platform_address': plan.platform,
         'unready_delay_s': 0.5,
+        'status_period_s': 1,
         'peers': [_peer(peer) for peer in plan.daemons if peer != daemon],
     }
 
--- a/standins/src/cowslipstep_standins/_serve.py
+++ b/standins/src/cowslipstep_standins/_serve.py
@@ -25,7 +25,8 @@
         typer.echo(describe(fleet))
         typer.echo(_CURL.format(port=shape.http_port, key=key))
         platform = fleet.plan.platform
-        typer.echo(f'platform: {platform}; Ctrl-C ends all')
+        typer.echo(f'export COWSLIPSTEP_PLATFORM={platform}')
+        typer.echo('Ctrl-C ends all')
         _wait_for_interrupt()
 
 
--- a/standins/src/cowslipstep_standins/demo.py
+++ b/standins/src/cowslipstep_standins/demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from typing import Annotated
 
 import attrs
@@ -13,6 +14,7 @@
 from cowslipstep_standins._plan import FleetShape
 from cowslipstep_standins._serve import describe, serve_until_interrupted
 from cowslipstep_standins._outcomes import Call, Outcome
+from cowslipstep_standins._tool import run_tool
 from cowslipstep_standins.load import mixed_calls, send_all, take_turns
 
 _REQUESTS = 400
@@ -20,6 +22,7 @@
 _SEED = 20261204
 _THIRD = _REQUESTS // 3
 _SERVE_PORT = 8080
+_STATUS_DELAY_S = 2.5
 _SHAPE = FleetShape(
     daemons=3,
     failure_domains=('port-louis', 'ebene', 'curepipe'),
@@ -52,6 +55,9 @@
     outcomes += _send(calls[_THIRD:-_THIRD], daemons)
     _kill_daemon(fleet)
     outcomes += _send(calls[-_THIRD:], daemons[:-1])
+    time.sleep(_STATUS_DELAY_S)
+    report = run_tool(fleet.plan.platform, 'report')
+    typer.echo(f'report: {report.first_line}')
     counted = tally(outcomes, fleet)
     typer.echo(summarize(counted))
     return counted.correct
--- /dev/null
+++ b/tests/features/operators.feature
@@ -0,0 +1,40 @@
+Feature: Operators change the fleet safely and see whether the day went well
+
+  Scenario: The evening page agrees with what the stand-ins ran
+    Given a small fleet for operators
+    When 80 requests of all kinds are sent to both daemons
+    And the daemons have written their status
+    Then the page counts the answers that the callers saw
+    And the page counts the orders that the stand-ins ran
+    And the first line of the printed report is yes or no
+
+  Scenario: Of two operators who race one wins and the other sees the difference
+    Given a small fleet for operators
+    When another operator submits just before mine
+    Then my submission ends with exit code 3 and shows the difference
+
+  Scenario: A submission whose answer is lost is resolved by reading back
+    Given a small fleet for operators
+    When the answers to the next 1 changes of the configuration are lost
+    Then my submission ends with exit code 0 and is in force at all daemons
+
+  Scenario: The text that is read is the text that is stored
+    Given a small fleet for operators
+    When a document of the operators' library is submitted
+    Then the platform holds its text byte for byte
+
+  Scenario Outline: Mistakes give one clear line and an exit code
+    Given a small fleet for operators
+    When the tool is run with "<arguments>"
+    Then it ends with exit code <code> and a line about "<words>"
+
+    Examples:
+      | arguments                              | code | words          |
+      | status --platform 127.0.0.1:1          | 4    | does not       |
+      | status --platform nonsense             | 2    | expected ip    |
+      | check /nonexistent.json                | 2    | cannot read    |
+      | drain nobody                           | 2    | no host        |
+      | undrain nobody                         | 1    | not drained    |
+      | explain group nobody                   | 1    | no group       |
+      | report --day 1999-01-01                | 1    | no daemon wrote |
+      | submit /nonexistent.json               | 2    | cannot read    |
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,184 @@
+"""Steps of the feature on operators."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import pytest
+from attrs import evolve
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from cowslipstep.cli._evening._facts import Facts
+from cowslipstep.cli._fleet import read_statuses
+from cowslipstep.cli._options import connect
+from cowslipstep.cli._store import read_stored
+from cowslipstep.metrics import Day, day_of, merge_day
+from cowslipstep.settings import (
+    check_document,
+    format_configuration,
+    parse_configuration,
+)
+from cowslipstep_standins._documents import fleet_configuration
+from cowslipstep_standins._fleet import LocalFleet, local_fleet
+from cowslipstep_standins._outcomes import Outcome
+from cowslipstep_standins._plan import FleetShape
+from cowslipstep_standins._processes import wait_until
+from cowslipstep_standins._records import engine_runs, service_calls
+from cowslipstep_standins._tool import ToolRun, run_tool
+from cowslipstep_standins.load import mixed_calls, send_all, take_turns
+
+scenarios('operators.feature')
+
+
+@pytest.fixture(scope='module', name='operated_fleet')
+def operated_fleet_fixture() -> Any:
+    """Two daemons that write their status each second."""
+    shape = FleetShape(daemons=2, services=1, token_s=0.001)
+    with local_fleet(shape) as fleet:
+        yield fleet
+
+
+@given('a small fleet for operators', target_fixture='fleet')
+def given_fleet(operated_fleet: LocalFleet) -> LocalFleet:
+    return operated_fleet
+
+
+def _client(fleet: LocalFleet) -> Any:
+    return connect(fleet.plan.platform)
+
+
+def _run_tool(fleet: LocalFleet, *arguments: str) -> ToolRun:
+    return run_tool(fleet.plan.platform, *arguments)
+
+
+@when(
+    parsers.parse('{count:d} requests of all kinds are sent to both daemons'),
+    target_fixture='outcomes',
+)
+def send_mixed(fleet: LocalFleet, count: int) -> list[Outcome]:
+    calls = mixed_calls(count, fleet.plan.shape.workspaces, seed=11)
+    daemons = [daemon.http for daemon in fleet.plan.daemons]
+    return send_all(calls, take_turns(daemons), concurrency=4)
+
+
+@when('the daemons have written their status', target_fixture='day')
+def wait_written(fleet: LocalFleet, outcomes: list[Outcome]) -> Day:
+    wanted = sum(not outcome.call.service for outcome in outcomes)
+    wait_until(
+        lambda: _read_day(fleet).total('requests') >= wanted + 2,
+        'statuses with all requests',
+    )
+    return _read_day(fleet)
+
+
+def _read_day(fleet: LocalFleet) -> Day:
+    statuses = read_statuses(_client(fleet))
+    newest = max(status.written_at_unix_s for status in statuses)
+    return merge_day(day_of(newest), statuses)
+
+
+@then('the page counts the answers that the callers saw')
+def check_answers(fleet: LocalFleet, day: Day, outcomes: list[Outcome]) -> None:
+    facts = Facts(day, parse_configuration(_stored_text(fleet)))
+    completed = [
+        run for run in engine_runs(fleet) if run['outcome'] == 'completed'
+    ]
+    assert facts.count('completed') == len(completed)
+    for rank in ('urgent', 'background'):
+        seen = [
+            outcome
+            for outcome in outcomes
+            if outcome.call.rank == rank and not outcome.call.service
+        ]
+        assert facts.asked(rank=rank) == len(seen)
+
+
+@then('the page counts the orders that the stand-ins ran')
+def check_orders(fleet: LocalFleet, day: Day) -> None:
+    counted = day.total('service_calls', verdict='completed')
+    assert counted == len(service_calls(fleet))
+
+
+@then('the first line of the printed report is yes or no')
+def check_first_line(fleet: LocalFleet) -> None:
+    report = _run_tool(fleet, 'report')
+    first = report.text.splitlines()[0]
+    assert first.startswith(('Yes: ', 'No: ')[report.code])
+
+
+def _stored_text(fleet: LocalFleet) -> str:
+    return read_stored(_client(fleet)).text
+
+
+def _write(path: pathlib.Path, fleet: LocalFleet, **changes: Any) -> str:
+    document = fleet_configuration(fleet.plan)
+    changed = evolve(check_document(document), **changes)
+    path.write_text(format_configuration(changed))
+    return str(path)
+
+
+@when('another operator submits just before mine', target_fixture='ended')
+def race(fleet: LocalFleet, tmp_path: pathlib.Path) -> ToolRun:
+    version = str(read_stored(_client(fleet)).version)
+    theirs = _write(tmp_path / 'theirs', fleet, key_retention_s=7)
+    mine = _write(tmp_path / 'mine', fleet, key_retention_s=8)
+    assert _run_tool(fleet, 'submit', theirs).code == 0
+    return _run_tool(fleet, 'submit', mine, '--expect-version', version)
+
+
+@then('my submission ends with exit code 3 and shows the difference')
+def check_conflict(ended: ToolRun) -> None:
+    assert ended.code == 3
+    assert '$.key_retention_s: 7.0 -> 8.0' in ended.text
+
+
+@when(
+    parsers.parse(
+        'the answers to the next {count:d} changes of the configuration '
+        'are lost',
+    ),
+)
+def lose_answers(fleet: LocalFleet, count: int) -> None:
+    faults = {'lose_answers': count, 'lose_kind': 'configuration'}
+    fleet.control(fleet.plan.platform, faults)
+
+
+@then('my submission ends with exit code 0 and is in force at all daemons')
+def check_resolved(fleet: LocalFleet, tmp_path: pathlib.Path) -> None:
+    mine = _write(tmp_path / 'mine', fleet, key_retention_s=9)
+    ended = _run_tool(fleet, 'submit', mine, '--wait')
+    assert ended.code == 0
+    assert '2 of 2 live daemons' in ended.text
+    assert _stored_text(fleet) == pathlib.Path(mine).read_text()
+
+
+@when(
+    "a document of the operators' library is submitted", target_fixture='text'
+)
+def submit_printed(fleet: LocalFleet, tmp_path: pathlib.Path) -> str:
+    path = _write(tmp_path / 'printed', fleet, submission_id='one-printing')
+    assert _run_tool(fleet, 'submit', path).code == 0
+    return pathlib.Path(path).read_text()
+
+
+@then('the platform holds its text byte for byte')
+def check_stored(fleet: LocalFleet, text: str) -> None:
+    assert _stored_text(fleet) == text
+
+
+@when(
+    parsers.parse('the tool is run with "{arguments}"'),
+    target_fixture='ended',
+)
+def run_wrongly(fleet: LocalFleet, arguments: str) -> ToolRun:
+    return _run_tool(fleet, *arguments.split())
+
+
+@then(
+    parsers.parse('it ends with exit code {code:d} and a line about "{words}"'),
+)
+def check_line(ended: ToolRun, code: int, words: str) -> None:
+    assert ended.code == code
+    assert words in ended.text
+    assert 'Traceback' not in ended.text
