--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -18,6 +18,7 @@
 import typer  # noqa: E402
 
 from cowslipstep.daemon._daemon import run_daemon  # noqa: E402
+from cowslipstep.daemon._listening import ListenError  # noqa: E402
 from cowslipstep.daemon._logs import start_logging  # noqa: E402
 from cowslipstep.settings import load_daemon_settings  # noqa: E402
 
@@ -36,7 +37,11 @@
             typer.echo(f'error: {problem}', err=True)
         raise typer.Exit(2) from None
     start_logging(loaded.log_level)
-    run_daemon(loaded)
+    try:
+        run_daemon(loaded)
+    except ListenError as error:
+        typer.echo(f'error: {error}', err=True)
+        raise typer.Exit(1) from None
 
 
 def main() -> None:
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
@@ -0,0 +1,31 @@
+"""Tasks that keep a daemon's view of its fleet."""
+
+from __future__ import annotations
+
+from cowslipstep.daemon._awareness import start_awareness
+from cowslipstep.daemon._cells import CellService
+from cowslipstep.daemon._configuration import ConfigurationFeed
+from cowslipstep.daemon._groups import PERIOD_S, GroupService
+from cowslipstep.daemon._heartbeats import Heartbeats
+from cowslipstep.daemon._links import PeerLinks
+from cowslipstep.daemon._listening import listening_on
+from cowslipstep.daemon._peers import PeerService
+from cowslipstep.daemon._reports import OwnReports
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._tasks import repeat, start_task
+
+
+def start_control(
+    state: DaemonState,
+    cells: CellService,
+    links: PeerLinks,
+) -> None:
+    """Start the tasks for peers, configuration and groups."""
+    feed = ConfigurationFeed(state)
+    groups = GroupService(state)
+    reports = OwnReports(state, groups.own_readiness)
+    with listening_on(state.settings.peer_address):
+        PeerService(state, feed, cells, reports).start()
+    start_task('groups', repeat(PERIOD_S, groups.step))
+    Heartbeats(state, feed, links).start(reports)
+    start_awareness(state, feed)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -2,66 +2,48 @@
 
 from __future__ import annotations
 
-import contextlib
-import functools
-from collections.abc import Iterator
-
 from cowslipstep.daemon._cells import CellService
-from cowslipstep.daemon._configuration import ConfigurationFeed
+from cowslipstep.daemon._control import start_control
 from cowslipstep.daemon._delivery import DeliveryService
 from cowslipstep.daemon._entry import EntryApplication
-from cowslipstep.daemon._groups import PERIOD_S, GroupService
 from cowslipstep.daemon._links import PeerLinks
-from cowslipstep.daemon._peers import Heartbeats, PeerService
-from cowslipstep.daemon._retention import (
-    RETENTION_PERIOD_S,
-    delete_old_statuses,
-)
-from cowslipstep.daemon._server import serve_until, stop_event
+from cowslipstep.daemon._listening import listen_http
+from cowslipstep.daemon._opening import open_state
+from cowslipstep.daemon._planned_stop import stop_as_planned
+from cowslipstep.daemon._server import CallerServer, stop_event
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.daemon._status import StatusWriter
-from cowslipstep.daemon._tasks import repeat, start_task
-from cowslipstep.platform import PlatformClient
+from cowslipstep.daemon._status_tasks import status_kept
+from cowslipstep.daemon._tasks import start_task
 from cowslipstep.settings import DaemonSettings
 
 
 def run_daemon(settings: DaemonSettings) -> None:
-    """Run a daemon until a planned stop has ended."""
+    """Run a daemon until a planned stop has ended.
+
+    Raises
+    ------
+    ListenError
+        If an address is taken.
+    """
     stop = stop_event()
-    state = DaemonState(settings, PlatformClient(settings.platform_address))
+    state = open_state(settings)
+    listener = listen_http(settings.http_address)
+    server = CallerServer(listener, _start(state), state)
+    server.start()
+    with status_kept(state):
+        stop.wait()
+        stop_as_planned(server, state)
+
+
+def _start(state: DaemonState) -> EntryApplication:
     cells = CellService(state)
-    links = PeerLinks()
+    links = PeerLinks(state)
     start_task('cells', cells.run)
-    _start_control(state, cells, links)
-    application = EntryApplication(
+    start_control(state, cells, links)
+    return EntryApplication(
         state,
         DeliveryService(state, SlotService(state, cells, links)),
         ServiceCalls(state),
     )
-    with _status_kept(state):
-        serve_until(stop, application, state)
-
-
-@contextlib.contextmanager
-def _status_kept(state: DaemonState) -> Iterator[None]:
-    status = StatusWriter(state)
-    retain = functools.partial(delete_old_statuses, state)
-    start_task('status', status.run)
-    start_task('status retention', repeat(RETENTION_PERIOD_S, retain))
-    yield
-    status.write_last()
-
-
-def _start_control(
-    state: DaemonState,
-    cells: CellService,
-    links: PeerLinks,
-) -> None:
-    feed = ConfigurationFeed(state)
-    groups = GroupService(state)
-    start_task('configuration', repeat(0, feed.watch))
-    start_task('groups', repeat(PERIOD_S, groups.step))
-    PeerService(state, feed, cells).start()
-    Heartbeats(state, feed, groups.own_readiness).start(links)
