Render histograms without holding up streams

Cause: GET /metrics of a daemon with 120 series (10 workspaces, 3 ranks) computed for 255 ms without a pause, in which no stream got a token: each quantile was a pass of its own over the counts.

Ruled out: caching the text, which is as late as the cache is old.

Change: all quantiles of a series in one pass; other tasks run after each series.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from attrs import asdict
+from eventlet import sleep
 
 from cowslipstep.daemon._http import JsonAnswer, StartResponse
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.metrics import CounterKey
+from cowslipstep.metrics import CounterKey, Histograms
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -24,6 +25,13 @@
     return JsonAnswer(_OK if state.ready else _UNAVAILABLE, document)
 
 
+def _render_slowly(histograms: Histograms) -> Iterator[str]:
+    for text in histograms.render():
+        yield text
+        # Finding the quantiles of all series at once would hold up streams.
+        sleep(0)
+
+
 def send_metrics(
     start_response: StartResponse,
     state: DaemonState,
@@ -34,7 +42,7 @@
     lines = [
         *state.counters.render(),
         *state.gauges.render(),
-        *state.histograms.render(),
+        *_render_slowly(state.histograms),
     ]
     return [f'{line}\n'.encode() for line in lines]
 
--- a/libs/metrics/src/cowslipstep/metrics/_durations.py
+++ b/libs/metrics/src/cowslipstep/metrics/_durations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from hdrh.histogram import HdrHistogram
 
 from cowslipstep.model import DocumentError
@@ -44,18 +46,21 @@
         """Add all durations of another histogram."""
         self._counts.add(other.counts)
 
-    def quantile_s(self, quantile: float) -> float:
-        """Return the duration that a share of all does not exceed, seconds.
+    def quantiles_s(self, quantiles: Sequence[float]) -> list[float]:
+        """Return durations that shares of all do not exceed, seconds.
+
+        All of them are found in one pass over the counts.
 
         Examples
         --------
         >>> histogram = empty_histogram()
         >>> histogram.record(0.1)
-        >>> round(histogram.quantile_s(0.5), 2)
-        0.1
+        >>> [round(bound_s, 2) for bound_s in histogram.quantiles_s([0.5, 1])]
+        [0.1, 0.1]
         """
-        bound_us = self._counts.get_value_at_percentile(quantile * _PERCENT)
-        return float(bound_us) / _US_PER_S
+        percents = [quantile * _PERCENT for quantile in quantiles]
+        bounds_us = self._counts.get_percentile_to_value_dict(percents)
+        return [bounds_us.get(percent, 0) / _US_PER_S for percent in percents]
 
     def count_within(self, bound_s: float) -> int:
         """Return how many durations are at most ``bound_s``.
--- a/libs/metrics/src/cowslipstep/metrics/_histograms.py
+++ b/libs/metrics/src/cowslipstep/metrics/_histograms.py
@@ -58,17 +58,17 @@
         self._by_series.clear()
 
     def render(self) -> Iterator[str]:
-        """Yield lines in the text format of Prometheus."""
+        """Yield text in the format of Prometheus, one piece a series."""
         for series in sorted(self._by_series):
-            yield from _render(series, self._by_series[series])
+            yield '\n'.join(_render(series, self._by_series[series]))
 
 
 def _render(series: Series, histogram: DurationHistogram) -> Iterator[str]:
     name = f'{series.name}_seconds'
     labels = (('workspace', series.workspace), ('rank', series.rank))
-    for quantile in _QUANTILES:
-        at_quantile = (*labels, ('quantile', str(quantile)))
-        yield _line(name, at_quantile, histogram.quantile_s(quantile))
+    bounds_s = histogram.quantiles_s(_QUANTILES)
+    for quantile, bound_s in zip(_QUANTILES, bounds_s, strict=True):
+        yield _line(name, (*labels, ('quantile', str(quantile))), bound_s)
     yield _line(f'{name}_count', labels, histogram.count)
 
 
