Measure status objects and the report over 340 daemons

Cause: the pace and the size of status objects were on paper only.

Ruled out: a bench with a store, which would measure the stand-in.

--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_numbers.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_numbers.py
@@ -49,7 +49,7 @@
     """
     if not durations.count:
         return '-'
-    return duration_text(durations.quantile_s(quantile))
+    return duration_text(durations.quantiles_s([quantile])[0])
 
 
 def ratio(part: float, whole: float) -> float | None:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
@@ -89,10 +89,15 @@
 
 def _chart(facts: Facts) -> Chart:
     target = facts.configuration.targets.within_target_share
+    measured = [
+        (rank.name, share_in_time(facts, rank))
+        for rank in facts.configuration.ranks
+    ]
     return Chart(
-        'Share of first tokens in time',
+        'Share of first tokens in time, with the target',
         tuple(
-            ShareBar(rank.name, share_in_time(facts, rank) or 0, target)
-            for rank in facts.configuration.ranks
+            ShareBar(name, share, target)
+            for name, share in measured
+            if share is not None
         ),
     )
--- a/apps/cowslipstep/src/cowslipstep/cli/_submit.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_submit.py
@@ -22,6 +22,7 @@
 )
 from cowslipstep.cli._output import print_json, progress_line
 from cowslipstep.cli._submission import Submitted, submit_document
+from cowslipstep.metrics import Status
 from cowslipstep.platform import PlatformClient
 
 _WAIT_TIMEOUT_S = 60
@@ -94,8 +95,9 @@
     """
     end_s = time.monotonic() + _WAIT_TIMEOUT_S
     with progress_line() as progress:
+        statuses = live_statuses(read_statuses(platform))
         while time.monotonic() < end_s:
-            spread = _look(platform, version)
+            spread = _look(statuses, version)
             progress.show(str(spread))
             if spread.complete:
                 return
@@ -103,8 +105,8 @@
     raise NotWell(f'not in force everywhere: {spread}')
 
 
-def _look(platform: PlatformClient, version: int) -> _Spread:
-    views = view_daemons(live_statuses(read_statuses(platform)))
+def _look(statuses: tuple[Status, ...], version: int) -> _Spread:
+    views = view_daemons(statuses)
     lagging = [view.name for view in views if view.version < version]
     return _Spread(version, len(views), tuple(lagging))
 
--- /dev/null
+++ b/bench/bench_report.py
@@ -0,0 +1,58 @@
+"""The evening page over the statuses of a large fleet."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections.abc import Iterator
+
+from _figures import Figure
+from _statuses import DAY, PERIOD_S, RANKS, seeded_histograms, status_of
+from attrs import evolve
+
+from cowslipstep.cli._evening import build_page, render_html
+from cowslipstep.metrics import (
+    decode_status,
+    encode_bounded,
+    merge_day,
+)
+from cowslipstep.operator import build_configuration, rank
+
+_WORKSPACES = 10
+_DAEMONS = 340
+_MAX_WRITES_PER_S = 6
+
+
+def figures() -> Iterator[Figure]:
+    """Yield time, memory and bytes of a report over all daemons."""
+    texts = list(_texts())
+    before_kb = _peak_memory_kb()
+    begin_s = time.process_time()
+    _build_page(texts)
+    whole_s = time.process_time() - begin_s
+    yield Figure('report.cpu_s', whole_s, 's')
+    yield Figure('report.bytes_read', sum(map(len, texts)), 'B')
+    yield Figure('report.memory', _peak_memory_kb() - before_kb, 'KB')
+    yield Figure(
+        'status.writes_per_s',
+        _DAEMONS / PERIOD_S,
+        '1/s',
+        _MAX_WRITES_PER_S,
+    )
+
+
+def _texts() -> Iterator[str]:
+    status = status_of(seeded_histograms(_WORKSPACES))
+    for index in range(_DAEMONS):
+        identity = evolve(status.daemon, name=f'd{index}')
+        yield encode_bounded(evolve(status, daemon=identity))
+
+
+def _build_page(texts: list[str]) -> None:
+    day = merge_day(DAY, [decode_status(text) for text in texts])
+    ranks = [rank(name, target_first_token_s=1) for name in RANKS]
+    render_html(build_page(day, build_configuration(ranks=ranks)))
+
+
+def _peak_memory_kb() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
