--- a/standins/src/cowslipstep_standins/_caller.py
+++ b/standins/src/cowslipstep_standins/_caller.py
@@ -30,8 +30,8 @@
 
     def send(self, address: str, call: Call) -> Outcome:
         """Send a call and read its whole answer."""
-        outcome = Outcome(call)
         started_s = time.monotonic()
+        outcome = Outcome(call, started_s=started_s)
         try:
             with self._open(address, call) as answer:
                 outcome.first_byte_s = time.monotonic() - started_s
@@ -48,6 +48,7 @@
         }
         if call.key:
             headers['Idempotency-Key'] = call.key
+            headers['Idempotency-Attempt'] = str(call.attempt)
         path = '/services/order-book/orders'
         if not call.service:
             path = '/v1/completions'
