Keep broken-off requests for explain, and stranded figures only of owners

Cause: a stream that broke off after it had begun was counted but not kept, so `explain request` did not know it. Each group event was logged twice, since the event log writes a line of its own. A daemon that lost a fabric domain kept its last figure of stranded accelerators, which the report adds over time.

Change: the outcome log keeps such requests; note_event only adds the event; the gauge of a domain that another daemon owns now is removed.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
@@ -80,11 +80,17 @@
             except UpstreamFailure as failure:
                 run.note_failure(failure.verdict)
                 if not self._goes_on(caller, run, failure):
+                    self._note_cut(caller, run)
                     yield _end(caller, run, failure)
                     return
                 continue
             run.verdict = Completed()
 
+    def _note_cut(self, caller: CallerRequest, run: RunState) -> None:
+        if run.begun:
+            request_id = caller.request.request_id
+            self._outcomes.note_cut(request_id, caller.labels, run.verdict)
+
     def _goes_on(
         self,
         caller: CallerRequest,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_events.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_events.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from loguru import logger
-
 from cowslipstep.daemon._state import DaemonState
 
 
@@ -13,11 +11,5 @@
     subject: str,
     cause: str,
 ) -> None:
-    """Keep an event and write a log line with its cause."""
+    """Keep an event; the event log also writes a line for it."""
     state.events.add(kind, subject, cause)
-    logger.bind(event=kind, subject=subject, cause=cause).info(
-        '{} {}: {}',
-        kind,
-        subject,
-        cause,
-    )
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
@@ -68,6 +68,7 @@
 
     def _note_stranded(self, now_s: float) -> None:
         state = self._tools.state
+        self._forget_stranded()
         for domain, scope in self._tools.scopes.owned.items():
             if domain not in state.ledgers:
                 continue
@@ -81,6 +82,15 @@
             stranded = stranded_accelerators(view, scope.models)
             state.gauges.set(_stranded_key(domain), stranded)
 
+    def _forget_stranded(self) -> None:
+        """Remove the figures of domains that another daemon owns now."""
+        gauges = self._tools.state.gauges
+        for sample in gauges.samples:
+            domain = sample.key.label('fabric_domain')
+            lost = domain and domain not in self._tools.scopes.owned
+            if lost and sample.key == _stranded_key(domain):
+                gauges.remove(sample.key)
+
 
 def _stranded_key(domain: str) -> CounterKey:
     return CounterKey('stranded_accelerators', (('fabric_domain', domain),))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -12,8 +12,8 @@
 from cowslipstep.daemon._relay import Piece
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.metrics import CounterKey, Series
-from cowslipstep.model import RequestError
+from cowslipstep.metrics import CounterKey, RequestRecord, Series
+from cowslipstep.model import MayHaveRun, NotRun, RequestError, Verdict
 
 _TOTAL = 'total'
 _FIRST_TOKEN = 'first_token'
@@ -44,6 +44,7 @@
 
     def __init__(self, state: DaemonState, name: str) -> None:
         self._counters = state.counters
+        self._requests = state.requests
         self._name = name
 
     @contextlib.contextmanager
@@ -62,6 +63,26 @@
         pairs = (('workspace', labels.workspace), ('rank', labels.rank))
         self._counters.add(CounterKey(name, pairs))
 
+    def note_cut(
+        self,
+        request_id: str,
+        labels: RequestLabels,
+        verdict: Verdict,
+    ) -> None:
+        """Keep a request whose answer broke off after it had begun."""
+        match verdict:
+            case MayHaveRun(reason) | NotRun(reason=reason):
+                self._requests.add(
+                    RequestRecord(
+                        request_id,
+                        labels.workspace,
+                        labels.rank,
+                        verdict.code,
+                        reason.value,
+                        time.time(),
+                    ),
+                )
+
     def _note(self, labels: RequestLabels, verdict: str) -> None:
         pairs = (
             ('workspace', labels.workspace),
