Count callers that hang up apart from uncertain outcomes

Cause: on a fresh clone, `curl ... | head` counted as a request with an uncertain outcome, so that the page said no though nothing went wrong.

Ruled out: a verdict of its own for them; the request may have run, only nobody waits for its answer.

Change: a counter `hangups`; the page takes them out of the uncertain ones and tells their number. Tests of the status writer over midnight, of a lost answer and of deletion.

--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
@@ -45,10 +45,11 @@
 
 def _uncertain(facts: Facts) -> Measure:
     limit = facts.configuration.targets.uncertain_share
-    share = ratio(facts.count(MAY_HAVE_RUN), facts.asked())
+    gone = int(facts.day.total('hangups', verdict=MAY_HAVE_RUN))
+    share = ratio(facts.count(MAY_HAVE_RUN) - gone, facts.asked())
     return Measure(
         'requests with an uncertain outcome',
-        share_text(share),
+        share_text(share, f'(besides {gone} whose callers hung up)'),
         f'at most {share_text(limit)}',
         at_most(share, limit),
     )
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 from loguru import logger
 
+from cowslipstep.daemon._hangup import CallerGone
 from cowslipstep.daemon._relay import Piece
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._state import DaemonState
@@ -55,6 +56,9 @@
         except RequestError as error:
             run.verdict = error.verdict
             raise
+        except (GeneratorExit, CallerGone):
+            self._add('hangups', labels, run.verdict.code)
+            raise
         finally:
             self._note(labels, run.verdict.code)
 
@@ -84,13 +88,20 @@
                 )
 
     def _note(self, labels: RequestLabels, verdict: str) -> None:
+        self._add(self._name, labels, verdict)
+        logger.bind(
+            workspace=labels.workspace,
+            rank=labels.rank,
+            verdict=verdict,
+        ).info('request ended')
+
+    def _add(self, name: str, labels: RequestLabels, verdict: str) -> None:
         pairs = (
             ('workspace', labels.workspace),
             ('rank', labels.rank),
             ('verdict', verdict),
         )
-        self._counters.add(CounterKey(self._name, pairs))
-        logger.bind(**dict(pairs)).info('request ended')
+        self._counters.add(CounterKey(name, pairs))
 
 
 class Timings:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
@@ -51,27 +51,27 @@
     def run(self) -> None:
         """Sample and write until the task ends."""
         while True:
-            self._sampler.sample()
-            if day_of(time.time()) != day_of(self._since_unix_s):
-                self._end_day()
-            if time.monotonic() >= self._next_write_s:
-                self._next_write_s = time.monotonic() + self.period_s
-                self.write()
+            self.step()
             eventlet.sleep(min(_MAX_SAMPLE_PERIOD_S, self.period_s))
 
+    def step(self) -> None:
+        """Sample, and write when a day has ended or the time has come."""
+        self._sampler.sample()
+        if day_of(time.time()) != day_of(self._since_unix_s):
+            self._end_day()
+        if time.monotonic() >= self._next_write_s:
+            self._next_write_s = time.monotonic() + self.period_s
+            self.write()
+
     def write(self) -> None:
         """Write the figures so far; what fails is written next time."""
+        self._sampler.sample()
         status = self._status()
         try:
             self._object.write(status.object_name, encode_bounded(status))
         except PlatformUnavailable as error:
             logger.warning('status not written: {}', error)
 
-    def write_last(self) -> None:
-        """Write the figures at the end of a planned stop."""
-        self._sampler.sample()
-        self.write()
-
     def _end_day(self) -> None:
         """Write the last figures of a day and begin with empty ones."""
         self.write()
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status_tasks.py
@@ -23,4 +23,4 @@
     start_task('status', status.run)
     start_task('status retention', repeat(RETENTION_PERIOD_S, retain))
     yield
-    status.write_last()
+    status.write()
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_status.py
@@ -0,0 +1,124 @@
+"""Status objects begin anew each day, and old ones are deleted."""
+
+from __future__ import annotations
+
+import functools
+import time
+from typing import Any
+
+import pytest
+
+from cowslipstep.daemon._retention import delete_old_statuses
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._status import StatusWriter
+from cowslipstep.metrics import CounterKey, Status, decode_status, merge_day
+from cowslipstep.model import Address, MayHaveRun, Reason
+from cowslipstep.platform import (
+    ObjectKey,
+    PlatformUnavailable,
+    StoredObject,
+    VersionConflict,
+)
+from cowslipstep.settings import DaemonSettings
+
+_ANYWHERE = Address('127.0.0.1', 0)
+_DAY_S = 86400
+_NOON_UNIX_S = 1796385600
+_REQUESTS = CounterKey('requests')
+
+
+class _Store:
+    """Keeps objects in memory; answers to writes can be lost."""
+
+    def __init__(self) -> None:
+        self.stored: dict[ObjectKey, StoredObject] = {}
+        self.lose_answers = False
+
+    def create(self, key: ObjectKey, body: str) -> int:
+        if key in self.stored:
+            raise VersionConflict(str(key))
+        return self._put(key, 1, body)
+
+    def read(self, key: ObjectKey) -> StoredObject:
+        return self.stored[key]
+
+    def read_all(self, kind: str) -> tuple[StoredObject, ...]:
+        return tuple(self.stored.values())
+
+    def update(self, key: ObjectKey, version: int, body: str) -> int:
+        if self.stored[key].version != version:
+            raise VersionConflict(str(key))
+        return self._put(key, version + 1, body)
+
+    def delete(self, key: ObjectKey, version: int) -> None:
+        self.stored.pop(key)
+
+    def _put(self, key: ObjectKey, version: int, body: str) -> int:
+        self.stored[key] = StoredObject(key, version, body)
+        if self.lose_answers:
+            verdict = MayHaveRun(Reason.platform_down)
+            raise PlatformUnavailable(verdict, 'lost')
+        return version
+
+
+@pytest.fixture(name='store')
+def store_fixture() -> _Store:
+    return _Store()
+
+
+@pytest.fixture(name='state')
+def state_fixture(store: Any) -> DaemonState:
+    settings = DaemonSettings('d0', 'ebene', _ANYWHERE, _ANYWHERE, _ANYWHERE)
+    return DaemonState(settings, store)
+
+
+def _statuses(store: _Store) -> list[Status]:
+    return [decode_status(entry.body) for entry in store.stored.values()]
+
+
+def test_a_new_day_begins_with_empty_figures(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(time, 'time', lambda: _NOON_UNIX_S)
+    writer = StatusWriter(state)
+    state.counters.add(_REQUESTS, 3)
+    writer.step()
+    state.counters.add(_REQUESTS, 2)
+    monkeypatch.setattr(time, 'time', lambda: _NOON_UNIX_S + _DAY_S)
+    writer.step()
+    state.counters.add(_REQUESTS, 1)
+    writer.write()
+    first, second = _statuses(store)
+    assert merge_day(first.day, [first, second]).total('requests') == 5
+    assert merge_day(second.day, [first, second]).total('requests') == 1
+
+
+def test_a_write_whose_answer_is_lost_is_replaced(
+    store: _Store,
+    state: DaemonState,
+) -> None:
+    writer = StatusWriter(state)
+    store.lose_answers = True
+    writer.write()
+    store.lose_answers = False
+    state.counters.add(_REQUESTS, 4)
+    writer.write()
+    assert len(store.stored) == 1
+    assert _statuses(store)[0].counters[0].amount == 4
+
+
+def test_statuses_before_yesterday_are_deleted(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = time.time()
+    for days_ago in (3, 2, 1, 0):
+        begun_s = now_s - days_ago * _DAY_S
+        monkeypatch.setattr(time, 'time', functools.partial(float, begun_s))
+        StatusWriter(state).write()
+    monkeypatch.undo()
+    delete_old_statuses(state)
+    assert len(_statuses(store)) == 2
