--- /dev/null
+++ b/apps/cowslipstep/tests/test_evening.py
@@ -0,0 +1,170 @@
+"""The evening page says yes or no for the right reason."""
+
+from __future__ import annotations
+
+import re
+from xml.dom import minidom
+
+import pytest
+from attrs import evolve
+
+from cowslipstep.cli._evening import Page, build_page, render_html, render_text
+from cowslipstep.metrics import (
+    CounterKey,
+    Counters,
+    DaemonIdentity,
+    Event,
+    Histograms,
+    Series,
+    SlotCount,
+    SlotKey,
+    Status,
+    merge_day,
+)
+from cowslipstep.operator import (
+    build_configuration,
+    model,
+    rank,
+    runners,
+    workspace,
+)
+
+_DAY = '1970-01-01'
+_HOUR_S = 3600
+_LARGE = 'large-firm'
+_SMALL = 'small-firm'
+_CONFIGURATION = build_configuration(
+    ranks=[
+        rank('urgent', target_first_token_s=1, floor_share=0.2),
+        rank('background', target_first_token_s=60, floor_share=0.2),
+    ],
+    workspaces=[workspace(_LARGE), workspace(_SMALL), workspace('third')],
+    models=[model('drafting', groups=2, hosts_per_group=1)],
+    runners=runners('ebene', ['10.0.0.1:80', '10.0.0.2:80']),
+)
+
+
+class _Figures:
+    """Collects the figures of a day."""
+
+    def __init__(self) -> None:
+        self.counters = Counters()
+        self.histograms = Histograms()
+
+    def answered(self, name: str, count: int, first_token_s: float) -> None:
+        """Add answered urgent requests of a workspace."""
+        self.ended(name, count, 'completed')
+        series = Series('first_token', name, 'urgent')
+        for _ in range(count):
+            self.histograms.record(series, first_token_s)
+
+    def ended(self, name: str, count: int, verdict: str) -> None:
+        """Add urgent requests of a workspace that ended with a verdict."""
+        labels = (
+            ('workspace', name),
+            ('rank', 'urgent'),
+            ('verdict', verdict),
+        )
+        self.counters.add(CounterKey('requests', labels), count)
+
+    def status(self) -> Status:
+        """Return the status of a daemon with these figures."""
+        return Status(
+            DaemonIdentity('d0', 1, 'ebene', '127.0.0.1:80'),
+            _DAY,
+            since_unix_s=0,
+            written_at_unix_s=_HOUR_S,
+            period_s=60,
+            counters=self.counters.samples,
+            histograms=tuple(self.histograms.encode_each()),
+        )
+
+
+def _page(*statuses: Status) -> Page:
+    return build_page(merge_day(_DAY, statuses), _CONFIGURATION)
+
+
+@pytest.fixture(name='figures')
+def figures_fixture() -> _Figures:
+    """A day on which all went well."""
+    figures = _Figures()
+    figures.answered(_LARGE, 90, first_token_s=0.1)
+    figures.answered(_SMALL, 5, first_token_s=0.1)
+    figures.answered('third', 5, first_token_s=0.1)
+    return figures
+
+
+def test_a_day_that_went_well(figures: _Figures) -> None:
+    page = _page(figures.status())
+    assert page.first_line == 'Yes: all targets were reached, with 100 requests'
+    assert page.well
+
+
+def test_a_day_without_statuses() -> None:
+    assert _page().first_line == f'No: no daemon wrote a status on {_DAY}'
+
+
+def test_slow_small_workspaces_are_seen(figures: _Figures) -> None:
+    figures.answered(_SMALL, 4, first_token_s=2)
+    page = _page(figures.status())
+    assert page.first_line.startswith('No: small workspaces: first token')
+    assert '71.43% (large ones: 100.00%)' in page.first_line
+
+
+def test_uncertain_outcomes_are_seen(figures: _Figures) -> None:
+    figures.ended(_LARGE, 1, 'may_have_run')
+    page = _page(figures.status())
+    assert page.first_line.startswith('No: requests with an uncertain outcome')
+
+
+def test_group_downtime_is_seen(figures: _Figures) -> None:
+    key = CounterKey('group_down_ms', (('model', 'drafting'),))
+    figures.counters.add(key, 2 * _HOUR_S * 1000 // 10)
+    page = _page(figures.status())
+    assert page.first_line.startswith(
+        'No: groups of drafting serving: 90.00% of the time, 720.0 s down',
+    )
+
+
+@pytest.mark.parametrize(('kept', 'well'), [(1, False), (40, True)])
+def test_floods_are_seen(figures: _Figures, kept: int, well: bool) -> None:
+    timeline = (
+        _slot('urgent', 'completed', 100),
+        _slot('urgent', 'not_run', 900),
+        _slot('background', 'completed', kept),
+        _slot('background', 'not_run', 5),
+    )
+    page = _page(evolve(figures.status(), timeline=timeline))
+    assert page.well == well
+    text = '\n'.join(render_text(page))
+    assert '01:00 urgent (flood)' in text
+    assert ('background at 01:00' in page.first_line) != well
+
+
+def _slot(rank_name: str, verdict: str, count: int) -> SlotCount:
+    return SlotCount(SlotKey(12, rank_name, verdict), count)
+
+
+def test_a_daemon_that_fell_silent_is_an_incident(figures: _Figures) -> None:
+    lost = evolve(
+        figures.status(),
+        daemon=DaemonIdentity('d1', 1, 'ebene', '127.0.0.1:81'),
+        written_at_unix_s=600,
+        events=(Event('lease_taken', 'ebene', 'it had <lapsed>', 300),),
+    )
+    page = _page(figures.status(), lost)
+    text = '\n'.join(render_text(page))
+    assert re.search('00:05:00 +lease_taken +ebene', text)
+    assert re.search('00:10:00 +daemon_silent +d1', text)
+
+
+def test_html_is_whole_and_escaped(figures: _Figures) -> None:
+    events = (Event('lease_taken', 'ebene', 'it had <lapsed>', 300),)
+    page = _page(evolve(figures.status(), events=events))
+    html = render_html(page)
+    assert '&lt;lapsed&gt;' in html
+    drawings = re.findall('<svg.*?</svg>', html, re.DOTALL)
+    assert len(drawings) == 2
+    for drawing in drawings:
+        assert minidom.parseString(drawing).documentElement
+    assert 'src=' not in html and 'href=' not in html
