Prove at-most-once with killed and paused daemons, cuts and outages

A re-send right behind an answer met the open claim, because the answer is kept after the caller has it, and was told may_have_run.

Ruled out: waiting for the ledger before the caller gets its answer (adds a write to each order's time).

Change: a feature with three daemons (SIGKILL, SIGSTOP between claim and call), runners that cut before and after the run, a platform that loses answers or is down. A key in use is looked up again three times within 0.7 s.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
@@ -17,6 +17,7 @@
     AnswerOrder,
     EnterOrder,
     EntryResult,
+    InUse,
     OrderAnswer,
     OrderChange,
     WithdrawOrder,
@@ -25,6 +26,7 @@
 from cowslipstep.model import NotRun, Reason, RequestError
 
 _UNAVAILABLE = 503
+_LOOK_AGAIN_S = (0.1, 0.2, 0.4)
 
 Task = Any
 
@@ -36,10 +38,18 @@
     ----------
     ledger
         Ledger of orders.
+    look_again_s
+        Delays after which a key in use is looked up again, seconds; the
+        attempt that holds it may be about to be answered.
     """
 
-    def __init__(self, ledger: OrderLedger) -> None:
+    def __init__(
+        self,
+        ledger: OrderLedger,
+        look_again_s: tuple[float, ...] = _LOOK_AGAIN_S,
+    ) -> None:
         self._ledger = ledger
+        self._look_again_s = look_again_s
 
     def enter(self, order: KeyedOrder) -> EntryResult:
         """Enter a claim and wait for the platform to confirm it.
@@ -50,7 +60,7 @@
             If the platform does not confirm it.
         """
         try:
-            return self._change(order, EnterOrder(order.claim))
+            return self._enter(order)
         except LedgerUnavailable as error:
             down = NotRun(Reason.platform_down, retry_after_s=1)
             raise RequestError(
@@ -87,12 +97,27 @@
         change = WithdrawOrder(order.claim)
         return eventlet.spawn(self._try_change, order, change)
 
+    def _enter(self, order: KeyedOrder) -> EntryResult:
+        change = EnterOrder(order.claim)
+        outcome = _change(self._ledger, order, change)
+        for delay_s in self._look_again_s:
+            if outcome != InUse():
+                break
+            eventlet.sleep(delay_s)
+            outcome = _change(self._ledger, order, change)
+        return outcome
+
     def _try_change(self, order: KeyedOrder, change: OrderChange) -> None:
         try:
-            self._change(order, change)
+            _change(self._ledger, order, change)
         except LedgerUnavailable as error:
             # The entry stays open, so that the order cannot run again.
             logger.warning('an order entry stays open: {}', error)
 
-    def _change(self, order: KeyedOrder, change: OrderChange) -> EntryResult:
-        return self._ledger.change(order.place, change, order.retention_s)
+
+def _change(
+    ledger: OrderLedger,
+    order: KeyedOrder,
+    change: OrderChange,
+) -> EntryResult:
+    return ledger.change(order.place, change, order.retention_s)
--- a/apps/cowslipstepd/tests/test_order_ledger.py
+++ b/apps/cowslipstepd/tests/test_order_ledger.py
@@ -42,6 +42,7 @@
 TIMEOUT_S = 5
 RETENTION_S = 3600
 WRITE_TIMEOUT_S = 0.15
+LOOK_AGAIN_S = (0.01, 0.03)
 DOWN = NotRun(Reason.platform_down)
 LOST = MayHaveRun(Reason.platform_down)
 CUT = MayHaveRun(Reason.upstream_cut)
@@ -99,7 +100,7 @@
     def __init__(self, case: Case) -> None:
         self._case = case
         ledger = OrderLedger(SegmentStore(self), WRITE_TIMEOUT_S)
-        self.keyed = KeyedRuns(OrderClaims(ledger), Counters())
+        self.keyed = KeyedRuns(OrderClaims(ledger, LOOK_AGAIN_S), Counters())
         self._dead = False
 
     def step(self) -> None:
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,281 @@
+"""Steps of the feature on keyed orders."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from types import MappingProxyType
+
+import attrs
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+from urllib3 import PoolManager
+
+from cowslipstep.delivery import locate_key
+from cowslipstep_standins._caller import Caller
+from cowslipstep_standins._checker import tally
+from cowslipstep_standins._fleet import LocalFleet, local_fleet
+from cowslipstep_standins._outcomes import Call, Outcome
+from cowslipstep_standins._plan import FleetShape
+from cowslipstep_standins._processes import wait_until
+from cowslipstep_standins._records import service_calls
+
+scenarios('orders.feature')
+
+_NUMBERS = itertools.count()
+_SEED = 11
+_FAULT_FIELDS = MappingProxyType(
+    {
+        'cut before run': {'cut_before_run': 1},
+        'cut after run': {'cut_after_run': 1},
+        'refuse': {'refuse': True},
+    },
+)
+_RUNNER_FAULTS = ({}, {}, *_FAULT_FIELDS.values())
+_PLATFORM_FAULTS = (
+    {},
+    {},
+    {'lose_answers': 1, 'lose_kind': 'orders'},
+    {'outage': True},
+)
+
+
+@attrs.define
+class Orders:
+    """The order of a scenario and what came of its sends."""
+
+    fleet: LocalFleet
+    call: Call
+    sent: list[Outcome] = attrs.field(factory=list)
+    pending: Future[Outcome] | None = None
+
+    def send(self, daemon: int, call: Call) -> Outcome:
+        """Send a call to a daemon."""
+        plan = self.fleet.plan.daemon(f'd{daemon}')
+        return Caller().send(plan.http, call)
+
+    def settle(self) -> None:
+        """Wait for the send that is on its way."""
+        if self.pending is not None:
+            self.sent.insert(0, self.pending.result())
+            self.pending = None
+
+    def runs(self) -> int:
+        """Count the runs of the order."""
+        calls = service_calls(self.fleet)
+        return sum(call['key'] == self.call.key for call in calls)
+
+
+@pytest.fixture(scope='module')
+def order_fleet() -> Iterator[LocalFleet]:
+    with local_fleet(FleetShape(daemons=3, services=2)) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def pool() -> Iterator[ThreadPoolExecutor]:
+    with ThreadPoolExecutor(4) as threads:
+        yield threads
+
+
+@given(
+    'a fleet of three daemons and two runners that keep orders',
+    target_fixture='orders',
+)
+def given_orders(order_fleet: LocalFleet) -> Iterator[Orders]:
+    number = next(_NUMBERS)
+    call = Call(f'mallets {number}', 'grid-a', key=f'k-{number}', service=True)
+    yield Orders(order_fleet, call)
+    set_runners(order_fleet, {})
+    set_platform(order_fleet, {})
+    for daemon in order_fleet.plan.daemons:
+        if not order_fleet.daemon(daemon.name).running:
+            order_fleet.start_daemon(daemon.name)
+    order_fleet.wait_serving()
+
+
+def set_runners(fleet: LocalFleet, faults: dict) -> None:
+    for address in fleet.plan.services:
+        fleet.control(address, faults)
+
+
+def set_platform(fleet: LocalFleet, faults: dict) -> None:
+    fleet.control(fleet.plan.platform, faults)
+
+
+@given(parsers.parse('both runners will {fault} the next call'))
+def runners_fail(orders: Orders, fault: str) -> None:
+    set_runners(orders.fleet, _FAULT_FIELDS[fault])
+
+
+@given(parsers.parse('the runners take {seconds:g} second for a call'))
+def runners_slow(orders: Orders, seconds: float) -> None:
+    set_runners(orders.fleet, {'delay_s': seconds})
+
+
+@given(parsers.parse('the platform will lose {count:d} answers'))
+def platform_loses(orders: Orders, count: int) -> None:
+    faults = {'lose_answers': count, 'lose_kind': 'orders'}
+    set_platform(orders.fleet, faults)
+
+
+@given('the platform is down')
+def platform_down(orders: Orders) -> None:
+    set_platform(orders.fleet, {'outage': True})
+
+
+@given(parsers.parse('the platform takes {seconds:g} seconds for a call'))
+def platform_slow(orders: Orders, seconds: float) -> None:
+    set_platform(orders.fleet, {'delay_s': seconds})
+
+
+@when('the runners take calls again')
+def runners_well(orders: Orders) -> None:
+    set_runners(orders.fleet, {})
+
+
+@when('the platform is quick again')
+def platform_well(orders: Orders) -> None:
+    set_platform(orders.fleet, {})
+
+
+@when(parsers.parse('an order is sent to daemon {daemon:d}'))
+def send_first(orders: Orders, daemon: int) -> None:
+    orders.sent.append(orders.send(daemon, orders.call))
+
+
+@when(parsers.parse('it is sent again to daemon {daemon:d}'))
+def send_again(orders: Orders, daemon: int) -> None:
+    again = attrs.evolve(orders.call, attempt=2)
+    orders.sent.append(orders.send(daemon, again))
+
+
+@when(
+    parsers.parse('a different order is sent with its key to daemon {daemon:d}')
+)
+def send_different(orders: Orders, daemon: int) -> None:
+    other = attrs.evolve(orders.call, prompt='other', attempt=2)
+    orders.sent.append(orders.send(daemon, other))
+
+
+@when(parsers.parse('an order is on its way through daemon {daemon:d}'))
+def start_sending(
+    orders: Orders,
+    daemon: int,
+    pool: ThreadPoolExecutor,
+) -> None:
+    orders.pending = pool.submit(orders.send, daemon, orders.call)
+
+
+@when(parsers.parse('daemon {daemon:d} is killed once the order runs'))
+def kill_daemon(orders: Orders, daemon: int) -> None:
+    wait_until(lambda: orders.runs() == 1, 'the order runs')
+    orders.fleet.daemon(f'd{daemon}').kill()
+
+
+@when(parsers.parse('daemon {daemon:d} is paused once the claim is entered'))
+def pause_daemon(orders: Orders, daemon: int) -> None:
+    writes = count_writes(orders.fleet)
+    wait_until(
+        lambda: count_writes(orders.fleet) > writes,
+        'a claim on its way',
+    )
+    orders.fleet.daemon(f'd{daemon}').freeze()
+    wait_until(lambda: is_entered(orders), 'the claim is entered')
+
+
+def count_writes(fleet: LocalFleet) -> int:
+    counts = fleet.control(fleet.plan.platform)['counts']
+    return counts.get('POST orders', 0) + counts.get('PUT orders', 0)
+
+
+def is_entered(orders: Orders) -> bool:
+    call = orders.call
+    place = locate_key(call.workspace, call.key, 0, 1)
+    platform = orders.fleet.plan.platform
+    url = f'http://{platform}/objects/orders'
+    listed = PoolManager().request('GET', url)
+    return place.digest in listed.data.decode()
+
+
+@when(parsers.parse('daemon {daemon:d} goes on'))
+def thaw_daemon(orders: Orders, daemon: int) -> None:
+    orders.fleet.daemon(f'd{daemon}').thaw()
+
+
+@when(
+    parsers.parse(
+        '{count:d} orders are sent 1 to 5 times while faults come and go',
+    ),
+    target_fixture='outcomes',
+)
+def send_under_faults(orders: Orders, count: int) -> list[Outcome]:
+    rng = random.Random(_SEED)
+    return [
+        send_with_fault(orders, call, rng)
+        for number in range(count)
+        for call in repeated_sends(f'r-{number}', rng)
+    ]
+
+
+def repeated_sends(key: str, rng: random.Random) -> list[Call]:
+    call = Call(key, 'grid-b', key=key, service=True)
+    attempts = range(1, rng.randint(1, 5) + 1)
+    return [attrs.evolve(call, attempt=attempt) for attempt in attempts]
+
+
+def send_with_fault(orders: Orders, call: Call, rng: random.Random) -> Outcome:
+    set_runners(orders.fleet, rng.choice(_RUNNER_FAULTS))
+    set_platform(orders.fleet, rng.choice(_PLATFORM_FAULTS))
+    return orders.send(rng.randrange(3), call)
+
+
+@then(parsers.parse('the answers are "{first}" and "{second}"'))
+def check_verdicts(orders: Orders, first: str, second: str) -> None:
+    orders.settle()
+    verdicts = [outcome.verdict for outcome in orders.sent]
+    assert verdicts == [first, second]
+
+
+@then(parsers.parse('the second answer is "{second}"'))
+def check_second(orders: Orders, second: str) -> None:
+    orders.settle()
+    assert orders.sent[1].verdict == second
+
+
+@then('the two answers are the same')
+def check_same(orders: Orders) -> None:
+    first, second = orders.sent
+    assert first.correct
+    assert first.text == second.text
+    assert second.headers['Idempotent-Replayed'] == 'true'
+
+
+@then(parsers.parse('the second code is "{code}"'))
+def check_code(orders: Orders, code: str) -> None:
+    assert orders.sent[1].code == code
+
+
+@then(parsers.parse('the order ran {count:d} time'))
+def check_runs(orders: Orders, count: int) -> None:
+    assert orders.runs() == count
+
+
+@then('the order ran at most once')
+def check_at_most_once(orders: Orders) -> None:
+    assert orders.runs() <= 1
+
+
+@then('no order ran twice')
+def check_none_twice(outcomes: list[Outcome], orders: Orders) -> None:
+    counted = tally(outcomes, orders.fleet)
+    assert counted.doubled == 0
+    assert counted.misdelivered == 0
+    assert counted.answered > 0
+
+
+@then('no order that ran was answered "not_run"')
+def check_not_run(outcomes: list[Outcome], orders: Orders) -> None:
+    assert tally(outcomes, orders.fleet).false_not_run == 0
