--- a/apps/cowslipstepd/src/cowslipstep/daemon/_tries.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_tries.py
@@ -16,6 +16,7 @@
 from cowslipstep.daemon._slots import Slot, SlotService
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._upstream import UpstreamFailure, UpstreamPool
+from cowslipstep.delivery import choose_avoided
 from cowslipstep.model import NotRun, Reason
 
 _RENEWAL_PERIOD_S = 1
@@ -37,6 +38,7 @@
     """
 
     def __init__(self, state: DaemonState, slots: SlotService) -> None:
+        self._state = state
         self._timings = Timings(state)
         self._slots = slots
         self._upstreams = UpstreamPool()
@@ -53,7 +55,8 @@
         """
         request = attrs.evolve(caller.request, timeout_s=run.remaining_s)
         asked_s = time.monotonic()
-        with self._slots.slot(request, tuple(run.avoid)) as held:
+        avoid = choose_avoided(run.avoid, self._groups(request.model))
+        with self._slots.slot(request, avoid) as held:
             waited_s = time.monotonic() - asked_s
             self._timings.record('queue_wait', caller.labels, waited_s)
             match held:
@@ -63,6 +66,14 @@
                     run.avoid.append(held.grant.group)
                     yield from self._send(caller, held, run)
 
+    def _groups(self, model: str) -> set[str]:
+        return {
+            group.name
+            for ledger in self._state.ledgers.values()
+            for group in ledger.groups
+            if group.model == model
+        }
+
     def _send(
         self,
         caller: CallerRequest,
--- a/libs/delivery/src/cowslipstep/delivery/__init__.py
+++ b/libs/delivery/src/cowslipstep/delivery/__init__.py
@@ -4,6 +4,7 @@
 passed in.
 """
 
+from cowslipstep.delivery._avoidance import choose_avoided
 from cowslipstep.delivery._budget import RetryBudget
 from cowslipstep.delivery._entry_results import (
     Answered,
--- a/standins/src/cowslipstep_standins/_completions.py
+++ b/standins/src/cowslipstep_standins/_completions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import collections
+import contextlib
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Generator, Iterable, Iterator
 
 import eventlet
 
@@ -14,6 +14,7 @@
     HttpAnswer,
     HttpRequest,
     StartResponse,
+    is_abandoned,
     ok,
     send_json,
 )
@@ -54,22 +55,27 @@
             return send_json(start_response, answer)
         chat = request.segments[1] == 'chat'
         generation = parse_generation(request.document, request.headers, chat)
-        return self._run(generation, start_response)
+        if not generation.stream:
+            self._run_whole(generation, request)
+            return send_json(start_response, ok(generation.document()))
+        start_response('200 OK', list(_SSE_HEADERS))
+        return self._generate(generation)
 
-    def _run(
+    def _run_whole(
         self,
         generation: Generation,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        events = self._generate(generation)
-        if generation.stream:
-            start_response('200 OK', list(_SSE_HEADERS))
-            return events
-        # A unary answer is generated like a streamed one, then sent whole.
-        collections.deque(events, maxlen=0)
-        return send_json(start_response, ok(generation.document()))
-
-    def _generate(self, generation: Generation) -> Iterator[bytes]:
+        request: HttpRequest,
+    ) -> None:
+        """Generate as for a stream; cancel if the caller goes away."""
+        with contextlib.closing(self._generate(generation)) as events:
+            for _ in events:
+                if is_abandoned(request):
+                    raise ConnectionResetError('the caller is gone')
+
+    def _generate(
+        self,
+        generation: Generation,
+    ) -> Generator[bytes, None, None]:
         with self._host.batch.slot(generation.priority):
             run = self._record(generation)
             try:
--- a/standins/src/cowslipstep_standins/_http.py
+++ b/standins/src/cowslipstep_standins/_http.py
@@ -9,11 +9,13 @@
 from urllib.parse import parse_qsl
 
 from attrs import field, frozen
+from eventlet import patcher
 
 Environ = dict[str, Any]
 Header = tuple[str, str]
 StartResponse = Callable[[str, list[Header]], Any]
 
+_select = patcher.original('select')
 _JSON_HEADERS = (('Content-Type', 'application/json'),)
 
 
@@ -26,6 +28,7 @@
     query: dict[str, str]
     body: bytes
     headers: dict[str, str]
+    connection: Any = field(default=None, eq=False, repr=False)
 
     @property
     def document(self) -> Any:
@@ -59,6 +62,7 @@
         dict(parse_qsl(environ.get('QUERY_STRING', ''))),
         environ['wsgi.input'].read(),
         headers,
+        environ['wsgi.input'].get_socket(),
     )
 
 
@@ -76,6 +80,15 @@
     return [payload]
 
 
+def is_abandoned(request: HttpRequest) -> bool:
+    """Say whether the caller has closed the connection of its request."""
+    poller = _select.poll()
+    poller.register(request.connection.fileno(), _select.POLLIN)
+    if not poller.poll(0):
+        return False
+    return not request.connection.recv(1, socket.MSG_PEEK)
+
+
 def sever(environ: Environ) -> None:
     """Close the connection of a request without an answer."""
     connection = environ['wsgi.input'].get_socket()
