--- a/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_entry.py
@@ -10,6 +10,7 @@
 from cowslipstep.daemon._answers import begin_answer
 from cowslipstep.daemon._completions import parse_completion
 from cowslipstep.daemon._delivery import DeliveryService
+from cowslipstep.daemon._failures import note_failure
 from cowslipstep.daemon._hangup import CallerGone
 from cowslipstep.daemon._headers import find_workspace
 from cowslipstep.daemon._health import answer_readiness, send_metrics
@@ -82,7 +83,7 @@
             try:
                 return self._route(environ, start_response)
             except RequestError as error:
-                logger.bind(verdict=error.verdict.code).info('{}', error)
+                note_failure(self._state, environ, request_id, error)
                 answer = error_answer(error, request_id)
             except CallerGone:
                 logger.info('the caller closed its connection')
@@ -117,7 +118,7 @@
         return begin_answer(pieces, environ, start_response)
 
     def _configuration(self, environ: Environ) -> Configuration:
-        if self._state.configuration is None or self._state.stopping:
+        if not (self._state.configuration and self._state.accepts_requests):
             raise RequestError(
                 before_ledger(
                     NotRun(Reason.not_ready, retry_after_s=1),
--- a/libs/peers/src/cowslipstep/peers/_encode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_membership.py
@@ -8,42 +8,33 @@
     Acknowledgement,
     ConfigurationCopy,
     ConfigurationQuery,
-    GroupReadiness,
+    DaemonEntry,
     Heartbeat,
     MembershipMessage,
 )
-from cowslipstep.peers._frames import Field
-from cowslipstep.peers._units import seconds_to_ms
+from cowslipstep.peers._encode_heartbeat import write_heartbeat
 
 
-def encode_membership_message(message: MembershipMessage) -> Field:
-    """Return the field of the frame that carries the message."""
+def write_membership_message(frame: Any, message: MembershipMessage) -> None:
+    """Write the field of the frame that carries the message."""
     match message:
         case Acknowledgement():
-            return Field('acknowledgement', None)
+            frame.acknowledgement = None
         case Heartbeat():
-            return Field('heartbeat', _heartbeat(message))
+            write_heartbeat(frame.init('heartbeat'), message)
+        case DaemonEntry():
+            _write_entry(frame.init('daemonEntry'), message)
         case ConfigurationQuery(known_version):
-            return Field('configurationQuery', known_version)
+            frame.configurationQuery = known_version
         case ConfigurationCopy(version, document):
-            return Field(
-                'configurationCopy',
-                {'version': version, 'document': document},
-            )
+            copy = frame.init('configurationCopy')
+            copy.version = version
+            copy.document = document
 
 
-def _heartbeat(heartbeat: Heartbeat) -> dict[str, Any]:
-    return {
-        'daemon': heartbeat.daemon,
-        'incarnation': heartbeat.incarnation,
-        'configurationVersion': heartbeat.configuration_version,
-        'readiness': [_readiness(entry) for entry in heartbeat.readiness],
-        'stopping': heartbeat.stopping,
-    }
-
-
-def _readiness(readiness: GroupReadiness) -> dict[str, Any]:
-    return {
-        'group': readiness.group,
-        'remainingMs': seconds_to_ms(readiness.remaining_s),
-    }
+def _write_entry(builder: Any, entry: DaemonEntry) -> None:
+    builder.name = entry.name
+    builder.ip = entry.address.ip
+    builder.port = entry.address.port
+    builder.failureDomain = entry.failure_domain
+    builder.incarnation = entry.incarnation
