--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -28,6 +28,7 @@
     ``rank`` is the name of the service for calls to plain services.
     """
 
+    request_id: str
     workspace: str
     rank: str
 
@@ -60,40 +61,37 @@
             self._add('hangups', labels, run.verdict.code)
             raise
         finally:
-            self._note(labels, run.verdict.code)
+            self._note(labels, run)
 
     def count(self, name: str, labels: RequestLabels) -> None:
         """Add one to another counter of requests."""
         pairs = (('workspace', labels.workspace), ('rank', labels.rank))
         self._counters.add(CounterKey(name, pairs))
 
-    def note_cut(
-        self,
-        request_id: str,
-        labels: RequestLabels,
-        verdict: Verdict,
-    ) -> None:
-        """Keep a request whose answer broke off after it had begun."""
-        match verdict:
-            case MayHaveRun(reason) | NotRun(reason=reason):
-                self._requests.add(
-                    RequestRecord(
-                        request_id,
-                        labels.workspace,
-                        labels.rank,
-                        verdict.code,
-                        reason.value,
-                        time.time(),
-                    ),
-                )
-
-    def _note(self, labels: RequestLabels, verdict: str) -> None:
+    def _note(self, labels: RequestLabels, run: RunState) -> None:
+        verdict = run.verdict.code
         self._add(self._name, labels, verdict)
         logger.bind(
             workspace=labels.workspace,
             rank=labels.rank,
             verdict=verdict,
         ).info('request ended')
+        if run.begun:
+            self._keep(labels, run.verdict)
+
+    def _keep(self, labels: RequestLabels, verdict: Verdict) -> None:
+        """Keep a request whose answer broke off after it had begun."""
+        match verdict:
+            case NotRun(reason) | MayHaveRun(reason):
+                record = RequestRecord(
+                    labels.request_id,
+                    labels.workspace,
+                    labels.rank,
+                    verdict.code,
+                    reason.value,
+                    time.time(),
+                )
+                self._requests.add(record)
 
     def _add(self, name: str, labels: RequestLabels, verdict: str) -> None:
         pairs = (
