Prove configurations, isolation, planned stop and outage with real processes

Cause: the promises on configurations and daemons had no feature that causes the failure. Two faults that they found are mended: a daemon dropped from the directory was still counted alive for 30 s (its name was no longer a partner's, so the bound of relayed news held), and an old directory page put back a daemon whose address another one had taken. Before: 'a daemon is replaced' failed with live = 4 for 3; 'a port in use' printed eventlet's deprecation warning before the line.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -4,9 +4,7 @@
 
 import warnings
 
-warnings.filterwarnings(
-    'ignore', category=DeprecationWarning, module='eventlet'
-)
+warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
 import eventlet  # noqa: E402
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_live.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_live.py
@@ -35,7 +35,8 @@
 def _alive(membership: Membership) -> Iterator[str]:
     partners = membership.partners()
     liveness = membership.liveness
-    recent = frozenset(liveness.alive(DIRECT_ALIVE_S))
+    recent = membership.others.keys() & liveness.alive(DIRECT_ALIVE_S)
+    relayed = membership.others.keys() - partners
     for name in liveness.alive(RELAYED_ALIVE_S):
-        if name in recent or name not in partners:
+        if name in recent or name in relayed:
             yield name
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
@@ -58,13 +58,12 @@
 
         A daemon that has taken another's address replaces it.
         """
-        known = self._others.get(entry.name)
-        if entry.name == self._own.name:
+        rivals = tuple(_rivals(entry, self._others))
+        newest = max((rival.incarnation for rival in rivals), default=0)
+        if entry.name == self._own.name or newest > entry.incarnation:
             return
-        if known is not None and known.incarnation > entry.incarnation:
-            return
-        for name in tuple(_replaced_by(entry, self._others)):
-            self._others.pop(name)
+        for rival in rivals:
+            self._others.pop(rival.name)
         self._others[entry.name] = entry
 
     def hear(self, heartbeat: Heartbeat, sent_at_s: float) -> None:
@@ -86,11 +85,10 @@
         return choose_partners(seen, rank_owners)
 
 
-def _replaced_by(
+def _rivals(
     entry: DaemonEntry,
     others: Mapping[str, DaemonEntry],
-) -> Iterator[str]:
-    for name, other in others.items():
-        older = other.incarnation < entry.incarnation
-        if older and other.address == entry.address:
-            yield name
+) -> Iterator[DaemonEntry]:
+    for other in others.values():
+        if other.name == entry.name or other.address == entry.address:
+            yield other
--- a/standins/src/cowslipstep_standins/_fleet.py
+++ b/standins/src/cowslipstep_standins/_fleet.py
@@ -58,10 +58,17 @@
         """Return the process of a daemon."""
         return self._daemons[name]
 
-    def start_daemon(self, name: str) -> LocalProcess:
-        """Start one daemon of the plan."""
-        settings = daemon_settings(self._plan, self._plan.daemon(name))
-        path = self._processes.write(f'{name}.json', json.dumps(settings))
+    def start_daemon(
+        self,
+        name: str,
+        settings: dict[str, Any] | None = None,
+    ) -> LocalProcess:
+        """Start a daemon of the plan, or one with other settings."""
+        document = settings or daemon_settings(
+            self._plan,
+            self._plan.daemon(name),
+        )
+        path = self._processes.write(f'{name}.json', json.dumps(document))
         process = self._processes.start('cowslipstep.daemon', [str(path)], name)
         self._daemons[name] = process
         return process
--- a/standins/src/cowslipstep_standins/_platform_api.py
+++ b/standins/src/cowslipstep_standins/_platform_api.py
@@ -28,7 +28,8 @@
     """What goes wrong: set by tests.
 
     ``lose_answers`` is the number of changes to come that take effect but
-    whose answer is lost; ``cut_off`` names daemons whose calls fail.
+    whose answer is lost; ``cut_off`` names daemons whose calls fail;
+    objects of ``stale_kind`` are read as they were first read.
     """
 
     outage: bool = False
@@ -36,6 +37,29 @@
     lose_answers: int = 0
     lose_kind: str = ''
     cut_off: list[str] = field(factory=list)
+    stale_kind: str = ''
+
+    def fails(self, request: HttpRequest) -> bool:
+        """Whether the call gets no answer."""
+        sender = request.headers.get('user-agent', '')
+        return self.outage or sender in self.cut_off
+
+    def loses_answer(self, request: HttpRequest) -> bool:
+        """Whether the call takes effect but its answer is lost."""
+        loses = (
+            self.lose_answers > 0
+            and request.method in _CHANGES
+            and self.lose_kind in request.path
+        )
+        if loses:
+            self.lose_answers -= 1
+        return loses
+
+    def makes_stale(self, request: HttpRequest) -> bool:
+        """Whether the call reads an old version."""
+        prefix = f'/objects/{self.stale_kind}/'
+        read = request.method == 'GET' and request.path.startswith(prefix)
+        return bool(self.stale_kind) and read
 
 
 class PlatformApi:
@@ -45,6 +69,7 @@
         self._store = ObjectStore()
         self._faults = Faults()
         self._counts: collections.Counter[str] = collections.Counter()
+        self._first_answers: dict[str, HttpAnswer] = {}
         self._hosts: Any = {'live': [], 'leaving': []}
 
     def __call__(
@@ -68,34 +93,28 @@
         self._counts[_count_name(request)] += 1
         if self._faults.delay_s:
             eventlet.sleep(self._faults.delay_s)
-        if self._fails(request):
+        if self._faults.fails(request):
             return HttpAnswer('503 Service Unavailable')
         answer = self._dispatch(request)
-        if self._loses_answer(request):
+        if self._faults.fails(request) or self._faults.loses_answer(request):
             return HttpAnswer('504 Gateway Timeout')
         return answer
 
-    def _fails(self, request: HttpRequest) -> bool:
-        sender = request.headers.get('user-agent', '')
-        return self._faults.outage or sender in self._faults.cut_off
-
-    def _loses_answer(self, request: HttpRequest) -> bool:
-        loses = (
-            self._faults.lose_answers > 0
-            and request.method in _CHANGES
-            and self._faults.lose_kind in request.path
-        )
-        if loses:
-            self._faults.lose_answers -= 1
-        return loses
-
     def _dispatch(self, request: HttpRequest) -> HttpAnswer:
-        if request.segments[0] != 'hosts':
-            return self._store.answer(request)
+        if request.segments[0] == 'objects':
+            return self._object_answer(request)
         if request.method == 'PUT':
             self._hosts = request.document
         return ok(self._hosts)
 
+    def _object_answer(self, request: HttpRequest) -> HttpAnswer:
+        if self._faults.makes_stale(request):
+            return self._first_answers[request.path]
+        answer = self._store.answer(request)
+        if request.method == 'GET' and answer.document:
+            self._first_answers.setdefault(request.path, answer)
+        return answer
+
 
 def _count_name(request: HttpRequest) -> str:
     kind = request.segments[min(1, len(request.segments) - 1)]
--- /dev/null
+++ b/tests/test_daemons.py
@@ -0,0 +1,183 @@
+"""Steps of the feature on daemons that come, go and are cut off."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from cowslipstep_standins._balancer import CALLERS, Balancer
+from cowslipstep_standins._documents import daemon_settings
+from cowslipstep_standins._fleet import LocalFleet, local_fleet
+from cowslipstep_standins._plan import FleetShape
+from cowslipstep_standins._processes import wait_until
+
+scenarios('daemons.feature')
+
+NAMES = ('d0', 'd1', 'd2')
+BUDGET_PER_S = 20
+BURST = 40
+RECOVERY_S = 3
+
+
+@pytest.fixture(scope='module')
+def shared_fleet() -> Iterator[LocalFleet]:
+    """Three daemons in three failure domains."""
+    shape = FleetShape(
+        daemons=3,
+        failure_domains=('port-louis', 'ebene', 'curepipe'),
+        token_s=0.005,
+    )
+    with local_fleet(shape) as fleet:
+        yield fleet
+
+
+@given('three daemons', target_fixture='balancer')
+def given_fleet(shared_fleet: LocalFleet) -> Balancer:
+    balancer = Balancer(shared_fleet)
+    for name in NAMES:
+        if not shared_fleet.daemon(name).running:
+            shared_fleet.start_daemon(name)
+    wait_until(lambda: len(balancer.ready()) == 3, 'three ready daemons')
+    shared_fleet.wait_serving()
+    return balancer
+
+
+def set_faults(fleet: LocalFleet, **faults: Any) -> None:
+    fleet.control(fleet.plan.platform, faults)
+
+
+@when('one is cut off from the platform and the others are paused')
+def cut_off(balancer: Balancer) -> None:
+    set_faults(balancer.fleet, cut_off=['d0'])
+    for name in NAMES[1:]:
+        balancer.fleet.daemon(name).freeze()
+
+
+@then(parsers.parse('it turns unready within {seconds:d} seconds'))
+def check_unready(balancer: Balancer, seconds: int) -> None:
+    wait_until(
+        lambda: balancer.get('d0', 'readyz').status == 503, 'unready', seconds
+    )
+
+
+@when('all is well again')
+def restore(balancer: Balancer) -> None:
+    set_faults(balancer.fleet)
+    for name in NAMES[1:]:
+        balancer.fleet.daemon(name).thaw()
+
+
+@then(parsers.parse('all daemons are ready within {seconds:d} seconds'))
+def check_ready(balancer: Balancer, seconds: int) -> None:
+    wait_until(lambda: len(balancer.ready()) == 3, 'ready', seconds)
+
+
+@when(
+    'a daemon is stopped under load from callers that keep connections',
+    target_fixture='status',
+)
+def stop_under_load(balancer: Balancer) -> int:
+    address = balancer.fleet.plan.daemon('d1').http
+    ip, _, port = address.rpartition(':')
+    with (
+        socket.create_connection((ip, int(port))),
+        ThreadPoolExecutor(1) as pool,
+    ):
+        pool.submit(balancer.load, 6)
+        time.sleep(2)
+        return balancer.fleet.daemon('d1').stop(timeout_s=30)
+
+
+@then('it exits with status 0 while an idle connection stays open')
+def check_exit(status: int) -> None:
+    assert status == 0
+
+
+@then('all requests were answered whole')
+def check_answers(balancer: Balancer) -> None:
+    assert len(balancer.outcomes) > 2 * CALLERS
+    wrong = [entry for entry in balancer.outcomes if not entry.correct]
+    assert not wrong
+
+
+@when(
+    parsers.parse('the platform is down for {seconds:d} seconds under load'),
+    target_fixture='calls',
+)
+def outage_under_load(balancer: Balancer, seconds: int) -> dict[str, float]:
+    before = {name: sent_calls(balancer, name) for name in NAMES}
+    set_faults(balancer.fleet, outage=True)
+    balancer.load(seconds)
+    set_faults(balancer.fleet)
+    time.sleep(RECOVERY_S)
+    return {name: sent_calls(balancer, name) - before[name] for name in NAMES}
+
+
+def sent_calls(balancer: Balancer, name: str) -> float:
+    text = balancer.get(name, 'metrics').data.decode()
+    lines = re.findall(r'platform_calls_total{(.*)} (\d+)', text)
+    return sum(
+        int(count)
+        for labels, count in lines
+        if 'backing_off' not in labels and 'over_budget' not in labels
+    )
+
+
+@then('no daemon called more often than its budget allows')
+def check_budget(calls: dict[str, float]) -> None:
+    assert max(calls.values()) <= BURST + BUDGET_PER_S * RECOVERY_S
+
+
+@when('a daemon is replaced by one of another name at its address')
+def replace(balancer: Balancer) -> None:
+    plan = balancer.fleet.plan
+    settings = daemon_settings(plan, plan.daemon('d2'))
+    balancer.fleet.daemon('d2').kill()
+    balancer.fleet.start_daemon('d9', {**settings, 'name': 'd9'})
+    wait_until(lambda: len(balancer.ready()) == 3, 'the new daemon')
+    time.sleep(4)
+
+
+@then('the others count the new one and not the old one')
+def check_replaced(balancer: Balancer) -> None:
+    counts = {
+        balancer.metric(name, f'control_{kind}_daemons')
+        for name in NAMES[:2]
+        for kind in ('known', 'live')
+    }
+    assert counts == {3}
+    assert balancer.fleet.daemon('d9').stop() == 0
+
+
+@when(
+    'a second daemon is started with the addresses of the first',
+    target_fixture='second',
+)
+def start_twice(balancer: Balancer, tmp_path: pathlib.Path) -> Any:
+    plan = balancer.fleet.plan
+    path = tmp_path / 'twice.json'
+    path.write_text(json.dumps(daemon_settings(plan, plan.daemon('d0'))))
+    return subprocess.run(
+        [sys.executable, '-m', 'cowslipstep.daemon', str(path)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@then('it exits with status 1 and names the address')
+def check_refused(balancer: Balancer, second: Any) -> None:
+    address = balancer.fleet.plan.daemon('d0').http
+    wanted = f'error: cannot listen on {address}: Address already in use\n'
+    assert (second.returncode, second.stderr) == (1, wanted)
