--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from cowslipstep.daemon._awareness import start_awareness
 from cowslipstep.daemon._cells import CellService
-from cowslipstep.daemon._configuration import ConfigurationFeed
+from cowslipstep.daemon._control import start_control
 from cowslipstep.daemon._delivery import DeliveryService
 from cowslipstep.daemon._entry import EntryApplication
-from cowslipstep.daemon._groups import PERIOD_S, GroupService
-from cowslipstep.daemon._heartbeats import Heartbeats
+from cowslipstep.daemon._keyed import KeyedRuns
 from cowslipstep.daemon._links import PeerLinks
-from cowslipstep.daemon._listening import listen_http, listening_on
+from cowslipstep.daemon._listening import listen_http
 from cowslipstep.daemon._opening import open_state
-from cowslipstep.daemon._peers import PeerService
+from cowslipstep.daemon._order_claims import OrderClaims
+from cowslipstep.daemon._order_ledger import OrderLedger
 from cowslipstep.daemon._planned_stop import stop_as_planned
-from cowslipstep.daemon._reports import OwnReports
+from cowslipstep.daemon._segment_store import SegmentStore
 from cowslipstep.daemon._server import CallerServer, stop_event
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.daemon._tasks import repeat, start_task
+from cowslipstep.daemon._status_tasks import status_kept
+from cowslipstep.daemon._tasks import start_task
 from cowslipstep.settings import DaemonSettings
 
 
@@ -36,32 +36,21 @@
     listener = listen_http(settings.http_address)
     server = CallerServer(listener, _start(state), state)
     server.start()
-    stop.wait()
-    stop_as_planned(server, state)
+    with status_kept(state):
+        stop.wait()
+        stop_as_planned(server, state)
 
 
 def _start(state: DaemonState) -> EntryApplication:
     cells = CellService(state)
     links = PeerLinks(state)
     start_task('cells', cells.run)
-    _start_control(state, cells, links)
+    start_control(state, cells, links)
+    slots = SlotService(state, cells, links)
+    ledger = OrderLedger(SegmentStore(state.platform))
+    keyed = KeyedRuns(OrderClaims(ledger), state.counters)
     return EntryApplication(
         state,
-        DeliveryService(state, SlotService(state, cells, links)),
-        ServiceCalls(state),
+        DeliveryService(state, slots, keyed),
+        ServiceCalls(state, keyed),
     )
-
-
-def _start_control(
-    state: DaemonState,
-    cells: CellService,
-    links: PeerLinks,
-) -> None:
-    feed = ConfigurationFeed(state)
-    groups = GroupService(state)
-    reports = OwnReports(state, groups.own_readiness)
-    with listening_on(state.settings.peer_address):
-        PeerService(state, feed, cells, reports).start()
-    start_task('groups', repeat(PERIOD_S, groups.step))
-    Heartbeats(state, feed, links).start(reports)
-    start_awareness(state, feed)
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -8,6 +8,7 @@
 )
 from cowslipstep.platform._calls import CallOutcome, CallRecord
 from cowslipstep.platform._client import PlatformClient
+from cowslipstep.platform._host_list import HostList, read_host_list
 from cowslipstep.platform._objects import (
     ObjectKey,
     ObjectMissing,
