Let callers of the stop feature use different daemons at each moment

Cause: the feature passed with the mechanism off: all six callers chose the same daemon in step, so that none was on the stopped one. Change: callers start at different daemons; a caller that fails ends the test. Before, with 'stop at once' in place of the delay and the wait: 1 passed. After: 1 failed (a stream cut off); with the mechanism: 2 passed (pytest tests/test_daemons.py -k 'planned_stop or platform_is').

--- a/standins/src/cowslipstep_standins/_balancer.py
+++ b/standins/src/cowslipstep_standins/_balancer.py
@@ -16,7 +16,7 @@
 from cowslipstep_standins._outcomes import Call, Outcome
 
 CALLERS = 6
-_STREAM_TOKENS = 60
+_STREAM_TOKENS = 400
 _TIMEOUT_S = 1
 _OK = 200
 
@@ -69,19 +69,23 @@
             call = Call(
                 prompt, 'grid-a', tokens=_STREAM_TOKENS, stream=number % 2 == 0
             )
-            address = self.choose(number)
+            address = self.choose(caller + number)
             self.outcomes.append(self.caller.send(address, call))
 
-    def choose(self, number: int) -> str:
+    def choose(self, turn: int) -> str:
         """Address of one of the ready daemons."""
         ready = self.ready()
-        return self.fleet.plan.daemon(ready[number % len(ready)]).http
+        return self.fleet.plan.daemon(ready[turn % len(ready)]).http
 
     def load(self, seconds: float) -> None:
         """Keep callers busy for a while."""
         stop = threading.Event()
         with ThreadPoolExecutor(CALLERS) as pool:
-            for caller in range(CALLERS):
+            callers = [
                 pool.submit(self.send_until, stop, caller)
+                for caller in range(CALLERS)
+            ]
             time.sleep(seconds)
             stop.set()
+        for ended in callers:
+            ended.result()
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -16,6 +16,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from cowslipstep.model import Address
 from cowslipstep_standins._balancer import CALLERS, Balancer
 from cowslipstep_standins._documents import daemon_settings
 from cowslipstep_standins._fleet import LocalFleet, local_fleet
@@ -88,15 +89,16 @@
     target_fixture='status',
 )
 def stop_under_load(balancer: Balancer) -> int:
-    address = balancer.fleet.plan.daemon('d1').http
-    ip, _, port = address.rpartition(':')
+    address = Address.parse(balancer.fleet.plan.daemon('d1').http)
     with (
-        socket.create_connection((ip, int(port))),
+        socket.create_connection((address.ip, address.port)),
         ThreadPoolExecutor(1) as pool,
     ):
-        pool.submit(balancer.load, 6)
+        loading = pool.submit(balancer.load, 6)
         time.sleep(2)
-        return balancer.fleet.daemon('d1').stop(timeout_s=30)
+        status = balancer.fleet.daemon('d1').stop(timeout_s=30)
+        loading.result()
+        return status
 
 
 @then('it exits with status 0 while an idle connection stays open')
