--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -47,6 +47,7 @@
     start_task('cells', cells.run)
     start_control(state, cells, links)
     slots = SlotService(state, cells, links)
+    slots.start()
     ledger = OrderLedger(SegmentStore(state.platform))
     keyed = KeyedRuns(OrderClaims(ledger), state.counters)
     return EntryApplication(
