--- a/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
@@ -37,6 +37,7 @@
             for peer in settings.peers
         }
         self._liveness = LivenessTable(time.monotonic)
+        self._partners: frozenset[str] = frozenset(self._others)
 
     @property
     def own(self) -> DaemonEntry:
@@ -53,44 +54,53 @@
         """Last signs of life of the others."""
         return self._liveness
 
+    @property
+    def partners(self) -> frozenset[str]:
+        """Names of the peers chosen last to exchange heartbeats with."""
+        return self._partners
+
     def learn(self, entry: DaemonEntry) -> None:
         """Take over an entry unless a newer one is known.
 
         A daemon that has taken another's address replaces it.
         """
-        known = self._others.get(entry.name)
-        if entry.name == self._own.name:
+        rivals = tuple(_rivals(entry, self._others))
+        newest = max((rival.incarnation for rival in rivals), default=0)
+        if entry.name == self._own.name or newest > entry.incarnation:
             return
-        if known is not None and known.incarnation > entry.incarnation:
-            return
-        for name in tuple(_replaced_by(entry, self._others)):
-            self._others.pop(name)
+        for rival in rivals:
+            self._others.pop(rival.name)
         self._others[entry.name] = entry
 
-    def hear(self, heartbeat: Heartbeat, sent_at_s: float) -> None:
-        """Note the sign of life in a heartbeat, and the news it carries."""
-        own = DaemonNews(
-            heartbeat.daemon,
-            heartbeat.incarnation,
-            0,
-            heartbeat.stopping,
-        )
-        for news in (own, *heartbeat.news):
-            if news.daemon != self._own.name:
-                self._liveness.hear(news, sent_at_s)
-
-    def partners(self) -> frozenset[str]:
-        """Names of the peers to exchange heartbeats with."""
+    def choose_partners(self) -> frozenset[str]:
+        """Choose the peers to exchange heartbeats with, and return them."""
         alive = frozenset(self._liveness.alive(RELAYED_ALIVE_S))
         seen = Neighbourhood(self._own, self._others, alive)
-        return choose_partners(seen, rank_owners)
-
-
-def _replaced_by(
+        self._partners = choose_partners(seen, rank_owners)
+        return self._partners
+
+
+def hear_heartbeat(
+    membership: Membership,
+    heartbeat: Heartbeat,
+    sent_at_s: float,
+) -> None:
+    """Note the sign of life in a heartbeat, and the news it carries."""
+    own = DaemonNews(
+        heartbeat.daemon,
+        heartbeat.incarnation,
+        0,
+        heartbeat.stopping,
+    )
+    for news in (own, *heartbeat.news):
+        if news.daemon != membership.own.name:
+            membership.liveness.hear(news, sent_at_s)
+
+
+def _rivals(
     entry: DaemonEntry,
     others: Mapping[str, DaemonEntry],
-) -> Iterator[str]:
-    for name, other in others.items():
-        older = other.incarnation < entry.incarnation
-        if older and other.address == entry.address:
-            yield name
+) -> Iterator[DaemonEntry]:
+    for other in others.values():
+        if other.name == entry.name or other.address == entry.address:
+            yield other
