Probe over one kept connection instead of a pool

Cause: a keeper of 36 hosts used 8.5% of a core, mostly for probes.

Ruled out: a longer period (the readiness bound leaves 0.3 s), planning (0.07 ms a step at 20 hosts).

Change: each host's task keeps a urllib3 connection of its own and closes it after an error. A garbled answer counts as none.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import random
 import time
 from collections.abc import Iterable, Mapping
+from http.client import HTTPException
 from typing import Any
 
 import eventlet
 import urllib3
+from urllib3.connection import HTTPConnection
 
 from cowslipstep.daemon._tasks import start_task
 from cowslipstep.groups import (
@@ -27,6 +30,13 @@
 _SPARE_PERIOD_S = 1
 _LOADING_PERIOD_S = 0.2
 _JITTER = 0.1
+_NO_ANSWER = (
+    OSError,
+    HTTPException,
+    urllib3.exceptions.HTTPError,
+    ValueError,
+    KeyError,
+)
 
 
 class Prober:
@@ -60,36 +70,48 @@
             self._records[report.host] = note_report(record, report)
 
     def _probe_forever(self, runner: Runner) -> None:
-        pool = urllib3.HTTPConnectionPool(
+        connection = HTTPConnection(
             runner.address.ip,
             runner.address.port,
-            retries=False,
             timeout=_PROBE_TIMEOUT_S,
         )
-        with pool:
+        with contextlib.closing(connection):
             while True:
-                self._probe(runner, pool)
+                self._probe(runner, connection)
                 record = self._records[runner.host]
                 delay_s = probe_delay_s(record, _period_s(record))
                 eventlet.sleep(delay_s * random.uniform(1 - _JITTER, 1))
 
-    def _probe(self, runner: Runner, pool: urllib3.HTTPConnectionPool) -> None:
+    def _probe(self, runner: Runner, connection: HTTPConnection) -> None:
         sent_at_s = time.monotonic()
         try:
-            answer = pool.request('GET', '/health')
-        except urllib3.exceptions.TimeoutError:
+            report = _ask_health(connection, sent_at_s)
+        except (TimeoutError, urllib3.exceptions.TimeoutError):
             self._miss(runner, refused=False)
-            return
-        except urllib3.exceptions.HTTPError:
+        except _NO_ANSWER:
             self._miss(runner, refused=True)
-            return
-        self.note(read_health(answer.json(), sent_at_s))
+        else:
+            self.note(report)
 
     def _miss(self, runner: Runner, *, refused: bool) -> None:
         record = self._records[runner.host]
         self._records[runner.host] = note_miss(record, refused=refused)
 
 
+def _ask_health(connection: HTTPConnection, sent_at_s: float) -> HostReport:
+    try:
+        return read_health(_exchange(connection), sent_at_s)
+    except BaseException:
+        # An answer that comes late must not be read as the next one.
+        connection.close()
+        raise
+
+
+def _exchange(connection: HTTPConnection) -> dict[str, Any]:
+    connection.request('GET', '/health')
+    return connection.getresponse().json()
+
+
 def read_health(health: dict[str, Any], sent_at_s: float) -> HostReport:
     """Read what a host said of itself in answer to a call."""
     return HostReport(
