--- /dev/null
+++ b/libs/groups/tests/test_hosts.py
@@ -0,0 +1,70 @@
+"""Records of hosts."""
+
+from __future__ import annotations
+
+import pytest
+
+from cowslipstep.groups import (
+    HostRecord,
+    HostReport,
+    HostState,
+    group_readiness,
+    note_miss,
+    note_report,
+    stragglers,
+)
+from cowslipstep.groups._health import lost_member
+from cowslipstep.groups._hosts import is_usable
+from cowslipstep.model import Group
+
+GROUP = Group('fab-1', 'drafting', 'fd', ('h0', 'h1'))
+
+
+def _report(host: str, group: str = 'fab-1', **extra) -> HostReport:
+    return HostReport(host, group, HostState.ready, 100, **extra)
+
+
+def _records(**reports: HostReport) -> dict[str, HostRecord]:
+    return {
+        host: note_report(HostRecord(), report)
+        for host, report in reports.items()
+    }
+
+
+def test_readiness_runs_out() -> None:
+    records = _records(h0=_report('h0'), h1=_report('h1'))
+    assert group_readiness(GROUP, records, 101).remaining_s == pytest.approx(
+        0.5
+    )
+    assert not group_readiness(GROUP, records, 102).remaining_s
+
+
+def test_refusal_ends_readiness_at_once() -> None:
+    records = _records(h0=_report('h0'), h1=_report('h1'))
+    silent = {**records, 'h1': note_miss(records['h1'], refused=False)}
+    assert group_readiness(GROUP, silent, 100).remaining_s
+    refused = {**records, 'h1': note_miss(records['h1'], refused=True)}
+    assert not group_readiness(GROUP, refused, 100).remaining_s
+
+
+def test_host_that_failed_is_left_out_for_a_while() -> None:
+    failed = HostRecord(misses=3)
+    back = note_report(failed, HostReport('h0', '', HostState.idle, 100))
+    assert not is_usable(back, 105)
+    assert is_usable(back, 110)
+
+
+def test_member_that_restarted_is_lost() -> None:
+    records = _records(h0=_report('h0'), h1=_report('h1'))
+    assert not lost_member(GROUP, records)
+    restarted = HostReport('h1', '', HostState.idle, 101)
+    records['h1'] = note_report(records['h1'], restarted)
+    assert lost_member(GROUP, records) == 'h1'
+
+
+def test_far_slower_host_is_a_straggler() -> None:
+    paces = {'h0': 0.01, 'h1': 0.01, 'h2': 0.05}
+    records = _records(
+        **{host: _report(host, token_s=pace) for host, pace in paces.items()},
+    )
+    assert stragglers(records) == {'h2'}
--- a/tests/features/groups.feature
+++ b/tests/features/groups.feature
@@ -31,6 +31,7 @@
       | the platform's list |
       | its own word        |
       | an operator's drain |
+      | its slowness        |
 
   Scenario Outline: A keeper frozen past its lease gives no order
     Given three daemons and engines that <treat> old fencing numbers
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -133,6 +133,8 @@
 @when(parsers.parse('a member leaves by {sign}'))
 def leave(case: Case, sign: str) -> None:
     match sign:
+        case 'its slowness':
+            case.strike({'slow_factor': 10})
         case 'its own word':
             case.strike({'leaving': True})
         case "the platform's list":
