Derive each daemon's platform budget from the platform's rate

Cause: a fixed budget of 20 calls a second refused keyed orders above about five a second a daemon (reported by delivery). Change: reads and changes have a budget each: the platform's rate for all daemons (settings, 2,000 and 300 a second) over the number of known daemons; platform_calls_per_s is an upper bound when set.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_awareness.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_awareness.py
@@ -6,11 +6,13 @@
 from cowslipstep.daemon._configuration_watch import ConfigurationWatch
 from cowslipstep.daemon._directory import Directory
 from cowslipstep.daemon._isolation import IsolationCheck
+from cowslipstep.daemon._platform_share import adjust_share
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._tasks import repeat, start_task
 
 _CONFIRMATION_PERIOD_S = 0.1
 _ISOLATION_PERIOD_S = 1
+_SHARE_PERIOD_S = 5
 
 
 def start_awareness(state: DaemonState, feed: ConfigurationFeed) -> None:
@@ -20,6 +22,8 @@
     confirm = repeat(_CONFIRMATION_PERIOD_S, feed.confirmation.step)
     check = repeat(_ISOLATION_PERIOD_S, IsolationCheck(state).step)
     start_task('confirmation', confirm)
+    share = repeat(_SHARE_PERIOD_S, lambda: adjust_share(state))
+    start_task('platform share', share)
     start_task('isolation', check)
     start_task('directory', directory.run)
     watch = ConfigurationWatch(state.platform, feed)
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -3,6 +3,7 @@
 from cowslipstep.platform._budget import (
     BudgetLimits,
     CallBudget,
+    PlatformLimits,
     Priority,
     priority_of,
 )
--- a/libs/platform/src/cowslipstep/platform/_budget.py
+++ b/libs/platform/src/cowslipstep/platform/_budget.py
@@ -18,8 +18,9 @@
     status = 3
 
 
-_CALLS_PER_S = 20
-_BURST_CALLS = 40
+_READS_PER_S = 100
+_WRITES_PER_S = 20
+_BURST_S = 2
 _PRIORITIES: Mapping[str, Priority] = MappingProxyType(
     {
         'lease': Priority.lease,
@@ -52,10 +53,28 @@
 
 @frozen
 class BudgetLimits:
-    """Calls a second that one daemon may make, and at once after a pause."""
+    """Calls a second that may be sent, and at once after a pause.
+
+    Examples
+    --------
+    >>> BudgetLimits(20).burst
+    40
+    """
+
+    calls_per_s: float = field(validator=validators.gt(0))
+
+    @property
+    def burst(self) -> float:
+        """Calls that may be sent at once after a pause."""
+        return max(1, _BURST_S * self.calls_per_s)
 
-    calls_per_s: float = field(default=_CALLS_PER_S, validator=validators.gt(0))
-    burst: float = field(default=_BURST_CALLS, validator=validators.ge(1))
+
+@frozen
+class PlatformLimits:
+    """Limits of one daemon for reads and for changes."""
+
+    reads: BudgetLimits = BudgetLimits(_READS_PER_S)
+    writes: BudgetLimits = BudgetLimits(_WRITES_PER_S)
 
 
 class CallBudget:
@@ -70,7 +89,7 @@
 
     Examples
     --------
-    >>> budget = CallBudget(BudgetLimits(1, 2), clock=lambda: 0)
+    >>> budget = CallBudget(BudgetLimits(1), clock=lambda: 0)
     >>> [budget.take(Priority.status) for _ in range(2)]
     [True, True]
     >>> budget.take(Priority.lease)
@@ -87,6 +106,12 @@
         self._tokens = limits.burst
         self._filled_at_s = clock()
 
+    def change_limits(self, limits: BudgetLimits) -> None:
+        """Use other limits from now on."""
+        self._fill()
+        self._limits = limits
+        self._tokens = min(self._tokens, limits.burst)
+
     def take(self, priority: Priority) -> bool:
         """Take a token for one call; false if none is left for it."""
         self._fill()
--- a/libs/platform/src/cowslipstep/platform/_caller.py
+++ b/libs/platform/src/cowslipstep/platform/_caller.py
@@ -11,7 +11,7 @@
 
 from cowslipstep.model import NotRun, Reason
 from cowslipstep.platform._breaker import Breaker
-from cowslipstep.platform._budget import BudgetLimits, CallBudget, priority_of
+from cowslipstep.platform._budgets import CallBudgets
 from cowslipstep.platform._calls import CallOutcome, CallRecord, PlatformCall
 from cowslipstep.platform._objects import (
     ObjectMissing,
@@ -30,8 +30,8 @@
     ----------
     transport
         Sends them.
-    limits
-        Budget of this daemon.
+    budgets
+        Budgets of this daemon.
     on_call
         Told of each call.
     """
@@ -39,11 +39,11 @@
     def __init__(
         self,
         transport: PlatformTransport,
-        limits: BudgetLimits,
+        budgets: CallBudgets,
         on_call: CallObserver,
     ) -> None:
         self._transport = transport
-        self._budget = CallBudget(limits, time.monotonic)
+        self._budgets = budgets
         self._breaker = Breaker(time.monotonic, random.Random())
         self._on_call = on_call
         self._answered_at_s = float('-inf')
@@ -72,7 +72,7 @@
     def _admit(self, call: PlatformCall) -> None:
         if not self._breaker.admit():
             raise self._refused(call, CallOutcome.backing_off)
-        if not self._budget.take(priority_of(call.kind)):
+        if not self._budgets.admit(call):
             raise self._refused(call, CallOutcome.over_budget)
 
     def _refused(
--- a/libs/platform/src/cowslipstep/platform/_client.py
+++ b/libs/platform/src/cowslipstep/platform/_client.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
+
 from cowslipstep.model import Address
-from cowslipstep.platform._budget import BudgetLimits
+from cowslipstep.platform._budget import PlatformLimits
+from cowslipstep.platform._budgets import CallBudgets
 from cowslipstep.platform._caller import CallObserver, PlatformCaller
 from cowslipstep.platform._calls import CallRecord, PlatformCall
 from cowslipstep.platform._objects import ObjectKey
@@ -36,13 +39,16 @@
         self,
         address: Address,
         sender: str = 'cowslipstep',
-        limits: BudgetLimits | None = None,
+        limits: PlatformLimits | None = None,
         on_call: CallObserver = ignore_call,
     ) -> None:
         transport = PlatformTransport(address, sender)
-        super().__init__(
-            PlatformCaller(transport, limits or BudgetLimits(), on_call),
-        )
+        self._budgets = CallBudgets(limits or PlatformLimits(), time.monotonic)
+        super().__init__(PlatformCaller(transport, self._budgets, on_call))
+
+    def change_limits(self, limits: PlatformLimits) -> None:
+        """Use other limits of calls from now on."""
+        self._budgets.change_limits(limits)
 
     def create(self, key: ObjectKey, body: str) -> int:
         """Create an object and return its version.
--- a/libs/settings/src/cowslipstep/settings/_daemon.py
+++ b/libs/settings/src/cowslipstep/settings/_daemon.py
@@ -11,7 +11,8 @@
 
 _DEFAULT_MAX_BODY_BYTES = 1048576
 _DEFAULT_STOP_GRACE_S = 600
-_DEFAULT_PLATFORM_CALLS_PER_S = 20
+_DEFAULT_PLATFORM_READS_PER_S = 2000
+_DEFAULT_PLATFORM_WRITES_PER_S = 300
 _DEFAULT_STATUS_PERIOD_S = 60
 _LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
@@ -49,8 +50,12 @@
         Longest wait for streams in a planned stop, seconds.
     unready_delay_s
         Time between ``/readyz`` off and the end of intake, seconds.
+    platform_reads_per_s
+        Reads that the platform takes from all daemons together.
+    platform_writes_per_s
+        Changes that the platform takes from all daemons together.
     platform_calls_per_s
-        Budget of calls to the platform, calls a second.
+        Largest budget of this daemon; zero for its share of the above.
     status_period_s
         Least time between writes of the status object, seconds.
     log_level
@@ -72,10 +77,15 @@
         validator=validators.ge(0),
     )
     unready_delay_s: float = field(default=2, validator=validators.ge(0))
-    platform_calls_per_s: float = field(
-        default=_DEFAULT_PLATFORM_CALLS_PER_S,
+    platform_reads_per_s: float = field(
+        default=_DEFAULT_PLATFORM_READS_PER_S,
         validator=validators.gt(0),
     )
+    platform_writes_per_s: float = field(
+        default=_DEFAULT_PLATFORM_WRITES_PER_S,
+        validator=validators.gt(0),
+    )
+    platform_calls_per_s: float = field(default=0, validator=validators.ge(0))
     status_period_s: float = field(
         default=_DEFAULT_STATUS_PERIOD_S,
         validator=validators.gt(0),
