--- a/bench/_idle_fleet.py
+++ b/bench/_idle_fleet.py
@@ -61,5 +61,6 @@
 def _is_ready(daemon: Any) -> bool:
     with contextlib.suppress(urllib3.exceptions.HTTPError):
         answer = HTTP.request('GET', f'http://{daemon.http}/readyz')
-        return bool(json.loads(answer.data)['ready'])
+        said = json.loads(answer.data)
+        return bool(said['ready']) and said['daemon'] == daemon.name
     return False
--- /dev/null
+++ b/bench/bench_daemons.py
@@ -0,0 +1,111 @@
+"""Messages between daemons, and the time until a configuration is in force."""
+
+from __future__ import annotations
+
+import json
+import statistics
+import time
+from collections.abc import Iterator
+
+from _figures import Figure
+from _idle_fleet import HTTP, idle_fleet
+
+from cowslipstep.model import (
+    DaemonNews,
+    GroupReadiness,
+    Heartbeat,
+    Message,
+    ReadinessReport,
+)
+from cowslipstep.peers import Frame, decode_frame, encode_frame, make_report
+from cowslipstep_standins._documents import fleet_configuration
+from cowslipstep_standins._fleet import LocalFleet
+from cowslipstep_standins._processes import wait_until
+
+_REPEATS = 2000
+_GROUPS = 30
+_NEWS = 16
+_DAEMONS = 9
+_CHANGES = 10
+_IN_FORCE_BOUND_S = 2
+_MICROSECONDS = 1_000_000
+_NEWS_SENT = tuple(DaemonNews(f'd{number}', 1, 1) for number in range(_NEWS))
+_READY = tuple(
+    GroupReadiness(f'fabric-{number}-1', 1) for number in range(_GROUPS)
+)
+
+
+def figures() -> Iterator[Figure]:
+    """Yield microseconds and bytes of heartbeats, and seconds to force."""
+    whole = make_report(_READY, known_table=0)
+    yield from _codec_figures('renewal', make_report(_READY, whole.table))
+    yield from _codec_figures('whole_table', whole)
+    yield _in_force_figure()
+
+
+def _codec_figures(name: str, report: ReadinessReport) -> Iterator[Figure]:
+    message = Heartbeat('d0', 1, 1, readiness=report, news=_NEWS_SENT)
+    payload = encode_frame(Frame(1, reply=True, message=message))
+    prefix = f'daemons.heartbeat_{name}'
+    yield Figure(
+        f'{prefix}.encode',
+        _microseconds_to_encode(message),
+        'us',
+        baseline=_microseconds_to_encode(Heartbeat('d0', 1, 1)),
+    )
+    yield Figure(f'{prefix}.decode', _microseconds_to_decode(payload), 'us')
+    yield Figure(f'{prefix}.size', len(payload), 'bytes')
+
+
+def _microseconds_to_encode(message: Message) -> float:
+    frame = Frame(1, reply=True, message=message)
+    started_s = time.perf_counter()
+    for _ in range(_REPEATS):
+        encode_frame(frame)
+    return (time.perf_counter() - started_s) / _REPEATS * _MICROSECONDS
+
+
+def _microseconds_to_decode(payload: bytes) -> float:
+    started_s = time.perf_counter()
+    for _ in range(_REPEATS):
+        decode_frame(payload)
+    return (time.perf_counter() - started_s) / _REPEATS * _MICROSECONDS
+
+
+def _in_force_figure() -> Figure:
+    with idle_fleet(_DAEMONS) as fleet:
+        times = [_time_to_force(fleet, number) for number in range(_CHANGES)]
+        return Figure(
+            'daemons.configuration_in_force_median',
+            statistics.median(times),
+            's',
+            bound=_IN_FORCE_BOUND_S,
+        )
+
+
+def _time_to_force(fleet: LocalFleet, number: int) -> float:
+    document = fleet_configuration(fleet.plan)
+    document['key_retention_s'] = number + 1
+    started_s = time.monotonic()
+    version = _submit(fleet.plan.platform, json.dumps(document))
+    wait_until(lambda: _versions(fleet) == {version}, 'in force')
+    return time.monotonic() - started_s
+
+
+def _submit(platform: str, document: str) -> int:
+    url = f'http://{platform}/objects/configuration/fleet'
+    known = json.loads(HTTP.request('GET', url).data)['version']
+    answer = HTTP.request(
+        'PUT',
+        f'{url}?version={known}',
+        body=json.dumps({'body': document}),
+    )
+    return int(json.loads(answer.data)['version'])
+
+
+def _versions(fleet: LocalFleet) -> set[int]:
+    answers = [
+        HTTP.request('GET', f'http://{daemon.http}/readyz')
+        for daemon in fleet.plan.daemons
+    ]
+    return {json.loads(answer.data)['version'] for answer in answers}
