--- a/standins/src/cowslipstep_standins/_completions.py
+++ b/standins/src/cowslipstep_standins/_completions.py
@@ -2,23 +2,29 @@
 
 from __future__ import annotations
 
-import collections
+import contextlib
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Generator, Iterable, Iterator
 
 import eventlet
 
 from cowslipstep_standins._engine_host import EngineHost, Run
+from cowslipstep_standins._members import (
+    gone_members,
+    missing_members,
+    slow_factor,
+    wait_while_group_frozen,
+)
 from cowslipstep_standins._generation import Generation, parse_generation
 from cowslipstep_standins._http import (
     HttpAnswer,
     HttpRequest,
     StartResponse,
+    is_abandoned,
     ok,
     send_json,
 )
 
-_FROZEN_POLL_S = 0.05
 _SSE_HEADERS = (
     ('Content-Type', 'text/event-stream'),
     ('Cache-Control', 'no-cache'),
@@ -54,22 +60,27 @@
             return send_json(start_response, answer)
         chat = request.segments[1] == 'chat'
         generation = parse_generation(request.document, request.headers, chat)
-        return self._run(generation, start_response)
+        if not generation.stream:
+            self._run_whole(generation, request)
+            return send_json(start_response, ok(generation.document()))
+        start_response('200 OK', list(_SSE_HEADERS))
+        return self._generate(generation)
 
-    def _run(
+    def _run_whole(
         self,
         generation: Generation,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        events = self._generate(generation)
-        if generation.stream:
-            start_response('200 OK', list(_SSE_HEADERS))
-            return events
-        # A unary answer is generated like a streamed one, then sent whole.
-        collections.deque(events, maxlen=0)
-        return send_json(start_response, ok(generation.document()))
-
-    def _generate(self, generation: Generation) -> Iterator[bytes]:
+        request: HttpRequest,
+    ) -> None:
+        """Generate as for a stream; cancel if the caller goes away."""
+        with contextlib.closing(self._generate(generation)) as events:
+            for _ in events:
+                if is_abandoned(request):
+                    raise ConnectionResetError('the caller is gone')
+
+    def _generate(
+        self,
+        generation: Generation,
+    ) -> Generator[bytes, None, None]:
         with self._host.batch.slot(generation.priority):
             run = self._record(generation)
             try:
@@ -97,8 +108,9 @@
     def _tokens(self, generation: Generation, run: Run) -> Iterator[bytes]:
         token_s = self._host.settings.token_s
         for index in range(generation.first_token, generation.tokens):
-            eventlet.sleep(token_s * self._host.faults.slow_factor)
-            wait_while_frozen(self._host)
+            slowness = slow_factor(self._host, self._hosts)
+            eventlet.sleep(token_s * slowness)
+            wait_while_group_frozen(self._host, self._hosts)
             self._raise_if_cut(run)
             run.tokens += 1
             yield generation.event(index)
@@ -107,28 +119,6 @@
     def _raise_if_cut(self, run: Run) -> None:
         limit = self._host.faults.cut_after_tokens
         cut = 0 <= limit <= run.tokens
-        if cut or missing_members(self._host, self._hosts):
+        if cut or gone_members(self._host, self._hosts):
             run.outcome = 'cut'
             raise ConnectionResetError('cut, or a member is gone')
-
-
-def wait_while_frozen(host: EngineHost) -> None:
-    """Hold the current task for as long as the host is frozen."""
-    while host.faults.frozen:
-        eventlet.sleep(_FROZEN_POLL_S)
-
-
-def missing_members(
-    host: EngineHost,
-    hosts: dict[str, EngineHost],
-) -> list[str]:
-    """Return the members of a host's group that are gone."""
-    return [
-        member
-        for member in host.members
-        if member in hosts and _is_gone(hosts[member], host.group)
-    ]
-
-
-def _is_gone(member: EngineHost, group: str) -> bool:
-    return member.faults.dead or member.group != group
