Tell wrong settings of a daemon without other lines, and read its logs

Cause: with wrong settings cowslipstepd printed eventlet's notice of its own state before the mistakes: the filter named a module, while the warning is charged to the importing one. That no key is logged was proved only within one process.

Ruled out: -W ignore in the command, which hides all warnings.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -4,9 +4,8 @@
 
 import warnings
 
-warnings.filterwarnings(
-    'ignore', category=DeprecationWarning, module='eventlet'
-)
+# Importing eventlet warns of its own state; other warnings are shown.
+warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
 import eventlet  # noqa: E402
 
--- a/standins/src/cowslipstep_standins/_fleet.py
+++ b/standins/src/cowslipstep_standins/_fleet.py
@@ -16,6 +16,7 @@
 )
 from cowslipstep_standins._launcher import (
     Launcher,
+    LoggedProcess,
     launcher,
     start_standins,
 )
@@ -25,7 +26,6 @@
 from cowslipstep_standins._planning import plan_fleet
 from cowslipstep_standins._processes import (
     FleetError,
-    LocalProcess,
     wait_until,
 )
 
@@ -46,7 +46,7 @@
     def __init__(self, plan: FleetPlan, processes: Launcher) -> None:
         self._plan = plan
         self._processes = processes
-        self._daemons: dict[str, LocalProcess] = {}
+        self._daemons: dict[str, LoggedProcess] = {}
         self._http = urllib3.PoolManager(retries=False)
 
     @property
@@ -54,11 +54,11 @@
         """Addresses of the processes."""
         return self._plan
 
-    def daemon(self, name: str) -> LocalProcess:
+    def daemon(self, name: str) -> LoggedProcess:
         """Return the process of a daemon."""
         return self._daemons[name]
 
-    def start_daemon(self, name: str) -> LocalProcess:
+    def start_daemon(self, name: str) -> LoggedProcess:
         """Start one daemon of the plan."""
         settings = daemon_settings(self._plan, self._plan.daemon(name))
         path = self._processes.write(f'{name}.json', json.dumps(settings))
--- a/standins/src/cowslipstep_standins/_launcher.py
+++ b/standins/src/cowslipstep_standins/_launcher.py
@@ -13,6 +13,24 @@
 _LOG_TAIL_CHARS = 2000
 
 
+class LoggedProcess(LocalProcess):
+    """A process whose output can be read."""
+
+    def __init__(
+        self,
+        module: str,
+        arguments: list[str],
+        log_path: pathlib.Path,
+    ) -> None:
+        super().__init__(module, arguments, log_path)
+        self._log_path = log_path
+
+    @property
+    def log(self) -> str:
+        """All that it has printed."""
+        return self._log_path.read_text()
+
+
 class Launcher:
     """Starts processes whose settings and logs lie in a folder.
 
@@ -40,10 +58,10 @@
 
     def start(
         self, module: str, arguments: list[str], name: str
-    ) -> LocalProcess:
+    ) -> LoggedProcess:
         """Start a Python module; its log is named after ``name``."""
         log_path = self._folder / f'{name}.log'
-        process = LocalProcess(module, arguments, log_path)
+        process = LoggedProcess(module, arguments, log_path)
         self._started.append(process)
         return process
 
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -8,6 +8,12 @@
     And the page counts the orders that the stand-ins ran
     And the first line of the printed report is yes or no
 
+  Scenario: Log lines of daemons hold no keys and no prompts
+    Given a small fleet for operators
+    When 20 requests of all kinds are sent to both daemons
+    And the daemons have written their status
+    Then each log line is flat JSON without keys and prompts
+
   Scenario: Of two operators who race one wins and the other sees the difference
     Given a small fleet for operators
     When another operator submits just before mine
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -18,11 +18,12 @@
     check_document,
     format_configuration,
     parse_configuration,
+    parse_json,
 )
 from cowslipstep_standins._documents import fleet_configuration
 from cowslipstep_standins._fleet import LocalFleet, local_fleet
 from cowslipstep_standins._outcomes import Outcome
-from cowslipstep_standins._plan import FleetShape
+from cowslipstep_standins._plan import FleetShape, workspace_key
 from cowslipstep_standins._processes import wait_until
 from cowslipstep_standins._records import engine_runs, service_calls
 from cowslipstep_standins._tool import ToolRun, run_tool
@@ -107,6 +108,18 @@
     assert first.startswith(('Yes: ', 'No: ')[report.code])
 
 
+@then('each log line is flat JSON without keys and prompts')
+def check_logs(fleet: LocalFleet, outcomes: list[Outcome]) -> None:
+    secrets = {workspace_key(name) for name in fleet.plan.shape.workspaces}
+    secrets.update(outcome.call.prompt for outcome in outcomes)
+    for daemon in fleet.plan.daemons:
+        for line in fleet.daemon(daemon.name).log.splitlines():
+            assert not any(secret in line for secret in secrets)
+            fields = parse_json(line)
+            assert fields.keys() >= {'time', 'level', 'message'}
+            assert not any(isinstance(entry, dict) for entry in fields.values())
+
+
 def _stored_text(fleet: LocalFleet) -> str:
     return read_stored(_client(fleet)).text
 
