--- a/libs/routing/src/cowslipstep/replay/_cells.py
+++ b/libs/routing/src/cowslipstep/replay/_cells.py
@@ -4,9 +4,9 @@
 
 import functools
 import itertools
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 
-from attrs import define, evolve, frozen
+from attrs import evolve, frozen
 
 from cowslipstep.model import (
     Address,
@@ -16,7 +16,12 @@
     Refusal,
     Release,
     Renewal,
-    Request,
+)
+from cowslipstep.replay._attempts import (
+    MODEL,
+    AskedCells,
+    Attempt,
+    make_request,
 )
 from cowslipstep.replay._baselines import FifoDispatcher
 from cowslipstep.replay._engines import Engine
@@ -27,45 +32,15 @@
 from cowslipstep.routing import (
     CellPolicy,
     CellChoice,
-    CellTry,
     Dispatcher,
     GroupSlots,
 )
 
-_MODEL = 'drafting'
 _PERIOD_S = 0.1
 _RENEWAL_PERIOD_S = 4
 _ADDRESS = Address('127.0.0.1', 1)
 
 
-@define
-class _Try:
-    """A request on its way through the cells."""
-
-    request: Request
-    outcome: Outcome
-    tries: Iterator[CellTry]
-    entry: CellChoice
-
-    @property
-    def arrival_s(self) -> float:
-        """When it arrived."""
-        return self.outcome.arrival.arrival_s
-
-    @property
-    def expires_s(self) -> float:
-        """When its first token must have come."""
-        return self.arrival_s + self.outcome.arrival.timeout_s
-
-
-@define
-class _Asked:
-    """Cells that were asked at once and have not answered."""
-
-    open: set[Cell]
-    granted: bool = False
-
-
 @frozen
 class _CellModel:
     """A cell's dispatcher and groups."""
@@ -103,7 +78,7 @@
         self._policy = CellPolicy(tuple(spec.ranks))
         make = FifoDispatcher if fifo else Dispatcher
         self._cells = {
-            Cell(_MODEL, domain): _CellModel(
+            Cell(MODEL, domain): _CellModel(
                 make(timeline.clock),
                 _cell_groups(domain, fleet),
             )
@@ -131,11 +106,11 @@
     def arrive(self, outcome: Outcome, daemon: int) -> None:
         """Ask the cells for a slot, the daemon's own one first."""
         entry = self._entries[daemon]
-        request = _request(f'r{next(self._numbers)}', outcome)
+        request = make_request(f'r{next(self._numbers)}', outcome)
         tries = entry.tries(self._cells, request)
-        self._ask(_Try(request, outcome, tries, entry))
+        self._ask(Attempt(request, outcome, tries, entry))
 
-    def _ask(self, attempt: _Try) -> None:
+    def _ask(self, attempt: Attempt) -> None:
         chosen = next(attempt.tries, None)
         left_s = attempt.expires_s - self._timeline.clock()
         if chosen is None or left_s <= 0:
@@ -143,7 +118,7 @@
             attempt.entry.note_refusal(attempt.request)
             return
         request = evolve(attempt.request, timeout_s=left_s)
-        asked = _Asked(set(chosen.cells))
+        asked = AskedCells(set(chosen.cells))
         for cell in chosen.cells:
             if not asked.granted:
                 self._submit(
@@ -152,14 +127,14 @@
                     Ask(cell, request, immediate=chosen.immediate),
                 )
 
-    def _submit(self, attempt: _Try, asked: _Asked, ask: Ask) -> None:
+    def _submit(self, attempt: Attempt, asked: AskedCells, ask: Ask) -> None:
         reply = functools.partial(self._answer, attempt, asked, ask)
         self._cells[ask.cell].dispatcher.submit(ask, reply)
 
     def _answer(
         self,
-        attempt: _Try,
-        asked: _Asked,
+        attempt: Attempt,
+        asked: AskedCells,
         ask: Ask,
         answer: Grant | Refusal,
     ) -> None:
@@ -192,7 +167,7 @@
 
 def _withdraw(
     cells: Mapping[Cell, _CellModel],
-    asked: _Asked,
+    asked: AskedCells,
     request_id: str,
 ) -> None:
     asked.granted = True
@@ -215,16 +190,3 @@
         GroupSlots(f'{domain}{index}', _ADDRESS, fleet.slots, float('inf'))
         for index in range(fleet.groups_per_cell)
     )
-
-
-def _request(request_id: str, outcome: Outcome) -> Request:
-    arrival = outcome.arrival
-    return Request(
-        request_id,
-        arrival.workspace,
-        arrival.rank,
-        _MODEL,
-        arrival.prompt_tokens,
-        arrival.output_tokens,
-        arrival.timeout_s,
-    )
