Let one daemon write each busy segment of the order ledger

Cause: each order costs a write to enter and one to keep its answer, because 340 daemons have less than one order a second each and share no write.

Change: changes of a segment of timed keys go to its owner by rendezvous hashing, in one peer message each way; the owner writes a segment each 250 ms at most. A daemon whose owner does not answer within 1.5 s writes by itself: the conditional update keeps it exact, and applying a change again has no effect. Keys without a time go on as before.

The feature has a scenario with the owner paused.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -6,14 +6,11 @@
 from cowslipstep.daemon._control import start_control
 from cowslipstep.daemon._delivery import DeliveryService
 from cowslipstep.daemon._entry import EntryApplication
-from cowslipstep.daemon._keyed import KeyedRuns
+from cowslipstep.daemon._keyed_service import open_keyed_runs
 from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._listening import listen_http
 from cowslipstep.daemon._opening import open_state
-from cowslipstep.daemon._order_claims import OrderClaims
-from cowslipstep.daemon._order_ledger import OrderLedger
 from cowslipstep.daemon._planned_stop import stop_as_planned
-from cowslipstep.daemon._segment_store import SegmentStore
 from cowslipstep.daemon._server import CallerServer, stop_event
 from cowslipstep.daemon._services import ServiceCalls
 from cowslipstep.daemon._slots import SlotService
@@ -47,8 +44,7 @@
     start_task('cells', cells.run)
     start_control(state, cells, links)
     slots = SlotService(state, cells, links)
-    ledger = OrderLedger(SegmentStore(state.platform))
-    keyed = KeyedRuns(OrderClaims(ledger), state.counters)
+    keyed = open_keyed_runs(state, links)
     return EntryApplication(
         state,
         DeliveryService(state, slots, keyed),
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_calls.py
@@ -0,0 +1,29 @@
+"""Handling of changes of the order ledger that other daemons ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from cowslipstep.delivery import EntryResult, OrderChange, SegmentPlace
+from cowslipstep.model import LedgerCall, LedgerOutcome, LedgerReply
+from cowslipstep.peers import Reply
+
+LedgerHandler = Callable[[LedgerCall, Reply], None]
+
+
+class ChangeLedger(Protocol):
+    """Applies changes to the order ledger."""
+
+    def change(
+        self,
+        place: SegmentPlace,
+        change: OrderChange,
+        retention_s: float,
+    ) -> EntryResult:
+        """Apply a change and wait until the platform has confirmed it."""
+
+
+def refuse_ledger_call(_call: LedgerCall, reply: Reply) -> None:
+    """Tell that this daemon does not write for others."""
+    reply(LedgerReply(LedgerOutcome.unavailable))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from cowslipstep.daemon._keyed_orders import KeyedOrder
-from cowslipstep.daemon._order_ledger import OrderLedger
+from cowslipstep.daemon._ledger_calls import ChangeLedger
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._segment_batches import LedgerUnavailable
 from cowslipstep.delivery import (
@@ -45,7 +45,7 @@
 
     def __init__(
         self,
-        ledger: OrderLedger,
+        ledger: ChangeLedger,
         look_again_s: tuple[float, ...] = _LOOK_AGAIN_S,
     ) -> None:
         self._ledger = ledger
@@ -116,7 +116,7 @@
 
 
 def _change(
-    ledger: OrderLedger,
+    ledger: ChangeLedger,
     order: KeyedOrder,
     change: OrderChange,
 ) -> EntryResult:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
@@ -50,16 +50,20 @@
         Reads and writes segments.
     write_timeout_s
         How long the outcome of a write is looked up, seconds.
+    write_period_s
+        Time between two writes of a segment that many orders share.
     """
 
     def __init__(
         self,
         store: SegmentStore,
         write_timeout_s: float = _WRITE_TIMEOUT_S,
+        write_period_s: float = _WRITE_PERIOD_S,
     ) -> None:
         self._store = store
         self._cache = SegmentCache()
         self._write_timeout_s = write_timeout_s
+        self._write_period_s = write_period_s
         self._waiting: dict[str, collections.deque[_Waiting]] = {}
 
     def change(
@@ -80,20 +84,21 @@
         waiting = self._waiting.get(place.name)
         if waiting is None:
             self._waiting[place.name] = collections.deque([entry])
-            eventlet.spawn(self._write_segment, place.name)
+            eventlet.spawn(self._write_segment, place)
         else:
             waiting.append(entry)
         return entry.done.wait()
 
-    def _write_segment(self, name: str) -> None:
-        waiting = self._waiting[name]
+    def _write_segment(self, place: SegmentPlace) -> None:
+        # Many orders share a segment of their time: it is written at a
+        # steady pace. A bucket holds few orders, which need not wait.
+        period_s = 0 if place.expires else self._write_period_s
+        waiting = self._waiting[place.name]
         while waiting:
-            batch = _take(waiting)
-            next_s = time.monotonic() + _WRITE_PERIOD_S
-            self._write(name, batch)
-            if waiting:
-                eventlet.sleep(max(0, next_s - time.monotonic()))
-        self._waiting.pop(name)
+            next_s = time.monotonic() + period_s
+            self._write(place.name, _take(waiting))
+            eventlet.sleep(max(0, next_s - time.monotonic()))
+        self._waiting.pop(place.name)
 
     def _write(self, name: str, waiting: list[_Waiting]) -> None:
         try:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
@@ -15,6 +15,7 @@
     ConfigurationQuery,
     DaemonEntry,
     Heartbeat,
+    LedgerCall,
     Message,
     Release,
     Renewal,
@@ -77,6 +78,17 @@
                 self._cells.renew(message)
             case Release():
                 self._cells.release(message)
+            case LedgerCall():
+                self._state.ledger_calls(message, reply)
+            case ConfigurationQuery() | ConfigurationCopy():
+                self._configure(message, reply)
+
+    def _configure(
+        self,
+        message: ConfigurationQuery | ConfigurationCopy,
+        reply: Reply,
+    ) -> None:
+        match message:
             case ConfigurationQuery(known_version):
                 reply(self._feed.copy_for(known_version))
             case ConfigurationCopy(version, document):
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -7,6 +7,10 @@
 
 from attrs import Factory, define, field
 
+from cowslipstep.daemon._ledger_calls import (
+    LedgerHandler,
+    refuse_ledger_call,
+)
 from cowslipstep.daemon._live import daemons_in, live_daemons
 from cowslipstep.daemon._logs import log_event
 from cowslipstep.daemon._membership import Membership
@@ -50,6 +54,8 @@
         Whether a planned stop has begun.
     intake_closed
         Whether a planned stop no longer takes requests.
+    ledger_calls
+        Handles changes of the order ledger that other daemons ask for.
     stop_hooks
         Called when a planned stop begins.
     confirmed
@@ -82,6 +88,7 @@
     stopping: bool = False
     intake_closed: bool = False
     stop_hooks: list[Callable[[], None]] = field(factory=list)
+    ledger_calls: LedgerHandler = refuse_ledger_call
     confirmed: bool = False
     isolated: bool = False
 
--- a/apps/cowslipstepd/tests/test_order_ledger.py
+++ b/apps/cowslipstepd/tests/test_order_ledger.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import collections
-import itertools
 import random
+import time
+import uuid
 
 import eventlet
-from attrs import define, field
+from attrs import define, field, frozen
 
 from cowslipstep.daemon._keyed import KeyedRuns
 from cowslipstep.daemon._keyed_orders import KeyUse, keyed_order
@@ -22,6 +23,7 @@
 from cowslipstep.daemon._relay import AnswerHead
 from cowslipstep.daemon._run_state import start_run
 from cowslipstep.daemon._segment_store import SegmentStore
+from cowslipstep.daemon._shared_ledger import SharedLedger
 from cowslipstep.daemon._stream_errors import failed_request
 from cowslipstep.metrics import Counters
 from cowslipstep.model import (
@@ -31,6 +33,7 @@
     Reason,
     RequestError,
 )
+from cowslipstep.peers import PeerUnreachable
 from cowslipstep.platform import (
     ObjectMissing,
     PlatformUnavailable,
@@ -43,6 +46,7 @@
 RETENTION_S = 3600
 WRITE_TIMEOUT_S = 0.15
 LOOK_AGAIN_S = (0.01, 0.03)
+NAMES = ('d0', 'd1', 'd2')
 DOWN = NotRun(Reason.platform_down)
 LOST = MayHaveRun(Reason.platform_down)
 CUT = MayHaveRun(Reason.upstream_cut)
@@ -74,6 +78,8 @@
     outage: bool = False
     runs: list = field(factory=list)
     answers: list = field(factory=list)
+    daemons: dict = field(factory=dict)
+    key: str = 'order 1'
 
     def ran(self, run) -> None:
         """Note that a send made the upstream run the order."""
@@ -94,14 +100,52 @@
         return True
 
 
+@frozen
+class Settings:
+    """Name of a daemon."""
+
+    name: str
+
+
+@define
+class State:
+    """What the shared ledger needs to know of its daemon."""
+
+    settings: Settings
+    live_daemons: tuple[str, ...] = NAMES
+    ledger_calls: object = None
+
+
+@frozen
+class Links:
+    """Links whose calls may come late and whose replies may be lost."""
+
+    case: Case
+
+    def call(self, owner, call, _timeout_s):
+        """Send a call to the owner of a segment."""
+        replied = eventlet.Event()
+        peer = self.case.daemons[owner]
+        delay_s = self.case.rng.choice([0, 0, 0.002, 0.1])
+        eventlet.spawn_after(delay_s, peer.shared.serve, call, replied.send)
+        if not self.case.chance(10):
+            with eventlet.Timeout(0.05, False):
+                return replied.wait()
+        raise PeerUnreachable(owner)
+
+
 class Daemon:
     """One daemon, whose every step may be its last."""
 
-    def __init__(self, case: Case) -> None:
+    def __init__(self, case: Case, name: str) -> None:
         self._case = case
-        ledger = OrderLedger(SegmentStore(self), WRITE_TIMEOUT_S)
-        self.keyed = KeyedRuns(OrderClaims(ledger, LOOK_AGAIN_S), Counters())
         self._dead = False
+        ledger = OrderLedger(SegmentStore(self), WRITE_TIMEOUT_S, 0.01)
+        state = State(Settings(name))
+        self.shared = SharedLedger(state, ledger, Links(case))
+        self.keyed = KeyedRuns(
+            OrderClaims(self.shared, LOOK_AGAIN_S), Counters()
+        )
 
     def step(self) -> None:
         """Let others go on; then perhaps pause or die."""
@@ -173,7 +217,7 @@
     run = start_run(TIMEOUT_S)
     answer = Answer(runs_before=len(case.runs))
     pieces = send_upstream(case, daemon, run)
-    answers = run_once(daemon)(new_order(first_send), pieces, run)
+    answers = run_once(daemon)(new_order(case, first_send), pieces, run)
     try:
         answer.body = list(answers)[-1]
     except RequestError as error:
@@ -183,20 +227,21 @@
     case.answers.append(answer)
 
 
-def new_order(first_send):
+def new_order(case, first_send):
     """Return a new attempt of the one order of a case."""
-    use = KeyUse('joiners', 'order 1', first_send)
+    use = KeyUse('joiners', case.key, first_send)
     return keyed_order(use, (b'two mallets',), RETENTION_S)
 
 
 def run_case(seed: int, run_once) -> Case:
     """Send one order several times; a send may overlap the one before."""
     case = Case(random.Random(seed))
-    daemons = [Daemon(case) for _ in range(3)]
-    resends = case.rng.randrange(5)
+    case.daemons = {name: Daemon(case, name) for name in NAMES}
+    if case.chance(50):
+        case.key = timed_key()
     sends = [
-        start_send(case, case.rng.choice(daemons), run_once, first_send)
-        for first_send in (True, *itertools.repeat(False, resends))
+        start_send(case, run_once, attempt)
+        for attempt in range(case.rng.randint(1, 5))
     ]
     eventlet.sleep(0.5)
     for task in sends:
@@ -204,10 +249,19 @@
     return case
 
 
-def start_send(case, daemon, run_once, first_send):
+def timed_key() -> str:
+    """Return a version 7 UUID."""
+    issued = int(time.time() * 1000) << 80
+    version = 7 << 76
+    variant = 2 << 62
+    return str(uuid.UUID(int=issued + version + variant))
+
+
+def start_send(case, run_once, attempt):
     """Start a send and wait for its answer, for a shorter or longer time."""
+    daemon = case.daemons[case.rng.choice(NAMES)]
     case.outage = case.chance(10)
-    task = eventlet.spawn(send, case, daemon, run_once, first_send)
+    task = eventlet.spawn(send, case, daemon, run_once, attempt == 0)
     with eventlet.Timeout(case.rng.choice([0.002, 0.4]), False):
         task.wait()
     return task
@@ -266,7 +320,7 @@
 
 def test_a_platform_that_is_down_starts_nothing():
     case = Case(random.Random(1), outage=True)
-    daemon = Daemon(case)
+    daemon = Daemon(case, NAMES[0])
     for first_send in (True, False):
         send(case, daemon, with_ledger, first_send)
     assert not case.runs
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -37,6 +37,14 @@
 )
 from cowslipstep.model._messages import Message
 from cowslipstep.model._readiness import GroupReadiness, ReadinessReport
+from cowslipstep.model._order_messages import (
+    LedgerAnswer,
+    LedgerCall,
+    LedgerOutcome,
+    LedgerReply,
+    LedgerStep,
+    OrderMessage,
+)
 from cowslipstep.model._requests import Request
 from cowslipstep.model._verdicts import (
     Completed,
--- a/libs/model/src/cowslipstep/model/_messages.py
+++ b/libs/model/src/cowslipstep/model/_messages.py
@@ -4,5 +4,6 @@
 
 from cowslipstep.model._grants import GrantMessage
 from cowslipstep.model._membership import MembershipMessage
+from cowslipstep.model._order_messages import OrderMessage
 
-Message = GrantMessage | MembershipMessage
+Message = GrantMessage | MembershipMessage | OrderMessage
--- a/libs/peers/src/cowslipstep/peers/_decode.py
+++ b/libs/peers/src/cowslipstep/peers/_decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import capnp
@@ -9,9 +10,16 @@
 from cowslipstep.model import Message
 from cowslipstep.peers._decode_grants import decode_grant_message
 from cowslipstep.peers._decode_membership import decode_membership_message
+from cowslipstep.peers._decode_orders import decode_order_message
 from cowslipstep.peers._frames import Frame, FrameError
 from cowslipstep.peers._schema import SCHEMA
 
+_DECODERS: tuple[Callable[[str, Any], Message | None], ...] = (
+    decode_grant_message,
+    decode_membership_message,
+    decode_order_message,
+)
+
 
 def decode_frame(payload: bytes) -> Frame:
     """Read a frame from packed bytes.
@@ -35,10 +43,8 @@
 def _message(raw: Any) -> Message:
     name = str(raw.which())
     body = getattr(raw, name)
-    message = decode_grant_message(name, body) or decode_membership_message(
-        name,
-        body,
-    )
-    if message is None:
-        raise FrameError(f'unknown message {name}')
-    return message
+    for decode in _DECODERS:
+        message = decode(name, body)
+        if message is not None:
+            return message
+    raise FrameError(f'unknown message {name}')
--- a/libs/peers/src/cowslipstep/peers/_encode.py
+++ b/libs/peers/src/cowslipstep/peers/_encode.py
@@ -9,9 +9,10 @@
 
 from typing import Any
 
-from cowslipstep.model import GrantMessage, Message
+from cowslipstep.model import GrantMessage, Message, OrderMessage
 from cowslipstep.peers._encode_grants import write_grant_message
 from cowslipstep.peers._encode_membership import write_membership_message
+from cowslipstep.peers._encode_orders import write_order_message
 from cowslipstep.peers._frames import Frame
 from cowslipstep.peers._schema import SCHEMA
 
@@ -29,4 +30,7 @@
     if isinstance(message, GrantMessage):
         write_grant_message(builder, message)
         return
+    if isinstance(message, OrderMessage):
+        write_order_message(builder, message)
+        return
     write_membership_message(builder, message)
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -17,6 +17,8 @@
     configurationQuery @9 :UInt64;
     configurationCopy @10 :ConfigurationCopy;
     daemonEntry @11 :DaemonEntry;
+    ledgerCall @12 :LedgerCall;
+    ledgerReply @13 :LedgerReply;
   }
 }
 
@@ -111,3 +113,24 @@
   version @0 :UInt64;
   document @1 :Text;
 }
+
+struct LedgerAnswer {
+  status @0 :UInt16;
+  contentType @1 :Text;
+  hasBody @2 :Bool;
+  body @3 :Data;
+}
+
+struct LedgerCall {
+  segment @0 :Text;
+  step @1 :Text;
+  digest @2 :Text;
+  attempt @3 :Text;
+  fingerprint @4 :Text;
+  answer @5 :LedgerAnswer;
+}
+
+struct LedgerReply {
+  outcome @0 :Text;
+  answer @1 :LedgerAnswer;
+}
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -69,6 +69,13 @@
     Then the second answer is "may_have_run"
     And the order ran at most once
 
+  Scenario: The daemon that writes a busy segment is paused
+    When daemon 2 is paused
+    And 6 orders whose keys carry their time are sent to daemons 0 and 1
+    And daemon 2 goes on
+    Then all of them are answered
+    And no order ran twice
+
   Scenario: Orders are sent again through random daemons under faults
     When 30 orders are sent 1 to 5 times while faults come and go
     Then no order ran twice
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -4,6 +4,8 @@
 
 import itertools
 import random
+import time
+import uuid
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from types import MappingProxyType
@@ -205,6 +207,41 @@
     orders.fleet.daemon(f'd{daemon}').thaw()
 
 
+@when(parsers.parse('daemon {daemon:d} is paused'))
+def pause_now(orders: Orders, daemon: int) -> None:
+    orders.fleet.daemon(f'd{daemon}').freeze()
+
+
+@when(
+    parsers.parse(
+        '{count:d} orders whose keys carry their time are sent '
+        + 'to daemons 0 and 1',
+    ),
+    target_fixture='outcomes',
+)
+def send_timed(orders: Orders, count: int) -> list[Outcome]:
+    return [
+        orders.send(
+            index % 2,
+            Call('x', 'grid-a', key=timed_key(index), service=True),
+        )
+        for index in range(count)
+    ]
+
+
+def timed_key(number: int) -> str:
+    """Return a version 7 UUID."""
+    issued = int(time.time() * 1000) << 80
+    version = 7 << 76
+    variant = 2 << 62
+    return str(uuid.UUID(int=issued + version + variant + number))
+
+
+@then('all of them are answered')
+def check_all_answered(outcomes: list[Outcome]) -> None:
+    assert all(outcome.correct for outcome in outcomes)
+
+
 @when(
     parsers.parse(
         '{count:d} orders are sent 1 to 5 times while faults come and go',
@@ -216,10 +253,14 @@
     return [
         send_with_fault(orders, call, rng)
         for number in range(count)
-        for call in repeated_sends(f'r-{number}', rng)
+        for call in repeated_sends(random_key(number), rng)
     ]
 
 
+def random_key(number: int) -> str:
+    return timed_key(number) if number % 2 else f'r-{number}'
+
+
 def repeated_sends(key: str, rng: random.Random) -> list[Call]:
     call = Call(key, 'grid-b', key=key, service=True)
     attempts = range(1, rng.randint(1, 5) + 1)
