--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -4,6 +4,7 @@
 
 import warnings
 
+# Importing eventlet warns of its own state; other warnings are shown.
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
 import eventlet  # noqa: E402
