--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -44,6 +44,7 @@
     start_task('cells', cells.run)
     start_control(state, cells, links)
     slots = SlotService(state, cells, links)
+    slots.start()
     keyed = open_keyed_runs(state, links)
     return EntryApplication(
         state,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
@@ -12,7 +12,11 @@
 from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._stream_errors import error_event, failed_request
-from cowslipstep.daemon._tries import CompletionTries, TryRefused
+from cowslipstep.daemon._tries import (
+    CompletionTries,
+    GrantLapsed,
+    TryRefused,
+)
 from cowslipstep.daemon._upstream import UpstreamFailure
 from cowslipstep.delivery import RetryBudget, may_resume, may_retry
 from cowslipstep.model import Completed
@@ -94,14 +98,21 @@
         match failure:
             case TryRefused():
                 return False
-        idempotent = caller.request.idempotent
+            case GrantLapsed():
+                return not run.overdue
         if run.begun:
             return self._resumes(caller, run, failure)
-        if run.overdue or not may_retry(
-            failure.verdict, idempotent=idempotent, begun=False
-        ):
-            return False
-        if not self._budget.take():
+        return self._retries(caller, run, failure)
+
+    def _retries(
+        self,
+        caller: CallerRequest,
+        run: RunState,
+        failure: UpstreamFailure,
+    ) -> bool:
+        idempotent = caller.request.idempotent
+        allowed = may_retry(failure.verdict, idempotent=idempotent, begun=False)
+        if not allowed or run.overdue or not self._budget.take():
             return False
         self._outcomes.count('retries', caller.labels)
         return True
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 from loguru import logger
 
+from cowslipstep.daemon._hangup import CallerGone
 from cowslipstep.daemon._relay import Piece
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._state import DaemonState
@@ -56,6 +57,9 @@
         except RequestError as error:
             run.verdict = error.verdict
             raise
+        except (GeneratorExit, CallerGone):
+            self._add('hangups', labels, run.verdict.code)
+            raise
         finally:
             self._note(labels, run)
 
@@ -66,13 +70,12 @@
 
     def _note(self, labels: RequestLabels, run: RunState) -> None:
         verdict = run.verdict.code
-        pairs = (
-            ('workspace', labels.workspace),
-            ('rank', labels.rank),
-            ('verdict', verdict),
-        )
-        self._counters.add(CounterKey(self._name, pairs))
-        logger.bind(**dict(pairs)).info('request ended')
+        self._add(self._name, labels, verdict)
+        logger.bind(
+            workspace=labels.workspace,
+            rank=labels.rank,
+            verdict=verdict,
+        ).info('request ended')
         if run.begun:
             self._keep(labels, run.verdict)
 
@@ -90,6 +93,14 @@
                 )
                 self._requests.add(record)
 
+    def _add(self, name: str, labels: RequestLabels, verdict: str) -> None:
+        pairs = (
+            ('workspace', labels.workspace),
+            ('rank', labels.rank),
+            ('verdict', verdict),
+        )
+        self._counters.add(CounterKey(name, pairs))
+
 
 class Timings:
     """Records durations of answers by workspace and rank.
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -11,7 +11,7 @@
     LedgerHandler,
     refuse_ledger_call,
 )
-from cowslipstep.daemon._live import daemons_in, live_daemons
+from cowslipstep.daemon._live import LiveDaemons, daemons_in
 from cowslipstep.daemon._logs import log_event
 from cowslipstep.daemon._membership import Membership
 from cowslipstep.groups import DomainLedger, ReadinessTable
@@ -48,6 +48,8 @@
         Ledgers by fabric domain, as last read.
     membership
         The other daemons.
+    live
+        Which of them are alive.
     traffic
         Bytes exchanged with them.
     stopping
@@ -76,6 +78,12 @@
             takes_self=True,
         ),
     )
+    live: LiveDaemons = field(
+        default=Factory(
+            lambda state: LiveDaemons(state.membership, time.monotonic),
+            takes_self=True,
+        ),
+    )
     traffic: Traffic = field(factory=Traffic)
     readiness: ReadinessTable = field(
         factory=lambda: ReadinessTable(time.monotonic),
@@ -122,7 +130,7 @@
 
         A stopping daemon leaves itself out if there are others.
         """
-        return live_daemons(self.membership, self.stopping)
+        return self.live.names(self.stopping)
 
     def daemons_in(self, failure_domain: str) -> frozenset[str]:
         """Names of the known daemons of a failure domain, live or not."""
--- a/standins/src/cowslipstep_standins/_documents.py
+++ b/standins/src/cowslipstep_standins/_documents.py
@@ -26,6 +26,7 @@
         'peer_address': daemon.peer,
         'platform_address': plan.platform,
         'unready_delay_s': 0.5,
+        'status_period_s': 1,
         'platform_calls_per_s': _PLATFORM_CALLS_PER_S // len(plan.daemons),
         'peers': [_peer(peer) for peer in plan.daemons if peer != daemon],
     }
