--- a/apps/cowslipstepd/src/cowslipstep/daemon/_tries.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_tries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import time
 from collections.abc import Iterator
 
@@ -11,21 +10,25 @@
 
 from cowslipstep.daemon._completions import CallerRequest, upstream_call
 from cowslipstep.daemon._outcomes import Timings
+from cowslipstep.daemon._pauses import PauseWatch
 from cowslipstep.daemon._relay import Piece, relay_stream, relay_whole
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._slots import Slot, SlotService
 from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._tasks import start_task
 from cowslipstep.daemon._upstream import UpstreamFailure, UpstreamPool
 from cowslipstep.delivery import choose_avoided
 from cowslipstep.model import NotRun, Reason
 
-_RENEWAL_PERIOD_S = 1
-
 
 class TryRefused(UpstreamFailure):
     """There was no slot, or no time left, for a try."""
 
 
+class GrantLapsed(UpstreamFailure):
+    """The daemon was paused for so long that its grant is void."""
+
+
 class CompletionTries:
     """Makes single tries of completions.
 
@@ -40,6 +43,8 @@
     def __init__(self, state: DaemonState, slots: SlotService) -> None:
         self._state = state
         self._timings = Timings(state)
+        self._pauses = PauseWatch()
+        start_task('pauses', lambda: self._pauses.run(eventlet.sleep))
         self._slots = slots
         self._upstreams = UpstreamPool()
 
@@ -63,7 +68,6 @@
                 case NotRun():
                     raise TryRefused(held, 'no group has room')
                 case Slot():
-                    run.avoid.append(held.grant.group)
                     yield from self._send(caller, held, run)
 
     def _groups(self, model: str) -> set[str]:
@@ -83,28 +87,21 @@
         relay = relay_stream if caller.stream else relay_whole
         call = upstream_call(caller, held.grant.address, run)
         earlier_tokens = run.stream.tokens
-        if run.overdue:
-            raise TryRefused(NotRun(Reason.deadline), 'the deadline has passed')
+        self._raise_if_late(held, run)
+        run.avoid.append(held.grant.group)
         run.note_sending()
-        with _renewed(self._slots, held):
+        try:
             for piece in relay(self._upstreams, call, run):
                 held.use.streamed_tokens = run.stream.tokens - earlier_tokens
                 yield piece
+        except UpstreamFailure:
+            held.use.failed = True
+            raise
 
-
-@contextlib.contextmanager
-def _renewed(slots: SlotService, held: Slot) -> Iterator[None]:
-    renewal = eventlet.spawn_after(_RENEWAL_PERIOD_S, _renew, slots, held)
-    try:
-        yield
-    except UpstreamFailure:
-        held.use.failed = True
-        raise
-    finally:
-        renewal.kill()
-
-
-def _renew(slots: SlotService, held: Slot) -> None:
-    while True:
-        slots.renew(held)
-        eventlet.sleep(_RENEWAL_PERIOD_S)
+    def _raise_if_late(self, held: Slot, run: RunState) -> None:
+        """Check deadline and grant at the moment of use."""
+        if run.overdue:
+            raise TryRefused(NotRun(Reason.deadline), 'the deadline has passed')
+        age_s = time.monotonic() - held.renewed_s
+        if age_s + self._pauses.recent_pause_s() > held.grant.startable_s:
+            raise GrantLapsed(NotRun(Reason.not_ready), 'the grant has lapsed')
