--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -289,7 +289,7 @@
 def wait_too_long(fleet: LocalFleet) -> Any:
     with ThreadPoolExecutor(_SLOTS * 2) as pool:
         for _ in range(_SLOTS * 2):
-            fields = {'max_tokens': 10, 'prompt': 'takes a slot'}
+            fields = {'max_tokens': 40, 'prompt': 'takes a slot'}
             pool.submit(post, first_daemon(fleet), fields)
         wait_until(lambda: all_slots_taken(fleet), 'all slots taken')
         late = {'prompt': 'too late', 'max_tokens': 1}
