--- a/libs/delivery/src/cowslipstep/delivery/__init__.py
+++ b/libs/delivery/src/cowslipstep/delivery/__init__.py
@@ -22,7 +22,6 @@
     SegmentPlace,
     digest_of,
     locate_key,
-    slot_segment,
 )
 from cowslipstep.delivery._orders import (
     AnswerOrder,
@@ -46,3 +45,9 @@
     Segment,
     apply_changes,
 )
+from cowslipstep.delivery._slots import (
+    SLOT_S,
+    expired_slots,
+    slot_segment,
+    slot_segments,
+)
--- a/libs/delivery/src/cowslipstep/delivery/_keys.py
+++ b/libs/delivery/src/cowslipstep/delivery/_keys.py
@@ -14,12 +14,16 @@
 
 from attrs import frozen
 
-_SLOT_S = 60
-_SHARDS = 16
+from cowslipstep.delivery._slots import (
+    MAX_SKEW_S,
+    SHARDS,
+    SLOT_S,
+    slot_segment,
+)
+
 _TIMED_VERSION = 7
 _MS_PER_S = 1000
 _TIME_SHIFT_BITS = 80
-_MAX_SKEW_S = 300
 _BUCKET_CHARS = 4
 _DIGEST_CHARS = 32
 
@@ -82,20 +86,15 @@
     if issued_unix_s is None:
         bucket = digest[:_BUCKET_CHARS]
         return SegmentPlace(f'bucket-{bucket}', digest, expires=True)
-    if issued_unix_s > now_unix_s + _MAX_SKEW_S:
+    if issued_unix_s > now_unix_s + MAX_SKEW_S:
         return FutureKey()
     if issued_unix_s < now_unix_s - retention_s:
         return ExpiredKey()
-    shard = int(digest[0], _SHARDS)
-    name = slot_segment(int(issued_unix_s // _SLOT_S), shard)
+    shard = int(digest[0], SHARDS)
+    name = slot_segment(int(issued_unix_s // SLOT_S), shard)
     return SegmentPlace(name, digest, expires=False)
 
 
-def slot_segment(slot: int, shard: int) -> str:
-    """Return the name of a segment of keys that carry their time."""
-    return f'slot-{slot}-{shard}'
-
-
 def _issue_time(key: str) -> float | None:
     try:
         parsed = uuid.UUID(key)
--- /dev/null
+++ b/libs/delivery/src/cowslipstep/delivery/_slots.py
@@ -0,0 +1,40 @@
+"""Time slots, whose segments hold keys that carry their issue time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+SLOT_S = 60
+SHARDS = 16
+MAX_SKEW_S = 300
+
+
+def slot_segment(slot: int, shard: int) -> str:
+    """Return the name of a segment of keys that carry their time."""
+    return f'slot-{slot}-{shard}'
+
+
+def slot_segments(slot: int) -> Iterator[str]:
+    """Yield the names of all segments of a time slot."""
+    for shard in range(SHARDS):
+        yield slot_segment(slot, shard)
+
+
+def expired_slots(
+    now_unix_s: float,
+    retention_s: float,
+    sweep_s: float,
+) -> range:
+    """Return the time slots whose keys are all past the retention.
+
+    Only the newest ``sweep_s`` seconds of them are returned. Clocks of
+    daemons may disagree, so a slot is left alone for a while longer.
+
+    Examples
+    --------
+    >>> expired_slots(now_unix_s=1320, retention_s=600, sweep_s=120)
+    range(0, 2)
+    """
+    end_unix_s = now_unix_s - retention_s - 2 * MAX_SKEW_S
+    end = int(end_unix_s // SLOT_S)
+    return range(end - int(sweep_s // SLOT_S), end)
