Take "not run" only from an upstream that says so; measure speed by tokens

Cause, 1: any answer 503 of an upstream was told as not_run, but a server may answer 503 after its work failed, and the order would be sent again.

Ruled out: dropping retries after 503 (idempotent requests are tried again on may_have_run as well).

Change: 503 is NotRun only with the body {"ran": false}. Only streamed tokens count as speed; unary answers say nothing of it for now.

Measured: tests/test_orders.py with "fail after run": before, told not_run (1 failed); after, 12 passed. tests/test_delivery.py and test_orders.py: 20 passed; libs/routing: 51 passed.

Conclusion: refusals need an upstream's word. Slow groups that serve unary requests only are found by the keeper's probes, not by the dispatcher.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -8,27 +8,16 @@
 import urllib3
 from attrs import field, frozen
 
+from cowslipstep.daemon._upstream_failures import (
+    UpstreamFailure,
+    raise_for_status,
+)
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 
 _CONNECT_TIMEOUT_S = 1
 _CONNECTIONS_PER_UPSTREAM = 64
 _MAX_UPSTREAMS = 1024
 _READ_CHUNK_BYTES = 65536
-_SERVICE_UNAVAILABLE = 503
-_SERVER_ERROR = 500
-
-
-class UpstreamFailure(Exception):
-    """An upstream gave no complete answer."""
-
-    def __init__(self, verdict: NotRun | MayHaveRun, message: str) -> None:
-        super().__init__(message)
-        self._verdict = verdict
-
-    @property
-    def verdict(self) -> NotRun | MayHaveRun:
-        """Whether the request may have run."""
-        return self._verdict
 
 
 @frozen
@@ -66,7 +55,7 @@
         """
         answer = self._send(call)
         with contextlib.closing(answer):
-            _raise_for_status(answer.status, call.address)
+            raise_for_status(answer, call.address)
             yield answer
 
     def _send(self, call: UpstreamCall) -> urllib3.BaseHTTPResponse:
@@ -100,19 +89,6 @@
         yield piece
 
 
-def _raise_for_status(status: int, address: Address) -> None:
-    if status == _SERVICE_UNAVAILABLE:
-        raise UpstreamFailure(
-            NotRun(Reason.upstream_refused, retry_after_s=1),
-            f'{address} refused the request',
-        )
-    if status >= _SERVER_ERROR:
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_failed),
-            f'{address} failed with status {status}',
-        )
-
-
 @contextlib.contextmanager
 def _verdict_on_error() -> Iterator[None]:
     try:
--- a/libs/routing/src/cowslipstep/routing/_accounts.py
+++ b/libs/routing/src/cowslipstep/routing/_accounts.py
@@ -103,10 +103,11 @@
         self._books.limits.end(granted.work.workspace)
         held_s = self._clock() - granted.granted_at_s
         self._books.headroom.note_held(held_s)
+        # Unary answers and hang-ups tell only an estimate of their tokens.
         self._books.outliers.note(
             granted.work.group,
-            granted.charged_tokens,
-            held_s,
+            release.streamed_tokens,
+            held_s if release.streamed_tokens else 0,
             failed=release.failed,
         )
 
--- a/standins/src/cowslipstep_standins/_service_api.py
+++ b/standins/src/cowslipstep_standins/_service_api.py
@@ -19,14 +19,21 @@
     sever,
 )
 
+_UNAVAILABLE = '503 Service Unavailable'
+
 
 @define
 class ServiceFaults:
-    """What goes wrong; the ``cut_`` fields count calls to come."""
+    """What goes wrong; the fields with a number count calls to come.
+
+    ``refuse`` answers 503 with the word that the call did not run;
+    ``fail_after_run`` answers 503 without it, after the call ran.
+    """
 
     delay_s: float = 0
     cut_before_run: int = 0
     cut_after_run: int = 0
+    fail_after_run: int = 0
     refuse: bool = False
 
 
@@ -59,7 +66,7 @@
         if request.segments[0] == 'standin':
             return send_json(start_response, self._control(request))
         if self._faults.refuse:
-            refusal = HttpAnswer('503 Service Unavailable', {'ran': False})
+            refusal = HttpAnswer(_UNAVAILABLE, {'ran': False})
             return send_json(start_response, refusal)
         if self._faults.cut_before_run:
             self._faults.cut_before_run -= 1
@@ -70,6 +77,9 @@
             self._faults.cut_after_run -= 1
             sever(environ)
             return []
+        if self._faults.fail_after_run:
+            self._faults.fail_after_run -= 1
+            answer = HttpAnswer(_UNAVAILABLE)
         return send_json(start_response, answer)
 
     def _control(self, request: HttpRequest) -> HttpAnswer:
--- a/standins/src/cowslipstep_standins/service.py
+++ b/standins/src/cowslipstep_standins/service.py
@@ -2,8 +2,8 @@
 
 ``POST /orders`` adds an order and may not be repeated; ``GET /orders/<n>``
 reads one; ``GET /status`` may be repeated. ``GET/PUT /standin`` reads the
-records and sets faults: ``delay_s``, ``cut_before_run``, ``cut_after_run``
-(number of calls to come), ``refuse`` (bool).
+records and sets faults: ``delay_s``, ``cut_before_run``, ``cut_after_run``,
+``fail_after_run`` (numbers of calls to come), ``refuse`` (bool).
 """
 
 from __future__ import annotations
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -10,7 +10,7 @@
     And the two answers are the same
     And the order ran 1 time
 
-  Scenario Outline: The connection to the runner breaks
+  Scenario Outline: The runner gives no answer to its call
     Given both runners will <fault> the next call
     When an order is sent to daemon 0
     And it is sent again to daemon 1
@@ -21,6 +21,7 @@
       | fault          | runs |
       | cut before run | 0    |
       | cut after run  | 1    |
+      | fail after run | 1    |
 
   Scenario: Runners that refuse leave the key free
     Given both runners will refuse the next call
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -32,6 +32,7 @@
     {
         'cut before run': {'cut_before_run': 1},
         'cut after run': {'cut_after_run': 1},
+        'fail after run': {'fail_after_run': 1},
         'refuse': {'refuse': True},
     },
 )
