Let the engine stand-in publish cache events and load late

Cause: its cache events came at once and whole, and it had no lagged load, unlike real engines. Ruled out: a lag in /health; tests and drains read it as the engine's word. Conclusion: ready for a dispatcher that reads cache events; none does yet.

--- a/standins/src/cowslipstep_standins/_completions.py
+++ b/standins/src/cowslipstep_standins/_completions.py
@@ -102,7 +102,7 @@
             missing_members(self._host, self._hosts),
         )
         self._host.runs.append(run)
-        self._host.note_prefix(generation.prompt)
+        self._host.cache_events.note(generation.prompt, time.monotonic())
         return run
 
     def _tokens(self, generation: Generation, run: Run) -> Iterator[bytes]:
--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterable
 
 import attrs
@@ -68,6 +69,8 @@
                 return self._order(request)
             case ('cache-events',):
                 return self._cache_events(request)
+            case ('load',):
+                return self._load()
         return HttpAnswer('404 Not Found')
 
     def _order(self, request: HttpRequest) -> HttpAnswer:
@@ -77,5 +80,14 @@
 
     def _cache_events(self, request: HttpRequest) -> HttpAnswer:
         after = int(request.query.get('after', 0))
-        stored = self._host.cached[after:]
-        return ok({'next': len(self._host.cached), 'stored': stored})
+        events = self._host.cache_events.published(after, time.monotonic())
+        return ok({'stored': [attrs.asdict(event) for event in events]})
+
+    def _load(self) -> HttpAnswer:
+        batch = self._host.batch
+        sample = self._host.load.sample(
+            batch.running,
+            batch.waiting,
+            time.monotonic(),
+        )
+        return ok(attrs.asdict(sample))
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import time
 from typing import Any
 
 from attrs import define, field, frozen
 
 from cowslipstep_standins._batch import Batch
-
-_PREFIX_CHARS = 64
+from cowslipstep_standins._lagging import CacheEvents, LaggedLoad
 
 
 @define
@@ -103,7 +101,8 @@
     faults: EngineFaults = field(factory=EngineFaults)
     runs: list[Run] = field(factory=list)
     orders: list[AppliedOrder] = field(factory=list)
-    cached: list[str] = field(factory=list)
+    cache_events: CacheEvents = field(factory=CacheEvents)
+    load: LaggedLoad = field(factory=LaggedLoad)
 
     @property
     def state(self) -> str:
@@ -145,11 +144,6 @@
         self._note(order['order'], fence)
         return True
 
-    def note_prefix(self, prompt: str) -> None:
-        """Remember that the head of a prompt is cached now."""
-        head = prompt[:_PREFIX_CHARS].encode()
-        self.cached.append(hashlib.sha256(head).hexdigest())
-
     def _assign(self, order: Any) -> None:
         group = order['group']
         if group == self.group:
--- a/standins/src/cowslipstep_standins/engine.py
+++ b/standins/src/cowslipstep_standins/engine.py
@@ -3,7 +3,8 @@
 Each host has an address of its own. Orders assign hosts to a group, whose
 first member takes OpenAI-style completions. Calls: ``/v1/completions``,
 ``/v1/chat/completions``, ``GET /health``, ``POST /orders``, ``GET
-/cache-events``; ``GET/PUT /standin`` reads the records and sets faults.
+/cache-events`` and ``GET /load``, both a second late; ``GET/PUT /standin``
+reads the records and sets faults.
 """
 
 from __future__ import annotations
