--- a/libs/groups/src/cowslipstep/groups/_readiness.py
+++ b/libs/groups/src/cowslipstep/groups/_readiness.py
@@ -51,13 +51,6 @@
         """Clock reading at which readiness runs out; zero if unknown."""
         return self._until_s.get(group, 0)
 
-    def known_groups(self) -> tuple[str, ...]:
-        """Names of the groups that are ready now."""
-        now = self._clock()
-        return tuple(
-            group for group, until_s in self._until_s.items() if until_s > now
-        )
-
     def _forget(self, oldest_s: float) -> None:
         self._until_s = {
             group: until_s
