Let the evening page be read in ten seconds

Ruled out: a fixed margin on the floor (hides ranks with a small floor); judging a flood as a whole (an hour may hide its first ten minutes).

Targets for urgent requests answered, for small workspaces beside large ones and for what a flood is stand in the configuration; hangups are counted apart for requests, calls and orders. The tests of the floor and the number of drawings say the new text and number; that of floods asks for the rank's row besides.

Not done: floors on the page are counted in requests, not in tokens.

--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_charts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_charts.py
@@ -4,13 +4,16 @@
 
 from collections.abc import Iterator
 
+from attrs import frozen
+
 from cowslipstep.cli._evening._markup import Markup
 from cowslipstep.cli._evening._numbers import share_text
-from cowslipstep.cli._evening._parts import Chart, ShareBar
+from cowslipstep.cli._evening._drawings import Chart, ShareBar
 from cowslipstep.cli._evening._svg import (
     BAD,
     DARK,
     GOOD,
+    GREY,
     PALE,
     Point,
     bar_at,
@@ -19,30 +22,80 @@
     text_at,
 )
 
-_LEFT = 130
-_LENGTH = 480
-_RIGHT = _LEFT + _LENGTH + 10
-_STEP = 30
-_THICKNESS = 18
-_BASELINE = 14
+_LEFT = 160
+_FIGURE_WIDTH = 66
+_STEP = 24
+_THICKNESS = 14
+_BASELINE = 12
+_OVERHANG = 3
+_GAP = 6
+_AXIS_HEIGHT = 40
+_TICK_DOWN = 14
+_NAME_DOWN = 32
+_TICKS = (0, 0.25, 0.5, 0.75, 1)
+_MIDDLE = 0.5
+
+
+@frozen
+class _Scale:
+    """Where shares lie on a surface of some width."""
+
+    width: int
+
+    @property
+    def right(self) -> float:
+        """Where a share of one ends."""
+        return self.width - _FIGURE_WIDTH
+
+    def at(self, share: float) -> float:
+        """Return where a share ends."""
+        return _LEFT + share * (self.right - _LEFT)
 
 
-def draw_chart(chart: Chart) -> Markup:
-    """Return the bars of a chart as SVG."""
-    drawn: list[Markup] = []
+def draw_chart(chart: Chart, width: int) -> Markup:
+    """Return the bars of a chart as SVG of some width."""
+    scale = _Scale(width)
+    bottom = _STEP * len(chart.bars)
+    drawn = list(_axis(chart.axis, bottom, scale))
     for index, share_bar in enumerate(chart.bars):
-        drawn.extend(_draw_bar(index * _STEP, share_bar))
-    return surface(_STEP * len(chart.bars), *drawn)
+        drawn.extend(_draw_bar(index * _STEP, share_bar, scale))
+    return surface(width, bottom + _AXIS_HEIGHT, *drawn)
 
 
-def _draw_bar(top: int, drawn: ShareBar) -> Iterator[Markup]:
-    colour = GOOD if drawn.share >= drawn.target else BAD
-    mark = _LEFT + drawn.target * _LENGTH
+def _axis(name: str, bottom: int, scale: _Scale) -> Iterator[Markup]:
+    for tick in _TICKS:
+        right = scale.at(tick)
+        ends = [Point(right, 0), Point(right, bottom)]
+        yield line_of(ends, stroke=PALE)
+        yield _label(Point(right, bottom + _TICK_DOWN), share_text(tick))
+    yield _label(Point(scale.at(_MIDDLE), bottom + _NAME_DOWN), name)
+
+
+def _label(place: Point, text: str) -> Markup:
+    return text_at(place, text, text_anchor='middle', fill=GREY)
+
+
+def _draw_bar(
+    top: int,
+    drawn: ShareBar,
+    scale: _Scale,
+) -> Iterator[Markup]:
     base = top + _BASELINE
     yield text_at(Point(0, base), drawn.label)
-    yield bar_at(Point(_LEFT, top), _LENGTH, height=_THICKNESS, fill=PALE)
-    length = drawn.share * _LENGTH
-    yield bar_at(Point(_LEFT, top), length, height=_THICKNESS, fill=colour)
-    ends = [Point(mark, top), Point(mark, top + _THICKNESS)]
-    yield line_of(ends, stroke=DARK)
-    yield text_at(Point(_RIGHT, base), share_text(drawn.share))
+    yield bar_at(
+        Point(_LEFT, top),
+        scale.at(drawn.share) - _LEFT,
+        height=_THICKNESS,
+        fill=GOOD if drawn.reached else BAD,
+    )
+    yield _target(scale.at(drawn.target), top)
+    figure = Point(scale.right + _GAP, base)
+    yield text_at(figure, share_text(drawn.share))
+
+
+def _target(right: float, top: int) -> Markup:
+    ends = [
+        Point(right, top - _OVERHANG),
+        Point(right, top + _THICKNESS + _OVERHANG),
+    ]
+    return line_of(ends, stroke=DARK, stroke_width='2')
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_facts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_facts.py
@@ -20,6 +20,11 @@
     day: Day
     configuration: Configuration
 
+    @property
+    def flood_refused_share(self) -> float:
+        """Share of refused requests above which a slot is a flood."""
+        return self.configuration.targets.flood_refused_share
+
     @property
     def elapsed_s(self) -> float:
         """Time from the first figure of the day to the last, seconds."""
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_floods.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_floods.py
@@ -5,75 +5,81 @@
 from collections.abc import Iterator
 
 from cowslipstep.cli._evening._facts import Facts
-from cowslipstep.cli._evening._numbers import ratio, share_text, slot_text
-from cowslipstep.cli._evening._parts import (
-    Curve,
-    Measure,
-    Plot,
-    Section,
-    Table,
+from cowslipstep.cli._evening._drawings import Band, Curve, Plot
+from cowslipstep.cli._evening._flood_parts import (
+    flood_chart,
+    flood_table,
+    flood_title,
 )
-from cowslipstep.cli._evening._slots import Slot, count_slots
+from cowslipstep.cli._evening._parts import Measure, Section
+from cowslipstep.cli._evening._slots import (
+    Flood,
+    Slot,
+    count_slots,
+    find_floods,
+)
+from cowslipstep.cli._evening._times import slot_text
 from cowslipstep.metrics import SLOT_S
+from cowslipstep.model import Rank
 
 _SLOTS_PER_DAY = 288
-_HEAD = ('slot', 'asked', 'answered', 'share of all answers', 'floor')
 
 
 def flood_section(facts: Facts) -> Section:
     """Return what other ranks kept in slots with refused work."""
     slots = count_slots(facts)
-    floods = [slot for slot in slots if slot.is_flood]
-    rows = [row for slot in floods for row in _rows(facts, slot)]
+    floods = find_floods(slots, facts.flood_refused_share)
+    plot = Plot(
+        'Requests over the day; floods are shaded',
+        'requests in five minutes',
+        tuple(_curves(facts, slots)),
+        tuple(Band(flood.first, flood.last) for flood in floods),
+    )
     return Section(
         'Floods',
         (_kept(facts, floods),),
-        (Table('Slots of five minutes with refused work', _HEAD, tuple(rows)),),
-        plots=(Plot('Requests in five minutes', tuple(_curves(facts, slots))),),
+        (flood_table(facts, floods),),
+        tuple(flood_chart(facts, flood) for flood in floods),
+        (plot,),
     )
 
 
-def _kept(facts: Facts, floods: list[Slot]) -> Measure:
+def flood_titles(facts: Facts) -> tuple[str, ...]:
+    """Return begin, end and rank of each flood."""
+    floods = find_floods(count_slots(facts), facts.flood_refused_share)
+    return tuple(map(flood_title, floods))
+
+
+def _kept(facts: Facts, floods: list[Flood]) -> Measure:
+    slots = [slot for flood in floods for slot in flood.slots]
     starved = [
-        f'{rank} at {slot_text(slot.number, SLOT_S)}'
-        for slot in floods
-        for rank in _starved_ranks(facts, slot)
+        text
+        for rank in facts.configuration.ranks
+        for text in _below_floor(facts, rank, slots)
     ]
+    number = len(floods)
     return Measure(
         'ranks below their floor in a flood',
-        ', '.join(starved) or f'none in {len(floods)} slots with refused work',
+        ', '.join(starved) or f'none in {number} floods',
         'none',
         not starved,
     )
 
 
-def _starved_ranks(facts: Facts, slot: Slot) -> Iterator[str]:
-    """Yield ranks that had work refused while below their floor."""
-    for rank in facts.configuration.ranks:
-        asked = slot.asked[rank.name]
-        answered = slot.answered[rank.name]
-        of_all = ratio(answered, slot.answered.total()) or 0
-        if answered < asked and of_all < rank.floor_share:
-            yield rank.name
-
-
-def _rows(facts: Facts, slot: Slot) -> Iterator[tuple[str, ...]]:
-    for rank in facts.configuration.ranks:
-        answered = slot.answered[rank.name]
-        of_all = ratio(answered, slot.answered.total())
-        yield (
-            _title(rank.name, slot),
-            str(slot.asked[rank.name]),
-            str(answered),
-            share_text(of_all),
-            share_text(rank.floor_share),
-        )
-
-
-def _title(rank: str, slot: Slot) -> str:
-    begin = slot_text(slot.number, SLOT_S)
-    mark = ' (flood)' if rank == slot.flooding else ''
-    return f'{begin} {rank}{mark}'
+def _below_floor(
+    facts: Facts,
+    rank: Rank,
+    slots: list[Slot],
+) -> Iterator[str]:
+    """Yield when a rank had work refused while below its floor."""
+    share = facts.flood_refused_share
+    below = [slot for slot in slots if slot.is_below_floor(rank, share)]
+    if not below:
+        return
+    begin = slot_text(below[0].number, SLOT_S)
+    further = len(below) - 1
+    more = f' and in {further} more slots' if further else ''
+    yield f'{rank.name} at {begin}{more}'
 
 
 def _curves(facts: Facts, slots: list[Slot]) -> Iterator[Curve]:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections
+
+from cowslipstep.cli._evening._drawings import Curve, Plot
 from cowslipstep.cli._evening._facts import Facts
 from cowslipstep.cli._evening._numbers import (
     duration_text,
@@ -10,15 +13,37 @@
 )
 from cowslipstep.cli._evening._parts import Measure, Section
 from cowslipstep.cli._evening._targets import at_least, at_most
+from cowslipstep.metrics import SLOT_S
 from cowslipstep.model import Model
 
 _MS_PER_S = 1000
+_SLOT_MS = SLOT_S * _MS_PER_S
+_SLOTS_PER_DAY = 288
 
 
 def group_section(facts: Facts) -> Section:
     """Return the measures of groups."""
     measures = [_downtime(facts, model) for model in facts.configuration.models]
-    return Section('Groups', (*measures, _stranded(facts)))
+    return Section(
+        'Groups', (*measures, _stranded(facts)), plots=(_plot(facts),)
+    )
+
+
+def _plot(facts: Facts) -> Plot:
+    return Plot(
+        'Groups that were wanted and did not serve',
+        'groups, mean of five minutes',
+        tuple(_curve(facts, model) for model in facts.configuration.models),
+    )
+
+
+def _curve(facts: Facts, model: Model) -> Curve:
+    down_ms: collections.Counter[int] = collections.Counter()
+    for entry in facts.day.downtime:
+        if entry.model == model.name:
+            down_ms[entry.slot] += entry.down_ms
+    means = [down_ms[slot] / _SLOT_MS for slot in range(_SLOTS_PER_DAY)]
+    return Curve(model.name, tuple(means))
 
 
 def _downtime(facts: Facts, model: Model) -> Measure:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_html.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_html.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Iterable, Iterator
 
+from cowslipstep.cli._evening._banner import draw_banner
 from cowslipstep.cli._evening._charts import draw_chart
 from cowslipstep.cli._evening._markup import Markup, element
 from cowslipstep.cli._evening._page import Page
 from cowslipstep.cli._evening._parts import Measure, Row, Section, Table
 from cowslipstep.cli._evening._plots import draw_plot
 from cowslipstep.cli._evening._style import STYLE
+from cowslipstep.cli._evening._svg import NARROW, WIDE
 from cowslipstep.cli._evening._text import mark
 
 _MEASURE_HEAD = ('measure', 'figure', 'target', '')
@@ -17,7 +19,7 @@
 
 def render_html(page: Page) -> str:
     """Return the page as HTML, plots included."""
-    title = f'Evening page of {page.day}'
+    title = f'Evening page of {page.day} (UTC)'
     head = element(
         'head',
         Markup('<meta charset="utf-8">'),
@@ -25,11 +27,13 @@
         element('title', title),
         element('style', Markup(STYLE)),
     )
-    answer = 'answer well' if page.well else 'answer unwell'
     body = element(
         'body',
         element('h1', title),
-        element('p', page.first_line, class_=answer),
+        draw_banner(page),
+        element('ul', *[element('li', line) for line in page.summary]),
+        element('h2', 'Measures and targets'),
+        _table(_MEASURE_HEAD, map(_measure, page.measures), 'measures'),
         *[part for section in page.sections for part in _section(section)],
     )
     document = element('html', head, body, lang='en')
@@ -38,33 +42,31 @@
 
 def _section(section: Section) -> Iterator[Markup]:
     yield element('h2', section.title)
-    if section.measures:
-        yield _table(_MEASURE_HEAD, map(_measure, section.measures))
-    for chart in section.charts:
-        yield _heading(chart.title)
-        yield draw_chart(chart)
     for plot in section.plots:
-        yield _heading(plot.title)
-        yield draw_plot(plot)
+        yield element('h3', plot.title)
+        yield draw_plot(plot, WIDE)
+        yield draw_plot(plot, NARROW)
+    for chart in section.charts:
+        yield element('h3', chart.title)
+        yield draw_chart(chart, WIDE)
+        yield draw_chart(chart, NARROW)
     for shown in section.tables:
-        yield from _titled(shown)
+        yield _titled(shown)
 
 
-def _titled(shown: Table) -> Iterator[Markup]:
+def _titled(shown: Table) -> Markup:
     if not shown.rows:
-        yield _heading(f'{shown.title}: none')
-        return
-    yield _heading(shown.title)
-    yield _table(shown.head, map(_row, shown.rows))
-
-
-def _heading(text: str) -> Markup:
-    return element('h3', text)
+        return element('h3', f'{shown.title}: none')
+    return element(
+        'details',
+        element('summary', shown.title),
+        _table(shown.head, map(_row, shown.rows), 'plain'),
+    )
 
 
-def _table(head: Row, rows: Iterable[Markup]) -> Markup:
+def _table(head: Row, rows: Iterable[Markup], style: str) -> Markup:
     cells = [element('th', cell) for cell in head]
-    whole = element('table', element('tr', *cells), *rows)
+    whole = element('table', element('tr', *cells), *rows, class_=style)
     return element('div', whole, class_='scroll')
 
 
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_numbers.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_numbers.py
@@ -2,26 +2,33 @@
 
 from __future__ import annotations
 
-import datetime
-
 from cowslipstep.metrics import DurationHistogram
 
 _PERCENT = 100
+_LEAST_PERCENT = 0.01
 _MS_PER_S = 1000
+_S_PER_MINUTE = 60
+_S_PER_HOUR = 3600
+_LONGEST_IN_SMALLER_UNIT = 2
 
 
 def share_text(share: float | None, of_what: str = '') -> str:
-    """Return a share in percent.
+    """Return a share in percent; only none and all become 0% and 100%.
 
     Examples
     --------
-    >>> share_text(0.98765, 'of all'), share_text(None)
-    ('98.77% of all', 'not measured')
+    >>> share_text(0.98765, 'of all'), share_text(0.95), share_text(None)
+    ('98.77% of all', '95%', 'not measured')
+    >>> share_text(0.999999), share_text(0.000001)
+    ('99.99%', '0.01%')
     """
     if share is None:
         return 'not measured'
-    percent = share * _PERCENT
-    return f'{percent:.2f}% {of_what}'.rstrip()
+    percent = round(share * _PERCENT, 2)
+    if 0 < share < 1:
+        percent = max(_LEAST_PERCENT, min(percent, _PERCENT - _LEAST_PERCENT))
+    text = format(percent, '.6g')
+    return f'{text}% {of_what}'.rstrip()
 
 
 def duration_text(seconds: float) -> str:
@@ -29,13 +36,30 @@
 
     Examples
     --------
-    >>> duration_text(0.25), duration_text(90)
-    ('250 ms', '90.0 s')
+    >>> duration_text(0.25), duration_text(1), duration_text(90.25)
+    ('250 ms', '1 s', '90.2 s')
+    >>> duration_text(720), duration_text(9000)
+    ('12 min', '2.5 h')
     """
     if seconds < 1:
         milliseconds = round(seconds * _MS_PER_S)
         return f'{milliseconds} ms'
-    return f'{seconds:.1f} s'
+    if seconds < _S_PER_MINUTE * _LONGEST_IN_SMALLER_UNIT:
+        return _unit_text(seconds, 's')
+    if seconds < _S_PER_HOUR * _LONGEST_IN_SMALLER_UNIT:
+        return _unit_text(seconds / _S_PER_MINUTE, 'min')
+    return _unit_text(seconds / _S_PER_HOUR, 'h')
+
+
+def count_text(count: float) -> str:
+    """Return a count with commas between thousands.
+
+    Examples
+    --------
+    >>> count_text(12345)
+    '12,345'
+    """
+    return format(round(count), ',')
 
 
 def quantile_text(durations: DurationHistogram, quantile: float) -> str:
@@ -63,25 +87,6 @@
     return part / whole if whole else None
 
 
-def clock_text(unix_s: float) -> str:
-    """Return the time of day in UTC.
-
-    Examples
-    --------
-    >>> clock_text(3661)
-    '01:01:01'
-    """
-    moment = datetime.datetime.fromtimestamp(unix_s, datetime.UTC)
-    return moment.time().isoformat(timespec='seconds')
-
-
-def slot_text(slot: int, slot_s: int) -> str:
-    """Return the time of day at which a slot begins.
-
-    Examples
-    --------
-    >>> slot_text(13, 300)
-    '01:05'
-    """
-    begin = datetime.datetime.fromtimestamp(slot * slot_s, datetime.UTC)
-    return begin.time().isoformat(timespec='minutes')
+def _unit_text(amount: float, unit: str) -> str:
+    rounded = format(round(amount, 1), 'g')
+    return f'{rounded} {unit}'
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
@@ -8,6 +8,7 @@
     Facts,
 )
 from cowslipstep.cli._evening._numbers import (
+    count_text,
     ratio,
     share_text,
 )
@@ -30,7 +31,10 @@
     """Return how requests and orders ended."""
     return Section(
         'Orders, refused and uncertain requests',
-        (_doubled(), _uncertain(facts)),
+        (
+            _doubled(),
+            *[_uncertain(facts, name, title) for name, title in _KINDS],
+        ),
         (_counts(facts), reason_table(facts), request_table(facts)),
     )
 
@@ -38,19 +42,21 @@
 def _doubled() -> Measure:
     return Measure(
         'orders run twice',
-        '0, by construction: an order runs only after its key was entered',
-        '0',
-        reached=True,
+        'not counted; ruled out, as each key is entered before its order',
+        'none',
+        reached=None,
     )
 
 
-def _uncertain(facts: Facts) -> Measure:
+def _uncertain(facts: Facts, name: str, title: str) -> Measure:
     limit = facts.configuration.targets.uncertain_share
-    gone = int(facts.day.total('hangups', verdict=MAY_HAVE_RUN))
-    share = ratio(facts.count(MAY_HAVE_RUN) - gone, facts.asked())
+    gone = facts.day.total('hangups', of=name, verdict=MAY_HAVE_RUN)
+    number = facts.day.total(name, verdict=MAY_HAVE_RUN) - gone
+    share = ratio(number, facts.day.total(name))
+    besides = f'{count_text(number)}, besides {count_text(gone)} hung up'
     return Measure(
-        'requests with an uncertain outcome',
-        share_text(share, f'(besides {gone} whose callers hung up)'),
+        f'{title}: outcome uncertain',
+        share_text(share, f'({besides})'),
         f'at most {share_text(limit)}',
         at_most(share, limit),
     )
@@ -65,4 +71,4 @@
 
 
 def _total(facts: Facts, name: str, verdict: str) -> str:
-    return str(int(facts.day.total(name, verdict=verdict)))
+    return count_text(facts.day.total(name, verdict=verdict))
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_page.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_page.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 from attrs import frozen
 
 from cowslipstep.cli._evening._facts import Facts
@@ -13,6 +11,7 @@
 from cowslipstep.cli._evening._orders import outcome_section
 from cowslipstep.cli._evening._parts import Measure, Section
 from cowslipstep.cli._evening._ranks import rank_section
+from cowslipstep.cli._evening._summary import summary_lines
 from cowslipstep.cli._evening._workspaces import workspace_section
 from cowslipstep.metrics import Day
 from cowslipstep.model import Configuration
@@ -30,6 +29,8 @@
         Whether all measures reached their targets.
     first_line
         Yes or no, and why.
+    summary
+        What happened, in a few lines.
     sections
         What the first line rests on.
     """
@@ -37,8 +38,20 @@
     day: str
     well: bool
     first_line: str
+    summary: tuple[str, ...]
     sections: tuple[Section, ...]
 
+    @property
+    def measures(self) -> tuple[Measure, ...]:
+        """All measures, those that missed their targets first."""
+        found = [one for section in self.sections for one in section.measures]
+        return tuple(sorted(found, key=_is_not_missed))
+
+    @property
+    def missed(self) -> tuple[Measure, ...]:
+        """The measures that missed their targets."""
+        return tuple(one for one in self.measures if one.reached is False)
+
 
 def build_page(day: Day, configuration: Configuration) -> Page:
     """Compare the figures of a day with the targets."""
@@ -51,16 +64,23 @@
         group_section(facts),
         incident_section(facts),
     )
-    missed = list(_missed(sections))
-    well = bool(day.statuses) and not missed
-    return Page(day.name, well, _first_line(day, facts, missed), sections)
+    missed = [
+        measure
+        for section in sections
+        for measure in section.measures
+        if measure.reached is False
+    ]
+    return Page(
+        day.name,
+        bool(day.statuses) and not missed,
+        _first_line(day, facts, missed),
+        tuple(summary_lines(facts)),
+        sections,
+    )
 
 
-def _missed(sections: tuple[Section, ...]) -> Iterator[Measure]:
-    for section in sections:
-        for measure in section.measures:
-            if measure.reached is False:
-                yield measure
+def _is_not_missed(measure: Measure) -> bool:
+    return measure.reached is not False
 
 
 def _first_line(day: Day, facts: Facts, missed: list[Measure]) -> str:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_parts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_parts.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from cowslipstep.cli._evening._drawings import Chart, Plot
+
 Row = tuple[str, ...]
 
 
@@ -38,39 +40,6 @@
     rows: tuple[Row, ...]
 
 
-@frozen
-class ShareBar:
-    """One bar of a chart, with an optional mark for the target."""
-
-    label: str
-    share: float
-    target: float = 0
-
-
-@frozen
-class Chart:
-    """Shares as bars."""
-
-    title: str
-    bars: tuple[ShareBar, ...]
-
-
-@frozen
-class Curve:
-    """Figures in the slots of a day."""
-
-    label: str
-    figures: tuple[float, ...]
-
-
-@frozen
-class Plot:
-    """Curves over the slots of a day."""
-
-    title: str
-    curves: tuple[Curve, ...]
-
-
 @frozen
 class Section:
     """Measures of one subject with what they rest on."""
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
+from cowslipstep.cli._evening._drawings import Chart, ShareBar
 from cowslipstep.cli._evening._facts import COMPLETED, VERDICTS, Facts
 from cowslipstep.cli._evening._numbers import (
+    count_text,
     duration_text,
     quantile_text,
     ratio,
     share_text,
 )
-from cowslipstep.cli._evening._parts import (
-    Chart,
-    Measure,
-    Section,
-    ShareBar,
-    Table,
-)
+from cowslipstep.cli._evening._parts import Measure, Section, Table
 from cowslipstep.cli._evening._targets import at_least
 from cowslipstep.model import Rank
 
@@ -65,7 +61,7 @@
 
 
 def _urgent_answered(facts: Facts, rank: Rank) -> Measure:
-    target = facts.configuration.targets.within_target_share
+    target = facts.configuration.targets.urgent_answered_share
     asked = facts.asked(rank=rank.name)
     share = ratio(facts.count(COMPLETED, rank=rank.name), asked)
     return Measure(
@@ -84,7 +80,7 @@
         quantile_text(durations, _MOST),
     )
     counts = [facts.count(verdict, rank=rank.name) for verdict in VERDICTS]
-    return (rank.name, *times, *map(str, counts))
+    return (rank.name, *times, *map(count_text, counts))
 
 
 def _chart(facts: Facts) -> Chart:
@@ -94,9 +90,10 @@
         for rank in facts.configuration.ranks
     ]
     return Chart(
-        'Share of first tokens in time, with the target',
+        'First tokens in time, by rank; the line is the target',
+        'share of the answers',
         tuple(
-            ShareBar(name, share, target)
+            ShareBar(name, share, target, reached=share >= target)
             for name, share in measured
             if share is not None
         ),
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_refusals.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_refusals.py
@@ -4,9 +4,9 @@
 
 import collections
 
-from cowslipstep.cli._evening._facts import Facts
-from cowslipstep.cli._evening._numbers import clock_text
+from cowslipstep.cli._evening._facts import MAY_HAVE_RUN, Facts
 from cowslipstep.cli._evening._parts import Row, Table
+from cowslipstep.cli._evening._times import clock_text
 from cowslipstep.metrics import RequestRecord
 
 _MAX_ROWS = 20
@@ -23,9 +23,13 @@
 
 
 def request_table(facts: Facts) -> Table:
-    """List the last of the requests."""
-    rows = map(_row, facts.day.requests[-_MAX_ROWS:])
-    return Table(f'The last {_MAX_ROWS} of them', _REQUEST_HEAD, tuple(rows))
+    """List the last of the requests whose outcome is uncertain."""
+    uncertain = [
+        entry for entry in facts.day.requests if entry.verdict == MAY_HAVE_RUN
+    ]
+    rows = map(_row, uncertain[-_MAX_ROWS:])
+    title = f'The last {_MAX_ROWS} uncertain requests'
+    return Table(title, _REQUEST_HEAD, tuple(rows))
 
 
 def _reason(entry: RequestRecord) -> str:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_svg.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_svg.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
+
 from attrs import field, frozen
 
 from cowslipstep.cli._evening._markup import Markup, element
 
-WIDTH = 720
+WIDE = 720
+NARROW = 360
 GOOD = '#2c7a4b'
 BAD = '#b3372f'
 DARK = '#222'
-PALE = '#eee'
+GREY = '#666'
+PALE = '#e6e6e6'
+SHADE = '#fbe3e1'
 _FONT_SIZE = 13
 CURVES = ('#b3372f', '#2f6db3', '#777', '#2c7a4b', '#8550a8')
+_CLASSES = MappingProxyType({WIDE: 'wide', NARROW: 'narrow'})
 
 
 def _rounded(figure: float) -> float:
@@ -30,14 +36,15 @@
         return f'{self.right},{self.down}'
 
 
-def surface(height: int, *drawn: Markup) -> Markup:
-    """Return an SVG element that scales with the page."""
+def surface(width: int, height: int, *drawn: Markup) -> Markup:
+    """Return an SVG element; the style sheet shows the width that fits."""
     return element(
         'svg',
         *drawn,
-        width=WIDTH,
+        class_=_CLASSES[width],
+        width=width,
         height=height,
-        viewBox=f'0 0 {WIDTH} {height}',
+        viewBox=f'0 0 {width} {height}',
         role='img',
         font_family='sans-serif',
         font_size=_FONT_SIZE,
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_text.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_text.py
@@ -13,6 +13,7 @@
     """Yield the lines of the page, the answer first."""
     yield page.first_line
     yield f'Day {page.day} (UTC)'
+    yield from page.summary
     for section in page.sections:
         yield from _section(section)
 
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_workspaces.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_workspaces.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import statistics
-
-from attrs import frozen
-
-from cowslipstep.cli._evening._facts import COMPLETED, Facts
-from cowslipstep.cli._evening._numbers import (
-    quantile_text,
-    ratio,
-    share_text,
-)
+from cowslipstep.cli._evening._drawings import Chart, ShareBar
+from cowslipstep.cli._evening._facts import Facts
+from cowslipstep.cli._evening._numbers import count_text, share_text
 from cowslipstep.cli._evening._parts import Measure, Section, Table
 from cowslipstep.cli._evening._targets import at_least
+from cowslipstep.cli._evening._workspace_service import (
+    Service,
+    answered_share,
+    in_time_share,
+    list_services,
+)
 
-_LARGE_FACTOR = 2
-_MOST = 0.95
 _HEAD = (
     'workspace',
     'size',
@@ -27,76 +24,74 @@
 )
 
 
-@frozen
-class _Service:
-    """How one workspace fared."""
-
-    workspace: str
-    large: bool
-    asked: int
-    completed: int
-    answers: int
-    in_time: int
-    queue_wait: str
-
-
 def workspace_section(facts: Facts) -> Section:
     """Return how small workspaces fared beside large ones."""
-    names = {
-        sample.key.label('workspace') for sample in facts.day.select('requests')
-    }
-    asked = {name: facts.asked(workspace=name) for name in names}
-    bound = statistics.median(asked.values() or [0]) * _LARGE_FACTOR
-    by_size = sorted(names, key=asked.__getitem__, reverse=True)
-    services = [
-        _service(facts, name, large=asked[name] > bound) for name in by_size
-    ]
+    services = list_services(facts)
+    small = [service for service in services if not service.large]
+    large = [service for service in services if service.large]
     return Section(
         'Small workspaces beside large ones',
-        (_small_in_time(facts, services),),
+        (_in_time(facts, small, large), _answered(facts, small, large)),
         (Table('Workspaces', _HEAD, tuple(map(_row, services))),),
+        (_chart(facts, services),),
     )
 
 
-def _service(facts: Facts, name: str, *, large: bool) -> _Service:
-    answers = 0
-    in_time = 0
-    for rank in facts.configuration.ranks:
-        durations = facts.durations('first_token', rank.name, name)
-        answers += durations.count
-        in_time += durations.count_within(rank.target_first_token_s)
-    return _Service(
-        name,
-        large,
-        facts.asked(workspace=name),
-        facts.count(COMPLETED, workspace=name),
-        answers,
-        in_time,
-        quantile_text(facts.durations('queue_wait', workspace=name), _MOST),
-    )
-
-
-def _small_in_time(facts: Facts, services: list[_Service]) -> Measure:
+def _in_time(
+    facts: Facts,
+    small: list[Service],
+    large: list[Service],
+) -> Measure:
     target = facts.configuration.targets.within_target_share
-    small = _share([one for one in services if not one.large])
-    large = _share([one for one in services if one.large])
+    share = in_time_share(small)
+    beside = share_text(in_time_share(large))
     return Measure(
         'small workspaces: first token in time',
-        f'{share_text(small)} (large ones: {share_text(large)})',
+        f'{share_text(share)} (large ones: {beside})',
         f'at least {share_text(target)}',
-        at_least(small, target),
+        at_least(share, target),
     )
 
 
-def _share(services: list[_Service]) -> float | None:
-    return ratio(
-        sum(service.in_time for service in services),
-        sum(service.answers for service in services),
+def _answered(
+    facts: Facts,
+    small: list[Service],
+    large: list[Service],
+) -> Measure:
+    gap = facts.configuration.targets.small_answered_gap
+    share = answered_share(small)
+    beside = answered_share(large)
+    return Measure(
+        'small workspaces: requests answered',
+        f'{share_text(share)} (large ones: {share_text(beside)})',
+        f'at most {share_text(gap)} less than large ones',
+        None if beside is None else at_least(share, beside - gap),
     )
 
 
-def _row(service: _Service) -> tuple[str, ...]:
+def _chart(facts: Facts, services: list[Service]) -> Chart:
+    target = facts.configuration.targets.within_target_share
+    bars = [
+        _share_bar(service, share, target)
+        for service in services
+        if (share := in_time_share([service])) is not None
+    ]
+    return Chart(
+        'First tokens in time, by workspace, largest first; * is large, '
+        'the line is the target',
+        'share of the answers',
+        tuple(bars),
+    )
+
+
+def _share_bar(service: Service, share: float, target: float) -> ShareBar:
+    mark = ' *' if service.large else ''
+    label = f'{service.workspace}{mark}'
+    return ShareBar(label, share, target, reached=share >= target)
+
+
+def _row(service: Service) -> tuple[str, ...]:
     size = 'large' if service.large else 'small'
-    in_time = share_text(ratio(service.in_time, service.answers))
-    counts = (str(service.asked), str(service.completed))
+    counts = map(count_text, (service.asked, service.completed))
+    in_time = share_text(in_time_share([service]))
     return (service.workspace, size, *counts, in_time, service.queue_wait)
--- a/apps/cowslipstep/tests/test_evening.py
+++ b/apps/cowslipstep/tests/test_evening.py
@@ -17,6 +17,7 @@
     Histograms,
     Series,
     SlotCount,
+    SlotDowntime,
     SlotKey,
     Status,
     merge_day,
@@ -26,6 +27,7 @@
     model,
     rank,
     runners,
+    targets,
     workspace,
 )
 
@@ -33,6 +35,8 @@
 _HOUR_S = 3600
 _LARGE = 'large-firm'
 _SMALL = 'small-firm'
+_WIDTHS = ('wide', 'narrow')
+_PLOTS_AND_CHARTS = 4
 _CONFIGURATION = build_configuration(
     ranks=[
         rank('urgent', target_first_token_s=1, floor_share=0.2),
@@ -108,13 +112,13 @@
     figures.answered(_SMALL, 4, first_token_s=2)
     page = _page(figures.status())
     assert page.first_line.startswith('No: small workspaces: first token')
-    assert '71.43% (large ones: 100.00%)' in page.first_line
+    assert '71.43% (large ones: 100%)' in page.first_line
 
 
 def test_uncertain_outcomes_are_seen(figures: _Figures) -> None:
     figures.ended(_LARGE, 1, 'may_have_run')
     page = _page(figures.status())
-    assert page.first_line.startswith('No: requests with an uncertain outcome')
+    assert page.first_line.startswith('No: completions: outcome uncertain')
 
 
 def test_group_downtime_is_seen(figures: _Figures) -> None:
@@ -122,7 +126,7 @@
     figures.counters.add(key, 2 * _HOUR_S * 1000 // 10)
     page = _page(figures.status())
     assert page.first_line.startswith(
-        'No: groups of drafting serving: 90.00% of the time, 720.0 s down',
+        'No: groups of drafting serving: 90% of the time, 12 min down',
     )
 
 
@@ -137,10 +141,78 @@
     page = _page(evolve(figures.status(), timeline=timeline))
     assert page.well == well
     text = '\n'.join(render_text(page))
-    assert '01:00 urgent (flood)' in text
+    assert 'floods: 01:00 to 01:05 urgent' in text
+    assert '01:00 to 01:05 urgent  background' in text
     assert ('background at 01:00' in page.first_line) != well
 
 
+def test_a_single_refusal_is_no_floor_missed(figures: _Figures) -> None:
+    timeline = (
+        _slot('urgent', 'completed', 100),
+        _slot('urgent', 'not_run', 900),
+        _slot('background', 'completed', 20),
+        _slot('background', 'not_run', 1),
+    )
+    page = _page(evolve(figures.status(), timeline=timeline))
+    assert page.well
+
+
+def test_slots_in_a_row_are_one_flood(figures: _Figures) -> None:
+    timeline = tuple(
+        SlotCount(SlotKey(slot, 'urgent', verdict), 50)
+        for slot in (12, 13, 14, 20)
+        for verdict in ('completed', 'not_run')
+    )
+    page = _page(evolve(figures.status(), timeline=timeline))
+    assert 'floods: 01:00 to 01:15 urgent, 01:40 to 01:45 urgent' in (
+        page.summary
+    )
+
+
+def test_refused_small_workspaces_are_seen(figures: _Figures) -> None:
+    figures.ended(_SMALL, 5, 'not_run')
+    page = _page(figures.status())
+    assert page.missed[-1].name == 'small workspaces: requests answered'
+    assert page.missed[-1].figure == '66.67% (large ones: 100%)'
+
+
+@pytest.mark.parametrize('name', ['requests', 'service_calls', 'orders'])
+def test_callers_that_hung_up_are_told_apart(
+    figures: _Figures,
+    name: str,
+) -> None:
+    verdict = ('verdict', 'may_have_run')
+    for counted in ('requests', 'service_calls', 'orders'):
+        figures.counters.add(CounterKey(counted, (verdict,)))
+        if counted != name:
+            labels = (('of', counted), verdict)
+            figures.counters.add(CounterKey('hangups', labels))
+    missed = _page(figures.status()).missed
+    counted = [one.figure for one in missed if 'uncertain' in one.name]
+    assert len(counted) == 1
+    assert counted[0].endswith('(1, besides 0 hung up)')
+
+
+def test_targets_are_configured(figures: _Figures) -> None:
+    figures.ended(_LARGE, 2, 'not_run')
+    strict = evolve(
+        _CONFIGURATION,
+        targets=targets(urgent_answered_share=0.99),
+    )
+    day = merge_day(_DAY, [figures.status()])
+    assert build_page(day, _CONFIGURATION).well
+    assert not build_page(day, strict).well
+
+
+def test_downtime_is_drawn_in_its_slot(figures: _Figures) -> None:
+    downtime = (SlotDowntime(12, 'drafting', 300000),)
+    page = _page(evolve(figures.status(), downtime=downtime))
+    plots = [plot for section in page.sections for plot in section.plots]
+    curve = plots[-1].curves[0].figures
+    assert curve[12] == 1
+    assert sum(curve) == 1
+
+
 def _slot(rank_name: str, verdict: str, count: int) -> SlotCount:
     return SlotCount(SlotKey(12, rank_name, verdict), count)
 
@@ -164,7 +236,7 @@
     html = render_html(page)
     assert '&lt;lapsed&gt;' in html
     drawings = re.findall('<svg.*?</svg>', html, re.DOTALL)
-    assert len(drawings) == 2
+    assert len(drawings) == len(_WIDTHS) * _PLOTS_AND_CHARTS
     for drawing in drawings:
         assert minidom.parseString(drawing).documentElement
     assert 'src=' not in html and 'href=' not in html
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -58,7 +58,7 @@
             run.verdict = error.verdict
             raise
         except (GeneratorExit, CallerGone):
-            self._add('hangups', labels, run.verdict.code)
+            self._add_hangup(labels, run.verdict)
             raise
         finally:
             self._note(labels, run)
@@ -94,13 +94,24 @@
                 )
                 self._requests.add(record)
 
+    def _add_hangup(self, labels: RequestLabels, verdict: Verdict) -> None:
+        """Count a caller that hung up, apart for each counter of outcomes."""
+        pairs = (('of', self._name), *_pairs(labels, verdict.code))
+        self._counters.add(CounterKey('hangups', pairs))
+
     def _add(self, name: str, labels: RequestLabels, verdict: str) -> None:
-        pairs = (
-            ('workspace', labels.workspace),
-            ('rank', labels.rank),
-            ('verdict', verdict),
-        )
-        self._counters.add(CounterKey(name, pairs))
+        self._counters.add(CounterKey(name, _pairs(labels, verdict)))
+
+
+def _pairs(
+    labels: RequestLabels,
+    verdict: str,
+) -> tuple[tuple[str, str], ...]:
+    return (
+        ('workspace', labels.workspace),
+        ('rank', labels.rank),
+        ('verdict', verdict),
+    )
 
 
 class Timings:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
@@ -5,7 +5,14 @@
 import time
 
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.metrics import SLOT_S, CounterKey, SlotCount, Timeline
+from cowslipstep.metrics import (
+    SLOT_S,
+    CounterKey,
+    Downtimes,
+    SlotCount,
+    SlotDowntime,
+    Timeline,
+)
 
 _DAY_S = 86400
 _MS_PER_S = 1000
@@ -25,6 +32,7 @@
     def __init__(self, state: DaemonState) -> None:
         self._state = state
         self._timeline = Timeline()
+        self._downtimes = Downtimes()
         self._sampled_at_s = time.monotonic()
 
     @property
@@ -32,17 +40,25 @@
         """Requests in slots of the day."""
         return self._timeline.counts
 
+    @property
+    def downtime(self) -> tuple[SlotDowntime, ...]:
+        """Downtime of groups in slots of the day."""
+        return self._downtimes.slots
+
     def sample(self) -> None:
         """Take the figures since the last call."""
         now_s = time.monotonic()
         self._integrate(now_s - self._sampled_at_s)
         self._sampled_at_s = now_s
         slot = int(time.time() % _DAY_S) // SLOT_S
-        self._timeline.note(slot, self._state.counters.samples)
+        samples = self._state.counters.samples
+        self._timeline.note(slot, samples)
+        self._downtimes.note(slot, samples)
 
     def clear(self) -> None:
         """Forget all slots."""
         self._timeline.clear()
+        self._downtimes.clear()
 
     def _integrate(self, elapsed_s: float) -> None:
         """Add stranded accelerators, times the time, to a counter."""
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
@@ -91,6 +91,7 @@
             time.time(),
             self.period_s,
             timeline=self._sampler.timeline,
+            downtime=self._sampler.downtime,
         )
         return evolve(
             _filled(status, self._state),
--- /dev/null
+++ b/bench/_sample_groups.py
@@ -0,0 +1,38 @@
+"""Lost groups of a sample day, as daemons write them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from _sample_plan import LostGroup
+
+from cowslipstep.metrics import SLOT_S, Event, SlotDowntime
+
+_MS_PER_S = 1000
+
+
+def group_events(
+    groups: Iterable[LostGroup],
+    midnight_unix_s: float,
+) -> Iterator[Event]:
+    """Yield how groups were lost and formed anew."""
+    for group in groups:
+        lost_s = midnight_unix_s + group.at_s
+        member, name = group.member, group.name
+        yield Event('member_lost', member, f'of group {name}', lost_s)
+        yield Event('group_dissolved', name, f'lost {member}', lost_s)
+        formed_s = lost_s + group.down_s
+        yield Event('group_formed', group.formed, 'hosts are free', formed_s)
+
+
+def group_downtime(
+    groups: Iterable[LostGroup],
+    model: str,
+) -> Iterator[SlotDowntime]:
+    """Yield for how long groups did not serve in each slot."""
+    for group in groups:
+        end_s = group.at_s + group.down_s
+        for slot in range(group.at_s // SLOT_S, end_s // SLOT_S + 1):
+            begin_s = max(group.at_s, slot * SLOT_S)
+            until_s = min(end_s, (slot + 1) * SLOT_S)
+            yield SlotDowntime(slot, model, (until_s - begin_s) * _MS_PER_S)
--- /dev/null
+++ b/bench/_sample_totals.py
@@ -0,0 +1,53 @@
+"""Figures of a sample day that are not drawn for each request."""
+
+from __future__ import annotations
+
+from _sample_plan import DayPlan
+from attrs import asdict
+
+from cowslipstep.metrics import CounterKey, Counters
+from cowslipstep.model import Configuration
+
+_MS_PER_S = 1000
+_DAY_S = 86400
+_STRANDED_SHARE = 0.012
+_SERVICE_CALLS_PER_ORDER = 3
+_UNCERTAIN = ('verdict', 'may_have_run')
+
+
+def count_fleet(
+    configuration: Configuration,
+    plan: DayPlan,
+    counters: Counters,
+) -> None:
+    """Count orders, calls, callers that hung up, and downtimes."""
+    _count_outcomes(plan, counters)
+    caller = ('workspace', configuration.workspaces[0].name)
+    rank = ('rank', configuration.ranks[0].name)
+    gone = (caller, rank, _UNCERTAIN)
+    counters.add(CounterKey('requests', gone), plan.hangups)
+    of_requests = (('of', 'requests'), *gone)
+    counters.add(CounterKey('hangups', of_requests), plan.hangups)
+    _count_groups(configuration, plan, counters)
+
+
+def _count_outcomes(plan: DayPlan, counters: Counters) -> None:
+    for verdict, count in asdict(plan.order_counts).items():
+        labels = (('verdict', verdict),)
+        calls = count * _SERVICE_CALLS_PER_ORDER
+        counters.add(CounterKey('orders', labels), count)
+        counters.add(CounterKey('service_calls', labels), calls)
+
+
+def _count_groups(
+    configuration: Configuration,
+    plan: DayPlan,
+    counters: Counters,
+) -> None:
+    model = ('model', configuration.models[0].name)
+    down_s = sum(group.down_s for group in plan.lost_groups)
+    counters.add(CounterKey('group_down_ms', (model,)), down_s * _MS_PER_S)
+    accelerators = sum(one.accelerators for one in configuration.runners)
+    stranded_s = accelerators * _DAY_S * _STRANDED_SHARE
+    stranded_ms = round(stranded_s * _MS_PER_S)
+    counters.add(CounterKey('stranded_accelerator_ms'), stranded_ms)
--- /dev/null
+++ b/bench/evening_pages.py
@@ -0,0 +1,47 @@
+"""Writes the evening page of a seeded day, for each example fleet."""
+
+from __future__ import annotations
+
+import pathlib
+import runpy
+import sys
+from typing import Annotated
+
+import typer
+from _sample_plan import load_plan
+from _sample_statuses import DAY, sample_statuses
+
+from cowslipstep.cli._evening import (
+    Page,
+    build_page,
+    render_html,
+    render_text,
+)
+from cowslipstep.metrics import merge_day
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+_FLEETS = ('gridsight', 'tatranske_palicky')
+
+
+def write_pages(
+    folder: Annotated[pathlib.Path, typer.Argument(help='existing folder')],
+) -> None:
+    """Write the pages as HTML and as text into a folder."""
+    for fleet in _FLEETS:
+        page = _page(fleet)
+        (folder / f'{fleet}.html').write_text(render_html(page))
+        text = '\n'.join(render_text(page))
+        (folder / f'{fleet}.txt').write_text(f'{text}\n')
+        typer.echo(f'{fleet}: {page.first_line}')
+
+
+def _page(fleet: str) -> Page:
+    example = runpy.run_path(str(_EXAMPLES / f'{fleet}.py'))
+    configuration = example['configuration']
+    statuses = sample_statuses(configuration, load_plan(fleet))
+    return build_page(merge_day(DAY, statuses), configuration)
+
+
+if __name__ == '__main__':
+    sys.path.insert(0, str(pathlib.Path(__file__).parent))
+    typer.run(write_pages)
--- a/examples/gridsight.py
+++ b/examples/gridsight.py
@@ -16,6 +16,7 @@
     rank,
     runners,
     service,
+    targets,
     workspace,
 )
 
@@ -99,6 +100,8 @@
             non_idempotent_paths=['/work-orders'],
         ),
     ],
+    # Urgent service and small firms count most.
+    targets=targets(urgent_answered_share=0.97, small_answered_gap=0.02),
 )
 
 if __name__ == '__main__':
--- a/examples/tatranske_palicky.py
+++ b/examples/tatranske_palicky.py
@@ -16,6 +16,7 @@
     rank,
     runners,
     service,
+    targets,
     workspace,
 )
 
@@ -96,6 +97,12 @@
             non_idempotent_paths=['/orders'],
         ),
     ],
+    # Urgent service, uncertain orders and paid-for accelerators count most.
+    targets=targets(
+        urgent_answered_share=0.97,
+        uncertain_share=0.0005,
+        stranded_share=0.05,
+    ),
 )
 
 if __name__ == '__main__':
--- a/libs/metrics/src/cowslipstep/metrics/__init__.py
+++ b/libs/metrics/src/cowslipstep/metrics/__init__.py
@@ -3,6 +3,7 @@
 from cowslipstep.metrics._bounds import MAX_STATUS_BYTES, encode_bounded
 from cowslipstep.metrics._counters import CounterKey, Counters, Sample
 from cowslipstep.metrics._day import Day, day_of, merge_day
+from cowslipstep.metrics._downtime import Downtimes, SlotDowntime
 from cowslipstep.metrics._durations import DurationHistogram, empty_histogram
 from cowslipstep.metrics._events import Event, EventLog
 from cowslipstep.metrics._folding import OTHER_WORKSPACES
--- a/libs/metrics/src/cowslipstep/metrics/_day.py
+++ b/libs/metrics/src/cowslipstep/metrics/_day.py
@@ -10,6 +10,7 @@
 from attrs import field, frozen
 
 from cowslipstep.metrics._counters import Sample
+from cowslipstep.metrics._downtime import SlotDowntime
 from cowslipstep.metrics._durations import DurationHistogram
 from cowslipstep.metrics._events import Event
 from cowslipstep.metrics._histograms import Series
@@ -41,6 +42,8 @@
         Refused and uncertain requests in order of time.
     timeline
         Counts of requests in slots, not yet added up.
+    downtime
+        Downtime of groups in slots, not yet added up.
     """
 
     name: str
@@ -50,6 +53,7 @@
     events: tuple[Event, ...] = ()
     requests: tuple[RequestRecord, ...] = ()
     timeline: tuple[SlotCount, ...] = ()
+    downtime: tuple[SlotDowntime, ...] = ()
 
     def select(self, name: str) -> Iterator[Sample]:
         """Yield the counters of a name."""
@@ -105,6 +109,7 @@
         _in_order(chain(status.events for status in kept)),
         _in_order(chain(status.requests for status in kept)),
         tuple(chain(status.timeline for status in kept)),
+        tuple(chain(status.downtime for status in kept)),
     )
 
 
--- a/libs/metrics/src/cowslipstep/metrics/_status.py
+++ b/libs/metrics/src/cowslipstep/metrics/_status.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 
 from cowslipstep.metrics._counters import Sample
+from cowslipstep.metrics._downtime import SlotDowntime
 from cowslipstep.metrics._events import Event
 from cowslipstep.metrics._histograms import EncodedSeries
 from cowslipstep.metrics._requests import RequestRecord
@@ -58,7 +59,8 @@
     histograms: tuple[EncodedSeries, ...] = ()
     events: tuple[Event, ...] = ()
     requests: tuple[RequestRecord, ...] = ()
-    timeline: tuple[SlotCount, ...] = field(default=())
+    timeline: tuple[SlotCount, ...] = ()
+    downtime: tuple[SlotDowntime, ...] = field(default=())
 
     @property
     def object_name(self) -> str:
--- a/libs/model/src/cowslipstep/model/_configuration.py
+++ b/libs/model/src/cowslipstep/model/_configuration.py
@@ -10,7 +10,10 @@
 _DEFAULT_SERVING_SHARE = 0.99
 _DEFAULT_STRANDED_SHARE = 0.1
 _DEFAULT_WITHIN_TARGET_SHARE = 0.95
+_DEFAULT_URGENT_ANSWERED_SHARE = 0.95
+_DEFAULT_SMALL_ANSWERED_GAP = 0.05
 _DEFAULT_UNCERTAIN_SHARE = 0.001
+_DEFAULT_FLOOD_REFUSED_SHARE = 0.05
 _VALID_NAME = validators.matches_re('[a-z0-9][a-z0-9_.-]{0,62}')
 _VALID_DIGESTS = validators.deep_iterable(
     validators.matches_re('[0-9a-f]{64}'),
@@ -129,8 +132,15 @@
     within_target_share
         Least share of answers whose first token comes within the target
         time of their rank.
+    urgent_answered_share
+        Least share of the requests of the first rank that are answered.
+    small_answered_gap
+        By how much the share of requests answered may be smaller for small
+        workspaces than for large ones.
     uncertain_share
         Largest share of requests that may have run without an answer.
+    flood_refused_share
+        Share of refused requests above which five minutes are a flood.
     """
 
     group_serving_share: float = field(
@@ -145,10 +155,22 @@
         default=_DEFAULT_WITHIN_TARGET_SHARE,
         validator=[validators.ge(0), validators.le(1)],
     )
+    urgent_answered_share: float = field(
+        default=_DEFAULT_URGENT_ANSWERED_SHARE,
+        validator=[validators.ge(0), validators.le(1)],
+    )
+    small_answered_gap: float = field(
+        default=_DEFAULT_SMALL_ANSWERED_GAP,
+        validator=[validators.ge(0), validators.le(1)],
+    )
     uncertain_share: float = field(
         default=_DEFAULT_UNCERTAIN_SHARE,
         validator=[validators.ge(0), validators.le(1)],
     )
+    flood_refused_share: float = field(
+        default=_DEFAULT_FLOOD_REFUSED_SHARE,
+        validator=[validators.ge(0), validators.le(1)],
+    )
 
 
 @frozen
--- a/libs/operator/src/cowslipstep/operator/__init__.py
+++ b/libs/operator/src/cowslipstep/operator/__init__.py
@@ -7,5 +7,11 @@
     print_configuration,
 )
 from cowslipstep.operator._keys import hash_key
-from cowslipstep.operator._parts import model, rank, service, workspace
+from cowslipstep.operator._parts import (
+    model,
+    rank,
+    service,
+    targets,
+    workspace,
+)
 from cowslipstep.operator._runners import runners
--- a/libs/operator/src/cowslipstep/operator/_parts.py
+++ b/libs/operator/src/cowslipstep/operator/_parts.py
@@ -10,7 +10,7 @@
 
 from attrs import validators
 
-from cowslipstep.model import Model, PlainService, Rank, Workspace
+from cowslipstep.model import Model, PlainService, Rank, Targets, Workspace
 from cowslipstep.operator._addresses import LooseAddress
 from cowslipstep.operator._keys import hash_key
 
@@ -117,6 +117,22 @@
     return _unchecked(PlainService, name=name, **options)
 
 
+def targets(**shares: float) -> Targets:
+    """Return what a good day is; what is not given keeps its default.
+
+    Parameters
+    ----------
+    **shares
+        Fields of ``Targets``, each from 0 to 1.
+
+    Examples
+    --------
+    >>> targets(group_serving_share=0.995).group_serving_share
+    0.995
+    """
+    return _unchecked(Targets, **shares)
+
+
 def _unchecked(part: type[_Part], **fields: Any) -> _Part:
     with validators.disabled():
         return part(**fields)
