--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
@@ -19,6 +19,7 @@
 _MS_PER_S = 1000
 _SLOT_MS = SLOT_S * _MS_PER_S
 _SLOTS_PER_DAY = 288
+_UNTOLD_SHARE = 0.001
 
 
 def group_section(facts: Facts) -> Section:
@@ -48,20 +49,28 @@
 
 def _downtime(facts: Facts, model: Model) -> Measure:
     target = facts.configuration.targets.group_serving_share
-    down_s = _down_s(facts, model.name)
-    wanted_s = model.groups * facts.elapsed_s
-    down = ratio(down_s, wanted_s)
+    watched_s = _seconds(facts, 'group_watched_ms', model)
+    down = ratio(_seconds(facts, 'group_down_ms', model), watched_s)
     serving = None if down is None else 1 - down
     return Measure(
         f'groups of {model.name} serving',
-        share_text(serving, f'of the time, {duration_text(down_s)} down'),
+        share_text(serving, f'of the time, {_times(facts, model)}'),
         f'at least {share_text(target)}',
         at_least(serving, target),
     )
 
 
-def _down_s(facts: Facts, model: str) -> float:
-    return facts.day.total('group_down_ms', model=model) / _MS_PER_S
+def _times(facts: Facts, model: Model) -> str:
+    down = duration_text(_seconds(facts, 'group_down_ms', model))
+    watched_s = _seconds(facts, 'group_watched_ms', model)
+    unwatched_s = model.groups * facts.elapsed_s - watched_s
+    if unwatched_s <= watched_s * _UNTOLD_SHARE:
+        return f'{down} down'
+    return f'{down} down, {duration_text(unwatched_s)} not watched'
+
+
+def _seconds(facts: Facts, name: str, model: Model) -> float:
+    return facts.day.total(name, model=model.name) / _MS_PER_S
 
 
 def _stranded(facts: Facts) -> Measure:
--- a/apps/cowslipstep/tests/test_evening.py
+++ b/apps/cowslipstep/tests/test_evening.py
@@ -124,12 +124,21 @@
 def test_group_downtime_is_seen(figures: _Figures) -> None:
     key = CounterKey('group_down_ms', (('model', 'drafting'),))
     figures.counters.add(key, 2 * _HOUR_S * 1000 // 10)
+    watched = CounterKey('group_watched_ms', key.labels)
+    figures.counters.add(watched, 2 * _HOUR_S * 1000)
     page = _page(figures.status())
     assert page.first_line.startswith(
         'No: groups of drafting serving: 90% of the time, 12 min down',
     )
 
 
+def test_time_that_nobody_watched_is_told(figures: _Figures) -> None:
+    watched = CounterKey('group_watched_ms', (('model', 'drafting'),))
+    figures.counters.add(watched, _HOUR_S * 1000)
+    text = '\n'.join(render_text(_page(figures.status())))
+    assert '100% of the time, 0 ms down, 60 min not watched' in text
+
+
 @pytest.mark.parametrize(('kept', 'well'), [(1, False), (40, True)])
 def test_floods_are_seen(figures: _Figures, kept: int, well: bool) -> None:
     timeline = (
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
@@ -13,6 +13,8 @@
 from cowslipstep.model import Model
 
 _MS_PER_S = 1000
+# A daemon that was paused knows nothing of the time of its pause.
+_MAX_ELAPSED_S = 5
 
 
 class GroupFigures:
@@ -34,7 +36,8 @@
     def update(self) -> None:
         """Count the time since the last update and set the gauges."""
         now = time.monotonic()
-        elapsed_ms = round((now - self._counted_s) * _MS_PER_S)
+        elapsed_s = min(_MAX_ELAPSED_S, now - self._counted_s)
+        elapsed_ms = round(elapsed_s * _MS_PER_S)
         self._counted_s = now
         figures: dict[CounterKey, float] = {}
         for scope in self._tools.scopes.owned.values():
@@ -59,18 +62,14 @@
             number = serving[model.name]
             yield _key('groups_wanted', scope, model), model.groups
             yield _key('groups_serving', scope, model), number
-            self._add_down_ms(model, model.groups - number, elapsed_ms)
+            self._add_ms('group_watched_ms', model, model.groups * elapsed_ms)
+            missing = max(0, model.groups - number)
+            self._add_ms('group_down_ms', model, missing * elapsed_ms)
         yield _key('stranded_accelerators', scope), self._count_stranded(scope)
 
-    def _add_down_ms(
-        self,
-        model: Model,
-        missing: int,
-        elapsed_ms: int,
-    ) -> None:
-        key = CounterKey('group_down_ms', (('model', model.name),))
-        counters = self._tools.state.counters
-        counters.add(key, max(0, missing) * elapsed_ms)
+    def _add_ms(self, name: str, model: Model, amount_ms: int) -> None:
+        key = CounterKey(name, (('model', model.name),))
+        self._tools.state.counters.add(key, amount_ms)
 
     def _count_serving(self, domain: str) -> collections.Counter[str]:
         state = self._tools.state
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -58,7 +58,10 @@
             run.verdict = error.verdict
             raise
         except (GeneratorExit, CallerGone):
-            self._add_hangup(labels, run.verdict)
+            pairs = _pairs(labels, run.verdict.code)
+            self._add('hangups', ('of', self._name), *pairs)
+            if _is_uncertain(run.verdict) and not run.begun:
+                self._keep(labels, run.verdict)
             raise
         finally:
             self._note(labels, run)
@@ -66,11 +69,11 @@
     def count(self, name: str, labels: RequestLabels) -> None:
         """Add one to another counter of requests."""
         pairs = (('workspace', labels.workspace), ('rank', labels.rank))
-        self._counters.add(CounterKey(name, pairs))
+        self._add(name, *pairs)
 
     def _note(self, labels: RequestLabels, run: RunState) -> None:
         verdict = run.verdict.code
-        self._add(self._name, labels, verdict)
+        self._add(self._name, *_pairs(labels, verdict))
         logger.bind(
             request_id=labels.request_id,
             workspace=labels.workspace,
@@ -81,7 +84,7 @@
             self._keep(labels, run.verdict)
 
     def _keep(self, labels: RequestLabels, verdict: Verdict) -> None:
-        """Keep a request whose answer broke off after it had begun."""
+        """Keep a request without a whole answer."""
         match verdict:
             case NotRun(reason) | MayHaveRun(reason):
                 record = RequestRecord(
@@ -94,13 +97,16 @@
                 )
                 self._requests.add(record)
 
-    def _add_hangup(self, labels: RequestLabels, verdict: Verdict) -> None:
-        """Count a caller that hung up, apart for each counter of outcomes."""
-        pairs = (('of', self._name), *_pairs(labels, verdict.code))
-        self._counters.add(CounterKey('hangups', pairs))
+    def _add(self, name: str, *pairs: tuple[str, str]) -> None:
+        self._counters.add(CounterKey(name, pairs))
+
 
-    def _add(self, name: str, labels: RequestLabels, verdict: str) -> None:
-        self._counters.add(CounterKey(name, _pairs(labels, verdict)))
+def _is_uncertain(verdict: Verdict) -> bool:
+    match verdict:
+        case MayHaveRun():
+            return True
+        case _:
+            return False
 
 
 def _pairs(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
@@ -16,6 +16,9 @@
 
 _DAY_S = 86400
 _MS_PER_S = 1000
+_LAST_SLOT = _DAY_S // SLOT_S - 1
+# A daemon that was paused knows nothing of the time of its pause.
+_MAX_ELAPSED_S = 15
 _STRANDED = 'stranded_accelerators'
 _STRANDED_MS = 'stranded_accelerator_ms'
 
@@ -34,6 +37,7 @@
         self._timeline = Timeline()
         self._downtimes = Downtimes()
         self._sampled_at_s = time.monotonic()
+        self._midnight_unix_s = _midnight_unix_s()
 
     @property
     def timeline(self) -> tuple[SlotCount, ...]:
@@ -48,18 +52,24 @@
     def sample(self) -> None:
         """Take the figures since the last call."""
         now_s = time.monotonic()
-        self._integrate(now_s - self._sampled_at_s)
+        self._integrate(min(_MAX_ELAPSED_S, now_s - self._sampled_at_s))
         self._sampled_at_s = now_s
-        slot = int(time.time() % _DAY_S) // SLOT_S
+        slot = self._slot()
         samples = self._state.counters.samples
         self._timeline.note(slot, samples)
         self._downtimes.note(slot, samples)
 
     def clear(self) -> None:
-        """Forget all slots."""
+        """Forget all slots and begin a new day."""
+        self._midnight_unix_s = _midnight_unix_s()
         self._timeline.clear()
         self._downtimes.clear()
 
+    def _slot(self) -> int:
+        """Return the slot of now; a day goes on until it is cleared."""
+        passed_s = time.time() - self._midnight_unix_s
+        return max(0, min(_LAST_SLOT, int(passed_s // SLOT_S)))
+
     def _integrate(self, elapsed_s: float) -> None:
         """Add stranded accelerators, times the time, to a counter."""
         for gauge in self._state.gauges.samples:
@@ -67,3 +77,8 @@
                 key = CounterKey(_STRANDED_MS, gauge.key.labels)
                 amount_ms = int(gauge.amount * elapsed_s * _MS_PER_S)
                 self._state.counters.add(key, amount_ms)
+
+
+def _midnight_unix_s() -> int:
+    """Return the wall clock at which the day began, seconds since 1970."""
+    return int(time.time()) // _DAY_S * _DAY_S
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
@@ -2,28 +2,23 @@
 
 from __future__ import annotations
 
+import collections
 import time
-from collections.abc import Iterator
 
 import eventlet
-from attrs import evolve
+from eventlet.semaphore import Semaphore
 from loguru import logger
 
+from cowslipstep.daemon._day_figures import DayFigures, snapshot
 from cowslipstep.daemon._sampling import Sampler
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._status_object import StatusObject
-from cowslipstep.metrics import (
-    DaemonIdentity,
-    EncodedSeries,
-    Histograms,
-    Status,
-    day_of,
-    encode_bounded,
-)
+from cowslipstep.metrics import Histograms, day_of
 from cowslipstep.platform import PlatformUnavailable
 
 _MAX_SAMPLE_PERIOD_S = 5
 _MAX_FLEET_WRITES_PER_S = 6
+_MAX_UNWRITTEN_DAYS = 2
 
 
 class StatusWriter:
@@ -41,6 +36,11 @@
         self._object = StatusObject(state.platform)
         self._since_unix_s = time.time()
         self._next_write_s = time.monotonic()
+        self._ended: collections.deque[DayFigures] = collections.deque(
+            maxlen=_MAX_UNWRITTEN_DAYS,
+        )
+        # The last write of a planned stop must not be replaced by an older.
+        self._writing = Semaphore()
 
     @property
     def period_s(self) -> float:
@@ -55,7 +55,7 @@
             eventlet.sleep(min(_MAX_SAMPLE_PERIOD_S, self.period_s))
 
     def step(self) -> None:
-        """Sample, and write when a day has ended or the time has come."""
+        """Sample, and write when the time has come."""
         self._sampler.sample()
         if day_of(time.time()) != day_of(self._since_unix_s):
             self._end_day()
@@ -65,64 +65,35 @@
 
     def write(self) -> None:
         """Write the figures so far; what fails is written next time."""
-        self._sampler.sample()
-        status = self._status()
-        try:
-            self._object.write(status.object_name, encode_bounded(status))
-        except PlatformUnavailable as error:
-            logger.warning('status not written: {}', error)
+        with self._writing:
+            self._sampler.sample()
+            today = self._figures(self._state.histograms)
+            try:
+                for figures in (*self._ended, today):
+                    self._object.write(figures.object_name, figures.encode())
+            except PlatformUnavailable as error:
+                logger.warning('status not written: {}', error)
+            else:
+                self._ended.clear()
 
     def _end_day(self) -> None:
-        """Write the last figures of a day and begin with empty ones."""
-        self.write()
-        self._sampler.clear()
+        """Set the figures of a day aside and begin with empty ones.
+
+        They are written with the next status, so that daemons do not all
+        write at midnight.
+        """
         state = self._state
-        for figures in (state.counters, state.histograms, state.requests):
+        self._ended.append(self._figures(state.histograms.take()))
+        self._sampler.clear()
+        for figures in (state.counters, state.requests, state.events):
             figures.clear()
-        state.events.clear()
         self._since_unix_s = time.time()
-        self._next_write_s = time.monotonic()
 
-    def _status(self) -> Status:
-        status = Status(
-            _identity(self._state),
-            day_of(self._since_unix_s),
+    def _figures(self, histograms: Histograms) -> DayFigures:
+        status = snapshot(
+            self._state,
+            self._sampler,
             self._since_unix_s,
-            time.time(),
             self.period_s,
-            timeline=self._sampler.timeline,
-            downtime=self._sampler.downtime,
-        )
-        return evolve(
-            _filled(status, self._state),
-            histograms=tuple(_encode_slowly(self._state.histograms)),
         )
-
-
-def _identity(state: DaemonState) -> DaemonIdentity:
-    settings = state.settings
-    return DaemonIdentity(
-        settings.name,
-        state.incarnation,
-        settings.failure_domain,
-        str(settings.http_address),
-    )
-
-
-def _encode_slowly(histograms: Histograms) -> Iterator[EncodedSeries]:
-    for encoded in histograms.encode_each():
-        yield encoded
-        # Encoding all series at once would hold up streams.
-        eventlet.sleep(0)
-
-
-def _filled(status: Status, state: DaemonState) -> Status:
-    return evolve(
-        status,
-        configuration_version=state.version,
-        stopping=state.stopping,
-        counters=state.counters.samples,
-        gauges=state.gauges.samples,
-        events=state.events.events,
-        requests=state.requests.records,
-    )
+        return DayFigures(status, histograms)
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_group_figures.py
@@ -0,0 +1,113 @@
+"""Each group counts at the daemon that owns its domain, and there only."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from cowslipstep.daemon._group_figures import GroupFigures
+from cowslipstep.daemon._sampling import Sampler
+from cowslipstep.daemon._scopes import DomainScope
+from cowslipstep.daemon._state import DaemonState
+from cowslipstep.groups import DomainLedger, HostRecord, HostReport, HostState
+from cowslipstep.metrics import CounterKey
+from cowslipstep.model import Address, Model, Runner
+from cowslipstep.settings import DaemonSettings
+
+_ANYWHERE = Address('127.0.0.1', 0)
+_MODEL = Model('drafting', hosts_per_group=2, groups=1)
+_SPARE = Runner('h0', _ANYWHERE, 'ebene', 'fab', accelerators=8)
+_SCOPE = DomainScope('fab', (_SPARE,), (_MODEL,), 4)
+_STRANDED = CounterKey('stranded_accelerators', (('fabric_domain', 'fab'),))
+_DOWN_MS = CounterKey('group_down_ms', (('model', 'drafting'),))
+_STRANDED_MS = CounterKey('stranded_accelerator_ms', _STRANDED.labels)
+_PAUSE_S = 600
+
+
+class _Clock:
+    """A monotonic clock that is set by hand."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture(name='clock')
+def clock_fixture(monkeypatch: pytest.MonkeyPatch) -> _Clock:
+    clock = _Clock()
+    monkeypatch.setattr(time, 'monotonic', clock)
+    return clock
+
+
+@pytest.fixture(name='tools')
+def tools_fixture(clock: _Clock) -> Any:
+    settings = DaemonSettings('d0', 'ebene', _ANYWHERE, _ANYWHERE, _ANYWHERE)
+    platform: Any = None
+    state = DaemonState(settings, platform)
+    state.ledgers['fab'] = DomainLedger('fab')
+    report = HostReport('h0', '', HostState.idle, clock.now_s)
+    return SimpleNamespace(
+        state=state,
+        scopes=SimpleNamespace(owned={'fab': _SCOPE}),
+        prober=SimpleNamespace(records={'h0': HostRecord(report)}),
+        drains=SimpleNamespace(barred=frozenset()),
+    )
+
+
+def _gauges(state: DaemonState) -> dict[CounterKey, float]:
+    return {sample.key: sample.amount for sample in state.gauges.samples}
+
+
+def _counters(state: DaemonState) -> dict[CounterKey, float]:
+    return {sample.key: sample.amount for sample in state.counters.samples}
+
+
+def test_an_owner_counts(tools: Any, clock: _Clock) -> None:
+    figures = GroupFigures(tools)
+    sampler = Sampler(tools.state)
+    figures.update()
+    clock.now_s += 1
+    figures.update()
+    sampler.sample()
+    assert _gauges(tools.state)[_STRANDED] == 8
+    counted = _counters(tools.state)
+    assert counted[_DOWN_MS] == 1000
+    assert counted[_STRANDED_MS] == 8000
+
+
+def test_a_former_owner_counts_no_more(
+    tools: Any,
+    clock: _Clock,
+) -> None:
+    figures = GroupFigures(tools)
+    sampler = Sampler(tools.state)
+    figures.update()
+    tools.scopes.owned.clear()
+    for _ in range(3):
+        clock.now_s += 1
+        figures.update()
+        sampler.sample()
+    assert not _gauges(tools.state)
+    counted = _counters(tools.state)
+    assert not counted[_DOWN_MS]
+    assert not counted.get(_STRANDED_MS)
+
+
+def test_a_pause_of_the_daemon_is_not_counted(
+    tools: Any,
+    clock: _Clock,
+) -> None:
+    figures = GroupFigures(tools)
+    sampler = Sampler(tools.state)
+    figures.update()
+    clock.now_s += _PAUSE_S
+    figures.update()
+    sampler.sample()
+    counted = _counters(tools.state)
+    assert counted[_DOWN_MS] < _PAUSE_S * 1000 / 10
+    assert counted[_STRANDED_MS] < _PAUSE_S * 8000 / 10
--- a/apps/cowslipstepd/tests/test_status.py
+++ b/apps/cowslipstepd/tests/test_status.py
@@ -4,15 +4,24 @@
 
 import functools
 import time
+from collections.abc import Callable
 from typing import Any
 
+import eventlet
 import pytest
 
 from cowslipstep.daemon._retention import delete_old_statuses
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._status import StatusWriter
-from cowslipstep.metrics import CounterKey, Status, decode_status, merge_day
-from cowslipstep.model import Address, MayHaveRun, Reason
+from cowslipstep.metrics import (
+    CounterKey,
+    Day,
+    Series,
+    Status,
+    decode_status,
+    merge_day,
+)
+from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.platform import (
     ObjectKey,
     PlatformUnavailable,
@@ -24,6 +33,7 @@
 _ANYWHERE = Address('127.0.0.1', 0)
 _DAY_S = 86400
 _NOON_UNIX_S = 1796385600
+_MIDNIGHT_UNIX_S = _NOON_UNIX_S + _DAY_S // 2
 _REQUESTS = CounterKey('requests')
 
 
@@ -33,8 +43,16 @@
     def __init__(self) -> None:
         self.stored: dict[ObjectKey, StoredObject] = {}
         self.lose_answers = False
+        self.down = False
+        self.before_create: list[Callable[[], None]] = []
+        self.at_next_write: list[Callable[[], None]] = []
 
     def create(self, key: ObjectKey, body: str) -> int:
+        while self.before_create:
+            self.before_create.pop()()
+        if self.down:
+            verdict = NotRun(Reason.platform_down)
+            raise PlatformUnavailable(verdict, 'down')
         if key in self.stored:
             raise VersionConflict(str(key))
         return self._put(key, 1, body)
@@ -55,6 +73,8 @@
 
     def _put(self, key: ObjectKey, version: int, body: str) -> int:
         self.stored[key] = StoredObject(key, version, body)
+        while self.at_next_write:
+            self.at_next_write.pop()()
         if self.lose_answers:
             verdict = MayHaveRun(Reason.platform_down)
             raise PlatformUnavailable(verdict, 'lost')
@@ -122,3 +142,85 @@
     monkeypatch.undo()
     delete_old_statuses(state)
     assert len(_statuses(store)) == 2
+
+
+def _days(store: _Store) -> list[Day]:
+    statuses = _statuses(store)
+    names = sorted(status.day for status in statuses)
+    return [merge_day(name, statuses) for name in names]
+
+
+def _at(monkeypatch: pytest.MonkeyPatch, unix_s: float) -> None:
+    monkeypatch.setattr(time, 'time', lambda: unix_s)
+
+
+def test_a_day_ends_in_its_last_slot(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    key = CounterKey(
+        'requests',
+        (('rank', 'urgent'), ('verdict', 'completed')),
+    )
+    _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
+    writer = StatusWriter(state)
+    state.counters.add(key)
+    _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
+    writer.step()
+    ended = _statuses(store)[0]
+    assert [entry.key.slot for entry in ended.timeline] == [287]
+
+
+def test_a_request_during_a_write_counts_once(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    series = Series('total', 'firm', 'urgent')
+    _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
+    writer = StatusWriter(state)
+    state.counters.add(_REQUESTS, 3)
+    state.histograms.record(series, 1)
+    _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
+    store.at_next_write = [
+        lambda: state.counters.add(_REQUESTS),
+        lambda: state.histograms.record(series, 1),
+    ]
+    writer.step()
+    writer.write()
+    days = _days(store)
+    assert [day.total('requests') for day in days] == [3, 1]
+    assert [day.histograms[series].count for day in days] == [1, 1]
+
+
+def test_a_day_that_ends_in_an_outage(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
+    writer = StatusWriter(state)
+    state.counters.add(_REQUESTS, 3)
+    store.down = True
+    _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
+    writer.step()
+    state.counters.add(_REQUESTS, 1)
+    store.down = False
+    writer.write()
+    days = _days(store)
+    assert [day.total('requests') for day in days] == [3, 1]
+
+
+def test_an_older_write_never_comes_last(
+    store: _Store,
+    state: DaemonState,
+) -> None:
+    writer = StatusWriter(state)
+    store.before_create = [lambda: eventlet.sleep(0.05)]
+    older = eventlet.spawn(writer.write)
+    eventlet.sleep(0)
+    state.counters.add(_REQUESTS, 4)
+    writer.write()
+    older.wait()
+    assert _statuses(store)[0].counters[0].amount == 4
--- a/bench/_sample_totals.py
+++ b/bench/_sample_totals.py
@@ -10,6 +10,7 @@
 
 _MS_PER_S = 1000
 _DAY_S = 86400
+_DAY_MS = _DAY_S * _MS_PER_S
 _STRANDED_SHARE = 0.012
 _SERVICE_CALLS_PER_ORDER = 3
 _UNCERTAIN = ('verdict', 'may_have_run')
@@ -44,10 +45,11 @@
     plan: DayPlan,
     counters: Counters,
 ) -> None:
-    model = ('model', configuration.models[0].name)
+    labels = (('model', configuration.models[0].name),)
+    watched_ms = configuration.models[0].groups * _DAY_MS
+    counters.add(CounterKey('group_watched_ms', labels), watched_ms)
     down_s = sum(group.down_s for group in plan.lost_groups)
-    counters.add(CounterKey('group_down_ms', (model,)), down_s * _MS_PER_S)
+    counters.add(CounterKey('group_down_ms', labels), down_s * _MS_PER_S)
     accelerators = sum(one.accelerators for one in configuration.runners)
-    stranded_s = accelerators * _DAY_S * _STRANDED_SHARE
-    stranded_ms = round(stranded_s * _MS_PER_S)
+    stranded_ms = round(accelerators * _DAY_MS * _STRANDED_SHARE)
     counters.add(CounterKey('stranded_accelerator_ms'), stranded_ms)
--- a/libs/metrics/src/cowslipstep/metrics/_histograms.py
+++ b/libs/metrics/src/cowslipstep/metrics/_histograms.py
@@ -34,10 +34,19 @@
 
 
 class Histograms:
-    """Durations by name, workspace and rank."""
+    """Durations by name, workspace and rank.
 
-    def __init__(self) -> None:
-        self._by_series: dict[Series, DurationHistogram] = {}
+    Parameters
+    ----------
+    by_series
+        Durations recorded before, by default none.
+    """
+
+    def __init__(
+        self,
+        by_series: dict[Series, DurationHistogram] | None = None,
+    ) -> None:
+        self._by_series = by_series or {}
 
     def encode_each(self) -> Iterator[EncodedSeries]:
         """Yield all histograms, in the order of their series."""
@@ -53,9 +62,20 @@
             self._by_series[series] = histogram
         histogram.record(seconds)
 
-    def clear(self) -> None:
-        """Forget all durations."""
-        self._by_series.clear()
+    def take(self) -> Histograms:
+        """Move all durations into other histograms.
+
+        Examples
+        --------
+        >>> histograms = Histograms()
+        >>> histograms.record(Series('total', 'firm', 'urgent'), 1)
+        >>> taken = histograms.take()
+        >>> len(list(taken.encode_each())), len(list(histograms.encode_each()))
+        (1, 0)
+        """
+        taken = Histograms(self._by_series)
+        self._by_series = {}
+        return taken
 
     def render(self) -> Iterator[str]:
         """Yield text in the format of Prometheus, one piece a series."""
