Let status and top read a small index instead of all statuses

Change: one index object for each daemon with its address and the names of its statuses, written before a status is created and then rarely (at most one a second for the fleet). A daemon deletes its own old statuses by name, the soft owner those of daemons that are gone. The tests' store keeps kinds apart and says when an object is missing, as the platform does.

--- a/apps/cowslipstep/src/cowslipstep/cli/_daemons.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_daemons.py
@@ -9,7 +9,7 @@
 import urllib3
 from attrs import frozen
 
-from cowslipstep.metrics import Status
+from cowslipstep.metrics import DaemonIdentity
 
 _TIMEOUT_S = 2
 
@@ -42,10 +42,10 @@
     version: int = 0
 
 
-def view_daemons(statuses: Iterable[Status]) -> tuple[DaemonView, ...]:
+def view_daemons(daemons: Iterable[DaemonIdentity]) -> tuple[DaemonView, ...]:
     """Ask each daemon whether it is ready and which version it has."""
     http = urllib3.PoolManager(retries=False)
-    return tuple(_view(http, status) for status in statuses)
+    return tuple(_view(http, daemon) for daemon in daemons)
 
 
 def get_json(http: urllib3.PoolManager, address: str, path: str) -> Any:
@@ -74,8 +74,7 @@
     return answer.data.decode(errors='replace')
 
 
-def _view(http: urllib3.PoolManager, status: Status) -> DaemonView:
-    daemon = status.daemon
+def _view(http: urllib3.PoolManager, daemon: DaemonIdentity) -> DaemonView:
     place = (daemon.name, daemon.failure_domain, daemon.http_address)
     answer = get_json(http, daemon.http_address, '/readyz')
     if not isinstance(answer, dict):
--- a/apps/cowslipstep/src/cowslipstep/cli/_fleet.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_fleet.py
@@ -1,19 +1,23 @@
-"""Statuses and ledgers as the platform holds them."""
+"""Daemons, statuses and ledgers as the platform holds them."""
 
 from __future__ import annotations
 
 import time
 
 from cowslipstep.groups import DomainLedger
-from cowslipstep.metrics import Status, decode_status
+from cowslipstep.metrics import (
+    DaemonIdentity,
+    Status,
+    decode_index,
+    decode_status,
+)
 from cowslipstep.model import Group
 from cowslipstep.platform import PlatformClient
 from cowslipstep.settings import parse_json, structure
 
 _STATUS_KIND = 'status'
+_INDEX_KIND = 'status-index'
 _LEDGER_KIND = 'ledger'
-_FRESH_PERIODS = 3
-_FRESH_MARGIN_S = 10
 
 
 def read_statuses(platform: PlatformClient) -> tuple[Status, ...]:
@@ -29,13 +33,20 @@
     )
 
 
-def live_statuses(statuses: tuple[Status, ...]) -> tuple[Status, ...]:
-    """Return the newest status of each daemon that still writes."""
-    newest: dict[str, Status] = {}
-    for status in sorted(statuses, key=_written_at):
-        newest[status.daemon.name] = status
+def read_live(platform: PlatformClient) -> tuple[DaemonIdentity, ...]:
+    """Return the daemons that still write, from their small objects.
+
+    Raises
+    ------
+    ExceptionGroup
+        If one of them cannot be read.
+    """
+    indexes = [
+        decode_index(stored.body) for stored in platform.read_all(_INDEX_KIND)
+    ]
+    now_unix_s = time.time()
     return tuple(
-        newest[name] for name in sorted(newest) if _is_live(newest[name])
+        sorted(index.daemon for index in indexes if index.is_live(now_unix_s)),
     )
 
 
@@ -46,13 +57,3 @@
         for stored in platform.read_all(_LEDGER_KIND)
     ]
     return tuple(group for ledger in ledgers for group in ledger.groups)
-
-
-def _written_at(status: Status) -> float:
-    return status.written_at_unix_s
-
-
-def _is_live(status: Status) -> bool:
-    longest_s = status.period_s * _FRESH_PERIODS + _FRESH_MARGIN_S
-    age_s = time.time() - status.written_at_unix_s
-    return age_s < longest_s and not status.stopping
--- a/apps/cowslipstep/src/cowslipstep/cli/_fleet_view.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_fleet_view.py
@@ -8,7 +8,7 @@
 
 from cowslipstep.cli._daemons import DaemonView, view_daemons
 from cowslipstep.cli._drains import Drain, read_drains
-from cowslipstep.cli._fleet import live_statuses, read_groups, read_statuses
+from cowslipstep.cli._fleet import read_groups, read_live
 from cowslipstep.cli._store import StoredText, read_stored
 from cowslipstep.model import Model
 from cowslipstep.platform import PlatformClient
@@ -59,7 +59,7 @@
     stored = read_stored(platform)
     return FleetView(
         stored.version,
-        view_daemons(live_statuses(read_statuses(platform))),
+        view_daemons(read_live(platform)),
         tuple(_view_models(platform, stored)),
         read_drains(platform),
     )
--- a/apps/cowslipstep/src/cowslipstep/cli/_submit.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_submit.py
@@ -11,7 +11,7 @@
 from cowslipstep.cli._daemons import view_daemons
 from cowslipstep.cli._documents import read_document
 from cowslipstep.cli._exits import NotWell
-from cowslipstep.cli._fleet import live_statuses, read_statuses
+from cowslipstep.cli._fleet import read_live
 from cowslipstep.cli._options import (
     DEFAULT_PLATFORM,
     DocumentArgument,
@@ -22,7 +22,7 @@
 )
 from cowslipstep.cli._output import print_json, progress_line
 from cowslipstep.cli._submission import Submitted, submit_document
-from cowslipstep.metrics import Status
+from cowslipstep.metrics import DaemonIdentity
 from cowslipstep.platform import PlatformClient
 
 _WAIT_TIMEOUT_S = 60
@@ -95,9 +95,9 @@
     """
     end_s = time.monotonic() + _WAIT_TIMEOUT_S
     with progress_line() as progress:
-        statuses = live_statuses(read_statuses(platform))
+        daemons = read_live(platform)
         while time.monotonic() < end_s:
-            spread = _look(statuses, version)
+            spread = _look(daemons, version)
             progress.show(str(spread))
             if spread.complete:
                 return
@@ -105,8 +105,8 @@
     raise NotWell(f'not in force everywhere: {spread}')
 
 
-def _look(statuses: tuple[Status, ...], version: int) -> _Spread:
-    views = view_daemons(statuses)
+def _look(daemons: tuple[DaemonIdentity, ...], version: int) -> _Spread:
+    views = view_daemons(daemons)
     lagging = [view.name for view in views if view.version < version]
     return _Spread(version, len(views), tuple(lagging))
 
--- a/apps/cowslipstep/src/cowslipstep/cli/_top.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_top.py
@@ -9,7 +9,7 @@
 import typer
 
 from cowslipstep.cli._exits import Unreachable
-from cowslipstep.cli._fleet import live_statuses, read_statuses
+from cowslipstep.cli._fleet import read_live
 from cowslipstep.cli._options import (
     DEFAULT_PLATFORM,
     JsonOption,
@@ -59,8 +59,7 @@
 
 
 def _look(platform: PlatformClient) -> tuple[Load, ...]:
-    statuses = live_statuses(read_statuses(platform))
-    addresses = [status.daemon.http_address for status in statuses]
+    addresses = [daemon.http_address for daemon in read_live(platform)]
     loads = read_loads(addresses)
     if loads is None:
         raise Unreachable('no daemon answers')
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_retention.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_retention.py
@@ -1,43 +1,48 @@
-"""Deletion of old status objects, by one daemon at a time."""
+"""Deletion of what daemons left behind that are gone, by one at a time."""
 
 from __future__ import annotations
 
-import datetime
+import time
 
 from loguru import logger
 
+from cowslipstep.daemon._old_statuses import delete_status, is_old
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.daemon._status_object import STATUS_KIND
+from cowslipstep.daemon._status_index import INDEX_KIND
+from cowslipstep.metrics import decode_index
 from cowslipstep.model import CowslipstepError
+from cowslipstep.platform import PlatformClient, StoredObject
 from cowslipstep.routing import rank_owners
 
 RETENTION_PERIOD_S = 21600
-_KEPT_DAYS = 2
 _ROLE = 'status-retention'
-_DAY_CHARS = len('2026-12-04')
 
 
 def delete_old_statuses(state: DaemonState) -> None:
-    """Delete the statuses of days before yesterday, as their soft owner.
+    """Delete the old statuses of daemons that are gone, as soft owner.
 
-    Two owners for a while do the same work twice and no harm. Names end
-    with the day, so that no status has to be decoded.
+    Each daemon deletes its own; the index objects name those of others, so
+    that no status has to be read. Two owners for a while do the same work
+    twice and no harm.
     """
     if rank_owners(_ROLE, state.live_daemons)[0] != state.settings.name:
         return
     try:
-        _delete_before(state, _oldest_kept_day())
-    except CowslipstepError as error:
+        _delete_all_old(state.platform)
+    except (CowslipstepError, ExceptionGroup) as error:
         logger.warning('old statuses not deleted: {}', error)
 
 
-def _delete_before(state: DaemonState, oldest_kept: str) -> None:
-    for stored in state.platform.read_all(STATUS_KIND):
-        if stored.key.name[-_DAY_CHARS:] < oldest_kept:
-            state.platform.delete(stored.key, stored.version)
+def _delete_all_old(platform: PlatformClient) -> None:
+    for stored in platform.read_all(INDEX_KIND):
+        _delete_if_old(platform, stored)
 
 
-def _oldest_kept_day() -> str:
-    today = datetime.datetime.now(datetime.UTC).date()
-    kept = today - datetime.timedelta(days=_KEPT_DAYS - 1)
-    return kept.isoformat()
+def _delete_if_old(platform: PlatformClient, stored: StoredObject) -> None:
+    index = decode_index(stored.body)
+    needed = [name for name in index.statuses if not is_old(name)]
+    if needed or index.is_live(time.time()):
+        return
+    for name in index.statuses:
+        delete_status(platform, name)
+    platform.delete(stored.key, stored.version)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
@@ -12,13 +12,15 @@
 from cowslipstep.daemon._day_figures import DayFigures, snapshot
 from cowslipstep.daemon._sampling import Sampler
 from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._status_index import IndexObject
 from cowslipstep.daemon._status_object import StatusObject
-from cowslipstep.metrics import Histograms, day_of
-from cowslipstep.platform import PlatformUnavailable
+from cowslipstep.daemon._status_pace import index_period_s, status_period_s
+from cowslipstep.metrics import Histograms, StatusIndex, day_of
+from cowslipstep.model import CowslipstepError
 
 _MAX_SAMPLE_PERIOD_S = 5
-_MAX_FLEET_WRITES_PER_S = 6
-_MAX_UNWRITTEN_DAYS = 2
+# Older days are not kept.
+_MAX_UNWRITTEN_DAYS = 1
 
 
 class StatusWriter:
@@ -34,6 +36,7 @@
         self._state = state
         self._sampler = Sampler(state)
         self._object = StatusObject(state.platform)
+        self._index = IndexObject(state.platform)
         self._since_unix_s = time.time()
         self._next_write_s = time.monotonic()
         self._ended: collections.deque[DayFigures] = collections.deque(
@@ -42,17 +45,13 @@
         # The last write of a planned stop must not be replaced by an older.
         self._writing = Semaphore()
 
-    @property
-    def period_s(self) -> float:
-        """Time between writes, which grows with a large fleet, seconds."""
-        paced_s = len(self._state.live_daemons) / _MAX_FLEET_WRITES_PER_S
-        return max(self._state.settings.status_period_s, paced_s)
-
     def run(self) -> None:
         """Sample and write until the task ends."""
         while True:
             self.step()
-            eventlet.sleep(min(_MAX_SAMPLE_PERIOD_S, self.period_s))
+            eventlet.sleep(
+                min(_MAX_SAMPLE_PERIOD_S, status_period_s(self._state))
+            )
 
     def step(self) -> None:
         """Sample, and write when the time has come."""
@@ -60,7 +59,8 @@
         if day_of(time.time()) != day_of(self._since_unix_s):
             self._end_day()
         if time.monotonic() >= self._next_write_s:
-            self._next_write_s = time.monotonic() + self.period_s
+            period_s = status_period_s(self._state)
+            self._next_write_s = time.monotonic() + period_s
             self.write()
 
     def write(self) -> None:
@@ -69,13 +69,27 @@
             self._sampler.sample()
             today = self._figures(self._state.histograms)
             try:
-                for figures in (*self._ended, today):
-                    self._object.write(figures.object_name, figures.encode())
-            except PlatformUnavailable as error:
+                self._write_all((*self._ended, today))
+            except (CowslipstepError, ExceptionGroup) as error:
                 logger.warning('status not written: {}', error)
             else:
                 self._ended.clear()
 
+    def _write_all(self, days: tuple[DayFigures, ...]) -> None:
+        """Write days; the index names an object before it exists."""
+        names = tuple(figures.object_name for figures in days)
+        self._index.note(
+            StatusIndex(
+                days[-1].status.daemon,
+                time.time(),
+                index_period_s(self._state),
+                self._state.stopping,
+                names,
+            ),
+        )
+        for figures in days:
+            self._object.write(figures.object_name, figures.encode())
+
     def _end_day(self) -> None:
         """Set the figures of a day aside and begin with empty ones.
 
@@ -94,6 +108,6 @@
             self._state,
             self._sampler,
             self._since_unix_s,
-            self.period_s,
+            status_period_s(self._state),
         )
         return DayFigures(status, histograms)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status_object.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status_object.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cowslipstep.daemon._old_statuses import STATUS_KIND
 from cowslipstep.platform import (
     ObjectKey,
     ObjectMissing,
@@ -9,8 +10,6 @@
     VersionConflict,
 )
 
-STATUS_KIND = 'status'
-
 
 class StatusObject:
     """Creates the object on the first write and then replaces it.
@@ -38,6 +37,7 @@
             self._versions = {name: self._replace(key, body)}
         except (VersionConflict, ObjectMissing):
             # An earlier write took effect though its answer was lost.
+            self._versions = {}
             version = self._platform.read(key).version
             version = self._platform.update(key, version, body)
             self._versions = {name: version}
--- a/apps/cowslipstepd/tests/test_status.py
+++ b/apps/cowslipstepd/tests/test_status.py
@@ -9,21 +9,25 @@
 
 import eventlet
 import pytest
+from attrs import evolve
 
 from cowslipstep.daemon._retention import delete_old_statuses
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._status import StatusWriter
+from cowslipstep.daemon._status_index import INDEX_KIND
 from cowslipstep.metrics import (
     CounterKey,
     Day,
     Series,
     Status,
+    decode_index,
     decode_status,
     merge_day,
 )
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.platform import (
     ObjectKey,
+    ObjectMissing,
     PlatformUnavailable,
     StoredObject,
     VersionConflict,
@@ -58,13 +62,17 @@
         return self._put(key, 1, body)
 
     def read(self, key: ObjectKey) -> StoredObject:
+        if key not in self.stored:
+            raise ObjectMissing(str(key))
         return self.stored[key]
 
     def read_all(self, kind: str) -> tuple[StoredObject, ...]:
-        return tuple(self.stored.values())
+        return tuple(
+            one for one in self.stored.values() if one.key.kind == kind
+        )
 
     def update(self, key: ObjectKey, version: int, body: str) -> int:
-        if self.stored[key].version != version:
+        if self.read(key).version != version:
             raise VersionConflict(str(key))
         return self._put(key, version + 1, body)
 
@@ -92,8 +100,13 @@
     return DaemonState(settings, store)
 
 
+@pytest.fixture(name='writer')
+def writer_fixture(state: DaemonState) -> StatusWriter:
+    return StatusWriter(state)
+
+
 def _statuses(store: _Store) -> list[Status]:
-    return [decode_status(entry.body) for entry in store.stored.values()]
+    return [decode_status(entry.body) for entry in store.read_all('status')]
 
 
 def test_a_new_day_begins_with_empty_figures(
@@ -118,15 +131,14 @@
 def test_a_write_whose_answer_is_lost_is_replaced(
     store: _Store,
     state: DaemonState,
+    writer: StatusWriter,
 ) -> None:
-    writer = StatusWriter(state)
     store.lose_answers = True
     writer.write()
     store.lose_answers = False
     state.counters.add(_REQUESTS, 4)
     writer.write()
-    assert len(store.stored) == 1
-    assert _statuses(store)[0].counters[0].amount == 4
+    assert [one.counters[0].amount for one in _statuses(store)] == [4]
 
 
 def test_statuses_before_yesterday_are_deleted(
@@ -144,6 +156,55 @@
     assert len(_statuses(store)) == 2
 
 
+def test_old_statuses_of_lost_daemons_are_deleted(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = time.time()
+    _at(monkeypatch, now_s - 2 * _DAY_S)
+    lost = evolve(state, settings=evolve(state.settings, name='lost'))
+    StatusWriter(lost).write()
+    _at(monkeypatch, now_s - _DAY_S)
+    StatusWriter(state).write()
+    delete_old_statuses(state)
+    assert len(_statuses(store)) == 2
+    _at(monkeypatch, now_s)
+    delete_old_statuses(state)
+    assert [status.daemon.name for status in _statuses(store)] == ['d0']
+    assert [key.name for key in store.stored if key.kind == INDEX_KIND] == [
+        'd0',
+    ]
+
+
+def test_a_replaced_daemon_is_still_named(
+    store: _Store,
+    state: DaemonState,
+    writer: StatusWriter,
+) -> None:
+    writer.write()
+    StatusWriter(evolve(state, incarnation=2)).write()
+    index = decode_index(store.read_all(INDEX_KIND)[0].body)
+    names = {stored.key.name for stored in store.read_all('status')}
+    assert len(names) == 2
+    assert set(index.statuses) == names
+    assert index.daemon.incarnation == 2
+
+
+def test_the_index_is_written_less_often(
+    store: _Store,
+    state: DaemonState,
+    writer: StatusWriter,
+) -> None:
+    for _ in range(3):
+        writer.write()
+    assert store.read_all('status')[0].version == 3
+    assert store.read_all(INDEX_KIND)[0].version == 1
+    state.stopping = True
+    writer.write()
+    assert decode_index(store.read_all(INDEX_KIND)[0].body).stopping
+
+
 def _days(store: _Store) -> list[Day]:
     statuses = _statuses(store)
     names = sorted(status.day for status in statuses)
@@ -168,8 +229,8 @@
     state.counters.add(key)
     _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
     writer.step()
-    ended = _statuses(store)[0]
-    assert [entry.key.slot for entry in ended.timeline] == [287]
+    timeline = _days(store)[0].timeline
+    assert [entry.key.slot for entry in timeline] == [287]
 
 
 def test_a_request_during_a_write_counts_once(
@@ -215,12 +276,26 @@
 def test_an_older_write_never_comes_last(
     store: _Store,
     state: DaemonState,
+    writer: StatusWriter,
 ) -> None:
-    writer = StatusWriter(state)
     store.before_create = [lambda: eventlet.sleep(0.05)]
     older = eventlet.spawn(writer.write)
     eventlet.sleep(0)
     state.counters.add(_REQUESTS, 4)
     writer.write()
     older.wait()
-    assert _statuses(store)[0].counters[0].amount == 4
+    assert [one.counters[0].amount for one in _statuses(store)] == [4]
+
+
+def test_an_index_that_was_deleted_is_made_anew(
+    store: _Store,
+    writer: StatusWriter,
+    state: DaemonState,
+) -> None:
+    writer.write()
+    store.stored.clear()
+    state.stopping = True
+    for _ in range(3):
+        writer.write()
+    assert len(store.read_all(INDEX_KIND)) == 1
+    assert len(store.read_all('status')) == 1
--- a/bench/bench_report.py
+++ b/bench/bench_report.py
@@ -12,8 +12,11 @@
 
 from cowslipstep.cli._evening import build_page, render_html
 from cowslipstep.metrics import (
+    StatusIndex,
+    decode_index,
     decode_status,
     encode_bounded,
+    encode_index,
     merge_day,
 )
 from cowslipstep.operator import build_configuration, rank
@@ -21,6 +24,7 @@
 _WORKSPACES = 10
 _DAEMONS = 340
 _MAX_WRITES_PER_S = 6
+_MAX_VIEW_BYTES = 200000
 
 
 def figures() -> Iterator[Figure]:
@@ -31,6 +35,7 @@
     _build_page(texts)
     whole_s = time.process_time() - begin_s
     yield Figure('report.cpu_s', whole_s, 's')
+    yield from _fleet_view_figures()
     yield Figure('report.bytes_read', sum(map(len, texts)), 'B')
     yield Figure('report.memory', _peak_memory_kb() - before_kb, 'KB')
     yield Figure(
@@ -41,6 +46,26 @@
     )
 
 
+def _fleet_view_figures() -> Iterator[Figure]:
+    texts = [encode_index(index) for index in _indexes()]
+    begin_s = time.process_time()
+    for text in texts:
+        decode_index(text).is_live(PERIOD_S)
+    view_s = time.process_time() - begin_s
+    yield Figure('fleet_view.cpu_s', view_s, 's')
+    size = sum(map(len, texts))
+    yield Figure('fleet_view.bytes_read', size, 'B', _MAX_VIEW_BYTES)
+
+
+def _indexes() -> Iterator[StatusIndex]:
+    status = status_of(seeded_histograms(1))
+    for number in range(_DAEMONS):
+        identity = evolve(status.daemon, name=f'd{number}')
+        today = evolve(status, daemon=identity).object_name
+        names = (today, today)
+        yield StatusIndex(identity, 0, PERIOD_S, statuses=names)
+
+
 def _texts() -> Iterator[str]:
     status = status_of(seeded_histograms(_WORKSPACES))
     for index in range(_DAEMONS):
--- a/libs/metrics/src/cowslipstep/metrics/_status.py
+++ b/libs/metrics/src/cowslipstep/metrics/_status.py
@@ -15,7 +15,7 @@
 from cowslipstep.settings import parse_json, structure, unstructure
 
 
-@frozen
+@frozen(order=True)
 class DaemonIdentity:
     """Which run of which daemon a status object belongs to."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,7 +10,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from cowslipstep.cli._evening._facts import Facts
-from cowslipstep.cli._fleet import live_statuses, read_statuses
+from cowslipstep.cli._fleet import read_live, read_statuses
 from cowslipstep.cli._options import connect
 from cowslipstep.cli._store import read_stored
 from cowslipstep.metrics import Day, day_of, merge_day
@@ -76,9 +76,13 @@
 
 
 def _oldest_write_s(fleet: LocalFleet) -> float:
-    live = live_statuses(read_statuses(_client(fleet)))
+    live = read_live(_client(fleet))
     assert len(live) == len(fleet.plan.daemons)
-    return min(status.written_at_unix_s for status in live)
+    written_s = {
+        status.daemon: status.written_at_unix_s
+        for status in read_statuses(_client(fleet))
+    }
+    return min(written_s[daemon] for daemon in live)
 
 
 def _read_day(fleet: LocalFleet) -> Day:
