Order the evening page by what matters and compare rank by rank

Cause, seen on the rendered page: the measure of small workspaces mixed the ranks, so that a refused background flood (49% answered) hid whether their urgent requests were refused; "orders run twice" stood in the middle without a figure; curves of the plot were hard to tell apart; bars from 0 to 100% showed nothing near 99%.

Change: measures of small workspaces for each rank; missed targets first, then urgent service, orders, small workspaces, ranks, fleet; the ledger's entries are counted (entered, replayed, in use) and told beside "orders run twice"; three distinct colours, names at the peaks and in a legend; axes of shares begin at 80% where all bars are above, and say so; the chart of workspaces is left out when all reach the target.

Measured: with the ranks mixed test_ranks_of_small_workspaces_are_told_apart fails; `pytest apps/cowslipstep apps/cowslipstepd/tests/test_keyed.py tests/test_operators.py` passes.

--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_banner.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_banner.py
@@ -27,6 +27,12 @@
 def _reason(measure: Measure) -> Markup:
     return element(
         'li',
-        element('b', measure.name),
-        f': {measure.figure} (target {measure.target})',
+        element('b', _sentence(measure.name)),
+        f': {measure.figure}; target {measure.target}',
     )
+
+
+def _sentence(name: str) -> str:
+    """Begin with a capital letter and leave the rest as it is."""
+    rest = name[1:]
+    return ''.join((name[:1].upper(), rest))
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_charts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_charts.py
@@ -32,8 +32,7 @@
 _AXIS_HEIGHT = 40
 _TICK_DOWN = 14
 _NAME_DOWN = 32
-_TICKS = (0, 0.25, 0.5, 0.75, 1)
-_MIDDLE = 0.5
+_STEPS = 4
 
 
 @frozen
@@ -41,6 +40,7 @@
     """Where shares lie on a surface of some width."""
 
     width: int
+    begin: float
 
     @property
     def right(self) -> float:
@@ -49,26 +49,39 @@
 
     def at(self, share: float) -> float:
         """Return where a share ends."""
-        return _LEFT + share * (self.right - _LEFT)
+        passed = (share - self.begin) / (1 - self.begin)
+        return _LEFT + max(0, passed) * (self.right - _LEFT)
+
+    def ticks(self) -> list[float]:
+        """Return shares in even steps from the begin to all."""
+        step = (1 - self.begin) / _STEPS
+        return [self.begin + step * number for number in range(_STEPS + 1)]
 
 
 def draw_chart(chart: Chart, width: int) -> Markup:
     """Return the bars of a chart as SVG of some width."""
-    scale = _Scale(width)
+    scale = _Scale(width, chart.begin)
     bottom = _STEP * len(chart.bars)
-    drawn = list(_axis(chart.axis, bottom, scale))
+    drawn = list(_axis(chart, bottom, scale))
     for index, share_bar in enumerate(chart.bars):
         drawn.extend(_draw_bar(index * _STEP, share_bar, scale))
     return surface(width, bottom + _AXIS_HEIGHT, *drawn)
 
 
-def _axis(name: str, bottom: int, scale: _Scale) -> Iterator[Markup]:
-    for tick in _TICKS:
+def _axis(chart: Chart, bottom: int, scale: _Scale) -> Iterator[Markup]:
+    for tick in scale.ticks():
         right = scale.at(tick)
         ends = [Point(right, 0), Point(right, bottom)]
         yield line_of(ends, stroke=PALE)
         yield _label(Point(right, bottom + _TICK_DOWN), share_text(tick))
-    yield _label(Point(scale.at(_MIDDLE), bottom + _NAME_DOWN), name)
+    middle = (_LEFT + scale.right) / 2
+    yield _label(Point(middle, bottom + _NAME_DOWN), _axis_name(chart))
+
+
+def _axis_name(chart: Chart) -> str:
+    if not chart.begin:
+        return chart.axis
+    return f'{chart.axis}, axis from {share_text(chart.begin)}'
 
 
 def _label(place: Point, text: str) -> Markup:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_drawings.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_drawings.py
@@ -5,6 +5,9 @@
 from attrs import frozen
 
 
+_BROKEN_BEGIN = 0.8
+
+
 @frozen
 class ShareBar:
     """One bar of a chart, with a mark for its target."""
@@ -23,6 +26,22 @@
     axis: str
     bars: tuple[ShareBar, ...]
 
+    @property
+    def begin(self) -> float:
+        """Share at which the axis begins: near the bars if all are large.
+
+        Examples
+        --------
+        >>> bars = [ShareBar('a', 0.99, 0.95, reached=True)]
+        >>> Chart('in time', 'share', tuple(bars)).begin
+        0.8
+        >>> bars.append(ShareBar('b', 0.5, 0.95, reached=False))
+        >>> Chart('in time', 'share', tuple(bars)).begin
+        0
+        """
+        ends = [min(drawn.share, drawn.target) for drawn in self.bars]
+        return _BROKEN_BEGIN if min(ends, default=0) > _BROKEN_BEGIN else 0
+
 
 @frozen
 class Curve:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
@@ -12,7 +12,7 @@
     ratio,
     share_text,
 )
-from cowslipstep.cli._evening._parts import Measure, Section, Table
+from cowslipstep.cli._evening._parts import Measure, Place, Section, Table
 from cowslipstep.cli._evening._refusals import (
     reason_table,
     request_table,
@@ -22,7 +22,7 @@
 _KINDS = (
     ('requests', 'completions'),
     ('service_calls', 'calls to plain services'),
-    ('orders', 'orders with a key'),
+    ('orders', 'orders'),
 )
 _COUNT_HEAD = ('', 'answered', 'refused', 'uncertain')
 
@@ -32,19 +32,25 @@
     return Section(
         'Orders, refused and uncertain requests',
         (
-            _doubled(),
+            _doubled(facts),
             *[_uncertain(facts, name, title) for name, title in _KINDS],
         ),
         (_counts(facts), reason_table(facts), request_table(facts)),
     )
 
 
-def _doubled() -> Measure:
+def _doubled(facts: Facts) -> Measure:
+    total = facts.day.total
+    entered = count_text(total('order_entries', entry='entered'))
+    again = total('order_entries', entry='replayed')
+    in_use = total('order_entries', entry='in_use')
     return Measure(
         'orders run twice',
-        'not counted; ruled out, as each key is entered before its order',
-        'none',
-        reached=None,
+        f'none known; {entered} keys were entered once each, '
+        f'{count_text(again + in_use)} sends of a key in use did not run',
+        'none; the order ledger rules it out',
+        None,
+        Place.orders,
     )
 
 
@@ -55,10 +61,11 @@
     share = ratio(number, facts.day.total(name))
     besides = f'{count_text(number)}, besides {count_text(gone)} hung up'
     return Measure(
-        f'{title}: outcome uncertain',
+        f'{title} with uncertain outcome',
         share_text(share, f'({besides})'),
         f'at most {share_text(limit)}',
         at_most(share, limit),
+        Place.orders,
     )
 
 
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_page.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_page.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from cowslipstep.cli._evening._facts import Facts
 from cowslipstep.cli._evening._floods import flood_section
@@ -45,7 +45,7 @@
     def measures(self) -> tuple[Measure, ...]:
         """All measures, those that missed their targets first."""
         found = [one for section in self.sections for one in section.measures]
-        return tuple(sorted(found, key=_is_not_missed))
+        return tuple(sorted(found, key=_order))
 
     @property
     def missed(self) -> tuple[Measure, ...]:
@@ -58,32 +58,26 @@
     facts = Facts(day, configuration)
     sections = (
         rank_section(facts),
-        workspace_section(facts),
         outcome_section(facts),
+        workspace_section(facts),
         flood_section(facts),
         group_section(facts),
         incident_section(facts),
     )
-    missed = [
-        measure
-        for section in sections
-        for measure in section.measures
-        if measure.reached is False
-    ]
-    return Page(
-        day.name,
-        bool(day.statuses) and not missed,
-        _first_line(day, facts, missed),
-        tuple(summary_lines(facts)),
-        sections,
+    measured = Page(day.name, False, '', tuple(summary_lines(facts)), sections)
+    missed = measured.missed
+    return evolve(
+        measured,
+        well=bool(day.statuses) and not missed,
+        first_line=_first_line(day, facts, missed),
     )
 
 
-def _is_not_missed(measure: Measure) -> bool:
-    return measure.reached is not False
+def _order(measure: Measure) -> tuple[bool, int]:
+    return measure.reached is not False, measure.place
 
 
-def _first_line(day: Day, facts: Facts, missed: list[Measure]) -> str:
+def _first_line(day: Day, facts: Facts, missed: tuple[Measure, ...]) -> str:
     if not day.statuses:
         return f'No: no daemon wrote a status on {day.name}'
     if missed:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_parts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from attrs import field, frozen
 
 from cowslipstep.cli._evening._drawings import Chart, Plot
@@ -9,6 +11,16 @@
 Row = tuple[str, ...]
 
 
+class Place(enum.IntEnum):
+    """What matters most, first."""
+
+    urgent = 0
+    orders = 1
+    small = 2
+    ranks = 3
+    fleet = 4
+
+
 @frozen
 class Measure:
     """One measure of the day against its target.
@@ -23,12 +35,15 @@
         What it is compared with.
     reached
         Whether the target was reached; ``None`` if nothing was measured.
+    place
+        Where it stands among others: the smallest first.
     """
 
     name: str
     figure: str
     target: str
     reached: bool | None
+    place: Place = Place.fleet
 
 
 @frozen
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_plots.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_plots.py
@@ -23,6 +23,10 @@
 _LEGEND_DOWN = 32
 _HEIGHT = 236
 _SLOTS_PER_DAY = 288
+_SWATCH = 18
+_RISE = 5
+_LEAST_LABELLED = 0.2
+_NOON = 0.5
 
 
 def draw_plot(plot: Plot, width: int) -> Markup:
@@ -48,10 +52,36 @@
 def _draw_curves(curves: tuple[Curve, ...], frame: Frame) -> Iterator[Markup]:
     for index, curve in enumerate(curves):
         colour = CURVES[index % len(CURVES)]
-        legend = Point(frame.across(index / len(curves)), _LEGEND_DOWN)
-        yield text_at(legend, f'\u2014 {curve.label}', fill=colour)
-        points = list(_points(curve, frame))
-        yield line_of(points, stroke=colour, stroke_width='1.5')
+        begin = frame.across(index / len(curves))
+        yield from _legend(begin, curve.label, colour)
+        yield from _draw_curve(curve, frame, colour)
+
+
+def _draw_curve(curve: Curve, frame: Frame, colour: str) -> Iterator[Markup]:
+    points = list(_points(curve, frame))
+    yield line_of(points, stroke=colour, stroke_width='2')
+    yield from _peak_label(curve, frame, colour)
+
+
+def _legend(begin: float, label: str, colour: str) -> Iterator[Markup]:
+    middle = _LEGEND_DOWN - _RISE
+    ends = [Point(begin, middle), Point(begin + _SWATCH, middle)]
+    yield line_of(ends, stroke=colour, stroke_width='4')
+    yield text_at(Point(begin + _SWATCH + _RISE, _LEGEND_DOWN), label)
+
+
+def _peak_label(curve: Curve, frame: Frame, colour: str) -> Iterator[Markup]:
+    """Yield the name of a curve beside its highest point, if it is high."""
+    peak = max(curve.figures, default=0)
+    if peak < frame.top * _LEAST_LABELLED:
+        return
+    passed = curve.figures.index(peak) / len(curve.figures)
+    place = Point(
+        frame.across(passed),
+        max(TOP, frame.down(peak) - _RISE),
+    )
+    anchor = 'end' if passed > _NOON else 'start'
+    yield text_at(place, curve.label, fill=colour, text_anchor=anchor)
 
 
 def _points(curve: Curve, frame: Frame) -> Iterator[Point]:
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
@@ -11,7 +11,7 @@
     ratio,
     share_text,
 )
-from cowslipstep.cli._evening._parts import Measure, Section, Table
+from cowslipstep.cli._evening._parts import Measure, Place, Section, Table
 from cowslipstep.cli._evening._targets import at_least
 from cowslipstep.model import Rank
 
@@ -27,8 +27,8 @@
     return Section(
         'Service by rank',
         (
-            *[_in_time(facts, rank) for rank in ranks],
             _urgent_answered(facts, ranks[0]),
+            *[_in_time(facts, rank) for rank in ranks],
         ),
         (
             Table(
@@ -53,10 +53,11 @@
     share = share_in_time(facts, rank)
     bound = duration_text(rank.target_first_token_s)
     return Measure(
-        f'{rank.name}: first token within {bound}',
+        f'{rank.name} answers begun within {bound}',
         share_text(share),
-        f'at least {share_text(target)} of the answers',
+        f'at least {share_text(target)}',
         at_least(share, target),
+        Place.urgent if rank == facts.configuration.ranks[0] else Place.ranks,
     )
 
 
@@ -65,10 +66,11 @@
     asked = facts.asked(rank=rank.name)
     share = ratio(facts.count(COMPLETED, rank=rank.name), asked)
     return Measure(
-        f'{rank.name}: requests answered',
+        f'{rank.name} requests answered',
         share_text(share),
         f'at least {share_text(target)}',
         at_least(share, target),
+        Place.urgent,
     )
 
 
@@ -90,7 +92,7 @@
         for rank in facts.configuration.ranks
     ]
     return Chart(
-        'First tokens in time, by rank; the line is the target',
+        'Answers begun in time, by rank; the line is the target',
         'share of the answers',
         tuple(
             ShareBar(name, share, target, reached=share >= target)
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_svg.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_svg.py
@@ -17,7 +17,7 @@
 PALE = '#e6e6e6'
 SHADE = '#fbe3e1'
 _FONT_SIZE = 13
-CURVES = ('#b3372f', '#2f6db3', '#777', '#2c7a4b', '#8550a8')
+CURVES = ('#c2342b', '#1f5fa8', '#d18f00', '#2c7a4b', '#8550a8')
 _CLASSES = MappingProxyType({WIDE: 'wide', NARROW: 'narrow'})
 
 
--- a/apps/cowslipstep/tests/test_evening.py
+++ b/apps/cowslipstep/tests/test_evening.py
@@ -36,7 +36,7 @@
 _LARGE = 'large-firm'
 _SMALL = 'small-firm'
 _WIDTHS = ('wide', 'narrow')
-_PLOTS_AND_CHARTS = 4
+_PLOTS_AND_CHARTS = 3
 _CONFIGURATION = build_configuration(
     ranks=[
         rank('urgent', target_first_token_s=1, floor_share=0.2),
@@ -84,6 +84,14 @@
         )
 
 
+def _text(figures: _Figures) -> str:
+    return '\n'.join(render_text(_page(figures.status())))
+
+
+def _missed(figures: _Figures) -> list[str]:
+    return [measure.name for measure in _page(figures.status()).missed]
+
+
 def _page(*statuses: Status) -> Page:
     return build_page(merge_day(_DAY, statuses), _CONFIGURATION)
 
@@ -111,14 +119,14 @@
 def test_slow_small_workspaces_are_seen(figures: _Figures) -> None:
     figures.answered(_SMALL, 4, first_token_s=2)
     page = _page(figures.status())
-    assert page.first_line.startswith('No: small workspaces: first token')
+    assert page.first_line.startswith('No: small workspaces: urgent answers')
     assert '71.43% (large ones: 100%)' in page.first_line
+    assert 'Answers begun in time, by workspace' in render_html(page)
 
 
 def test_uncertain_outcomes_are_seen(figures: _Figures) -> None:
     figures.ended(_LARGE, 1, 'may_have_run')
-    page = _page(figures.status())
-    assert page.first_line.startswith('No: completions: outcome uncertain')
+    assert _missed(figures) == ['completions with uncertain outcome']
 
 
 def test_group_downtime_is_seen(figures: _Figures) -> None:
@@ -135,7 +143,7 @@
 def test_time_that_nobody_watched_is_told(figures: _Figures) -> None:
     watched = CounterKey('group_watched_ms', (('model', 'drafting'),))
     figures.counters.add(watched, _HOUR_S * 1000)
-    text = '\n'.join(render_text(_page(figures.status())))
+    text = _text(figures)
     assert '100% of the time, 0 ms down, 60 min not watched' in text
 
 
@@ -181,7 +189,7 @@
 def test_refused_small_workspaces_are_seen(figures: _Figures) -> None:
     figures.ended(_SMALL, 5, 'not_run')
     page = _page(figures.status())
-    assert page.missed[-1].name == 'small workspaces: requests answered'
+    assert page.missed[-1].name == 'small workspaces: urgent requests answered'
     assert page.missed[-1].figure == '66.67% (large ones: 100%)'
 
 
@@ -196,12 +204,37 @@
         if counted != name:
             labels = (('of', counted), verdict)
             figures.counters.add(CounterKey('hangups', labels))
-    missed = _page(figures.status()).missed
-    counted = [one.figure for one in missed if 'uncertain' in one.name]
+    page = _page(figures.status())
+    counted = [one.figure for one in page.missed if 'uncertain' in one.name]
     assert len(counted) == 1
     assert counted[0].endswith('(1, besides 0 hung up)')
 
 
+def test_what_matters_most_comes_first(figures: _Figures) -> None:
+    figures.ended(_SMALL, 20, 'not_run')
+    for name in ('orders', 'requests'):
+        labels = (('verdict', 'may_have_run'),)
+        figures.counters.add(CounterKey(name, labels))
+    down = (('model', 'drafting'),)
+    for key in ('group_down_ms', 'group_watched_ms'):
+        figures.counters.add(CounterKey(key, down), 1000)
+    assert _missed(figures) == [
+        'urgent requests answered',
+        'completions with uncertain outcome',
+        'orders with uncertain outcome',
+        'small workspaces: urgent requests answered',
+        'groups of drafting serving',
+    ]
+
+
+def test_ranks_of_small_workspaces_are_told_apart(figures: _Figures) -> None:
+    flood = (('workspace', _LARGE), ('rank', 'background'))
+    verdict = ('verdict', 'not_run')
+    figures.counters.add(CounterKey('requests', (*flood, verdict)), 900)
+    figures.ended(_SMALL, 1, 'not_run')
+    assert _missed(figures) == ['small workspaces: urgent requests answered']
+
+
 def test_targets_are_configured(figures: _Figures) -> None:
     figures.ended(_LARGE, 2, 'not_run')
     strict = evolve(
@@ -244,6 +277,7 @@
     page = _page(evolve(figures.status(), events=events))
     html = render_html(page)
     assert '&lt;lapsed&gt;' in html
+    assert 'Answers begun in time, by workspace' not in html
     drawings = re.findall('<svg.*?</svg>', html, re.DOTALL)
     assert len(drawings) == len(_WIDTHS) * _PLOTS_AND_CHARTS
     for drawing in drawings:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keyed.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keyed.py
@@ -10,7 +10,7 @@
 from cowslipstep.daemon._order_claims import OrderClaims
 from cowslipstep.daemon._relay import Piece
 from cowslipstep.daemon._run_state import RunState
-from cowslipstep.delivery import Answered, Entered
+from cowslipstep.delivery import Answered, Entered, InUse
 from cowslipstep.metrics import CounterKey, Counters
 from cowslipstep.model import Completed, RequestError
 
@@ -59,10 +59,15 @@
     ) -> Iterator[Piece]:
         match self._claims.enter(order):
             case Entered():
+                self._count(order, 'entered')
                 yield from self._run_entered(order, pieces, run)
             case Answered(answer):
+                self._count(order, 'replayed')
                 run.verdict = Completed()
                 yield from replay(answer)
+            case InUse() as refused:
+                self._count(order, 'in_use')
+                raise refusal_of(refused)
             case refused:
                 raise refusal_of(refused)
 
@@ -80,6 +85,10 @@
         if run.verdict == Completed():
             self._claims.answer(order, kept.answer)
 
+    def _count(self, order: KeyedOrder, entry: str) -> None:
+        labels = (('workspace', order.workspace), ('entry', entry))
+        self._counters.add(CounterKey('order_entries', labels))
+
     @contextlib.contextmanager
     def _counted(self, order: KeyedOrder, run: RunState) -> Iterator[None]:
         try:
--- a/bench/_sample_plan.py
+++ b/bench/_sample_plan.py
@@ -62,6 +62,7 @@
     lost_daemon: LostDaemon
     order_counts: OrderCounts
     hangups: int
+    replayed_orders: int
 
     def flood_at(self, slot: int) -> Flood | None:
         """Return the flood of a slot, if any."""
--- a/bench/_sample_totals.py
+++ b/bench/_sample_totals.py
@@ -23,6 +23,7 @@
 ) -> None:
     """Count orders, calls, callers that hung up, and downtimes."""
     _count_outcomes(plan, counters)
+    _count_entries(plan, counters)
     caller = ('workspace', configuration.workspaces[0].name)
     rank = ('rank', configuration.ranks[0].name)
     gone = (caller, rank, _UNCERTAIN)
@@ -40,6 +41,17 @@
         counters.add(CounterKey('service_calls', labels), calls)
 
 
+def _count_entries(plan: DayPlan, counters: Counters) -> None:
+    entered = plan.order_counts.completed - plan.replayed_orders
+    for entry, count in (
+        ('entered', entered),
+        ('replayed', plan.replayed_orders),
+        ('in_use', plan.order_counts.may_have_run),
+    ):
+        labels = (('entry', entry),)
+        counters.add(CounterKey('order_entries', labels), count)
+
+
 def _count_groups(
     configuration: Configuration,
     plan: DayPlan,
