Share what the example fleets and the slot service wrote twice

Ruled out: folding the four `explain` commands into one function (typer reads the signature and the docstring of each; the help would be lost).

Change: the operators' library builds several workspaces for trials and runners of several failure domains; SlotService is given its OwnerCalls instead of the parts to make one.

--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_small_workspaces.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_small_workspaces.py
@@ -6,7 +6,11 @@
 from cowslipstep.cli._evening._numbers import ratio, share_text
 from cowslipstep.cli._evening._parts import Measure, Place
 from cowslipstep.cli._evening._targets import at_least
-from cowslipstep.cli._evening._workspace_service import Service, add_rank
+from cowslipstep.cli._evening._workspace_service import (
+    RankService,
+    Service,
+    add_rank,
+)
 from cowslipstep.model import Rank
 
 
@@ -28,8 +32,9 @@
     rank: Rank,
 ) -> Measure:
     gap = facts.configuration.targets.small_answered_gap
-    share = _answered_share(services, rank, large=False)
-    beside = _answered_share(services, rank, large=True)
+    small, large = _by_size(services, rank)
+    share = ratio(small.completed, small.asked)
+    beside = ratio(large.completed, large.asked)
     return Measure(
         f'small workspaces: {rank.name} requests answered',
         f'{share_text(share)} (large ones: {share_text(beside)})',
@@ -45,37 +50,25 @@
     rank: Rank,
 ) -> Measure:
     target = facts.configuration.targets.within_target_share
-    share = _in_time_share(services, rank, large=False)
-    beside = share_text(_in_time_share(services, rank, large=True))
+    small, large = _by_size(services, rank)
+    share = ratio(small.in_time, small.answers)
+    beside = ratio(large.in_time, large.answers)
     return Measure(
         f'small workspaces: {rank.name} answers begun in time',
-        f'{share_text(share)} (large ones: {beside})',
+        f'{share_text(share)} (large ones: {share_text(beside)})',
         f'at least {share_text(target)}',
         at_least(share, target),
         _place(facts, rank),
     )
 
 
-def _answered_share(
-    services: list[Service],
-    rank: Rank,
-    *,
-    large: bool,
-) -> float | None:
-    chosen = [service for service in services if service.large == large]
-    added = add_rank(chosen, rank.name)
-    return ratio(added.completed, added.asked)
-
-
-def _in_time_share(
+def _by_size(
     services: list[Service],
     rank: Rank,
-    *,
-    large: bool,
-) -> float | None:
-    chosen = [service for service in services if service.large == large]
-    added = add_rank(chosen, rank.name)
-    return ratio(added.in_time, added.answers)
+) -> tuple[RankService, RankService]:
+    small = [service for service in services if not service.large]
+    large = [service for service in services if service.large]
+    return add_rank(small, rank.name), add_rank(large, rank.name)
 
 
 def _place(facts: Facts, rank: Rank) -> Place:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -10,6 +10,7 @@
 from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._listening import listen_http
 from cowslipstep.daemon._opening import open_state
+from cowslipstep.daemon._owner_calls import OwnerCalls
 from cowslipstep.daemon._planned_stop import stop_as_planned
 from cowslipstep.daemon._server import CallerServer, stop_event
 from cowslipstep.daemon._services import ServiceCalls
@@ -43,7 +44,7 @@
     links = PeerLinks(state)
     start_task('cells', cells.run)
     start_control(state, cells, links)
-    slots = SlotService(state, cells, links)
+    slots = SlotService(state, OwnerCalls(state, cells, links))
     slots.start()
     keyed = open_keyed_runs(state, links)
     return EntryApplication(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_slots.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_slots.py
@@ -10,8 +10,6 @@
 from attrs import define, field
 
 from cowslipstep.daemon._asks import AskSender
-from cowslipstep.daemon._cells import CellService
-from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._owner_calls import OwnerCalls
 from cowslipstep.daemon._owners import CHECK_PERIOD_S
 from cowslipstep.daemon._search import SlotFinder
@@ -50,21 +48,14 @@
     ----------
     state
         State of the daemon.
-    cells
-        Serves the cells that this daemon owns.
-    links
-        Links to the other owners.
+    calls
+        Calls the owners of cells.
     """
 
-    def __init__(
-        self,
-        state: DaemonState,
-        cells: CellService,
-        links: PeerLinks,
-    ) -> None:
+    def __init__(self, state: DaemonState, calls: OwnerCalls) -> None:
         self._state = state
-        self._calls = OwnerCalls(state, cells, links)
-        self._finder = SlotFinder(state, AskSender(self._calls))
+        self._calls = calls
+        self._finder = SlotFinder(state, AskSender(calls))
         self._held: dict[str, Slot] = {}
 
     def start(self) -> None:
--- a/examples/gridsight.py
+++ b/examples/gridsight.py
@@ -9,15 +9,14 @@
 from __future__ import annotations
 
 from cowslipstep.operator import (
-    address_range,
     build_configuration,
     model,
     print_configuration,
     rank,
-    runners,
+    runners_in,
     service,
     targets,
-    workspace,
+    trial_workspaces,
 )
 
 ENGINE_PORT = 9100
@@ -44,48 +43,31 @@
 )
 
 
-def trial_key(name: str) -> str:
-    """Return the bearer key of a workspace for trials.
-
-    In use, keys are made at random and only their digests stand here:
-    ``workspace(name, key_sha256=[...])``.
-    """
-    return f'trial-{name}'
-
-
 configuration = build_configuration(
     ranks=RANKS,
     workspaces=(
-        *[
-            workspace(
-                name,
-                keys=[trial_key(name)],
-                weight=2,
-                tokens_per_s=20000,
-                max_in_progress=80,
-            )
-            for name in LARGE_FIRMS
-        ],
-        *[
-            workspace(name, keys=[trial_key(name)], max_in_progress=40)
-            for name in SMALL_FIRMS
-        ],
+        *trial_workspaces(
+            LARGE_FIRMS,
+            weight=2,
+            tokens_per_s=20000,
+            max_in_progress=80,
+        ),
+        *trial_workspaces(SMALL_FIRMS, max_in_progress=40),
     ),
     models=[
         model('drafting', groups=15, hosts_per_group=4, slots_per_group=8),
     ],
     runners=(
-        *runners(
-            'port-louis',
-            address_range('10.20.1.10', HOSTS_PER_FAILURE_DOMAIN, ENGINE_PORT),
-        ),
-        *runners(
-            'ebene',
-            address_range('10.20.2.10', HOSTS_PER_FAILURE_DOMAIN, ENGINE_PORT),
+        *runners_in(
+            {'port-louis': '10.20.1.10', 'ebene': '10.20.2.10'},
+            hosts=HOSTS_PER_FAILURE_DOMAIN,
+            port=ENGINE_PORT,
         ),
-        *runners(
-            'curepipe',
-            address_range('10.20.3.10', HOSTS_PER_FAILURE_DOMAIN, ENGINE_PORT),
+        # The engines in Curepipe ignore fencing numbers.
+        *runners_in(
+            {'curepipe': '10.20.3.10'},
+            hosts=HOSTS_PER_FAILURE_DOMAIN,
+            port=ENGINE_PORT,
             fencing='ignored',
         ),
     ),
--- a/examples/tatranske_palicky.py
+++ b/examples/tatranske_palicky.py
@@ -9,15 +9,14 @@
 from __future__ import annotations
 
 from cowslipstep.operator import (
-    address_range,
     build_configuration,
     model,
     print_configuration,
     rank,
-    runners,
+    runners_in,
     service,
     targets,
-    workspace,
+    trial_workspaces,
 )
 
 ENGINE_PORT = 9100
@@ -43,48 +42,29 @@
 )
 
 
-def trial_key(name: str) -> str:
-    """Return the bearer key of a workspace for trials.
-
-    In use, keys are made at random and only their digests stand here:
-    ``workspace(name, key_sha256=[...])``.
-    """
-    return f'trial-{name}'
-
+FAILURE_DOMAINS = {
+    'banska-bystrica': '10.30.1.10',
+    'brezno': '10.30.2.10',
+    'zvolen': '10.30.3.10',
+}
 
 configuration = build_configuration(
     ranks=RANKS,
     workspaces=(
-        *[
-            workspace(
-                name,
-                keys=[trial_key(name)],
-                tokens_per_s=30000,
-                max_in_progress=80,
-            )
-            for name in LARGE_RESELLERS
-        ],
-        *[
-            workspace(name, keys=[trial_key(name)], max_in_progress=40)
-            for name in SMALL_DESKS
-        ],
+        *trial_workspaces(
+            LARGE_RESELLERS,
+            tokens_per_s=30000,
+            max_in_progress=80,
+        ),
+        *trial_workspaces(SMALL_DESKS, max_in_progress=40),
     ),
     models=[
         model('drafting', groups=15, hosts_per_group=4, slots_per_group=8),
     ],
-    runners=(
-        *runners(
-            'banska-bystrica',
-            address_range('10.30.1.10', HOSTS_PER_FAILURE_DOMAIN, ENGINE_PORT),
-        ),
-        *runners(
-            'brezno',
-            address_range('10.30.2.10', HOSTS_PER_FAILURE_DOMAIN, ENGINE_PORT),
-        ),
-        *runners(
-            'zvolen',
-            address_range('10.30.3.10', HOSTS_PER_FAILURE_DOMAIN, ENGINE_PORT),
-        ),
+    runners=runners_in(
+        FAILURE_DOMAINS,
+        hosts=HOSTS_PER_FAILURE_DOMAIN,
+        port=ENGINE_PORT,
     ),
     services=[
         service(
--- a/libs/operator/src/cowslipstep/operator/__init__.py
+++ b/libs/operator/src/cowslipstep/operator/__init__.py
@@ -15,3 +15,4 @@
     workspace,
 )
 from cowslipstep.operator._runners import runners
+from cowslipstep.operator._several import runners_in, trial_workspaces
