--- a/apps/cowslipstep/src/cowslipstep/cli/__main__.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/__main__.py
@@ -20,6 +20,7 @@
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
+    rich_markup_mode=None,
     help='Operate a cowslipstep fleet.',
     epilog='Exit codes: 0 ok, 1 failed or not well, 2 wrong usage or '
     'document, 3 conflict, 4 platform or daemon does not answer.',
--- a/apps/cowslipstep/src/cowslipstep/cli/_drain.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_drain.py
@@ -16,10 +16,12 @@
 from cowslipstep.cli._fleet import read_groups
 from cowslipstep.cli._options import (
     DEFAULT_PLATFORM,
+    JsonOption,
     PlatformOption,
     WaitOption,
     connect,
 )
+from cowslipstep.cli._output import print_json
 from cowslipstep.cli._store import require_configuration
 from cowslipstep.platform import PlatformClient
 
@@ -34,6 +36,7 @@
     platform: PlatformOption = DEFAULT_PLATFORM,
     *,
     wait: WaitOption = False,
+    as_json: JsonOption = False,
 ) -> None:
     """Let a host or group finish its work and take no new work.
 
@@ -44,16 +47,21 @@
     """
     client = connect(platform)
     kind = _kind_of(client, target)
-    ask_drain(client, Drain(target, kind))
-    typer.echo(f'drain of {kind} {target} asked')
+    asked = Drain(target, kind)
+    ask_drain(client, asked)
     if wait:
-        wait_drained(client, target)
-        typer.echo(f'{target} is drained')
+        asked = wait_drained(client, target)
+    if as_json:
+        print_json(asked)
+    else:
+        typer.echo(str(asked))
 
 
 def undrain(
     target: TargetArgument,
     platform: PlatformOption = DEFAULT_PLATFORM,
+    *,
+    as_json: JsonOption = False,
 ) -> None:
     """Let a drained host or group take work again.
 
@@ -62,7 +70,10 @@
     Example: cowslipstep undrain ebene-h3
     """
     end_drain(connect(platform), target)
-    typer.echo(f'drain of {target} ended')
+    if as_json:
+        print_json({'target': target, 'state': 'ended'})
+    else:
+        typer.echo(f'drain of {target} ended')
 
 
 def _kind_of(platform: PlatformClient, target: str) -> str:
--- a/apps/cowslipstep/src/cowslipstep/cli/_drains.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_drains.py
@@ -9,11 +9,11 @@
 
 from cowslipstep.cli._exits import NotWell
 from cowslipstep.cli._output import progress_line
+from cowslipstep.cli._readable import decode_each
 from cowslipstep.platform import (
     ObjectKey,
     ObjectMissing,
     PlatformClient,
-    StoredObject,
     VersionConflict,
 )
 from cowslipstep.settings import parse_json
@@ -39,7 +39,7 @@
 
 def read_drains(platform: PlatformClient) -> tuple[Drain, ...]:
     """Read all drains."""
-    return tuple(_decode(stored) for stored in platform.read_all(_KIND))
+    return tuple(decode_each(platform.read_all(_KIND), _decode))
 
 
 def ask_drain(platform: PlatformClient, drain: Drain) -> None:
@@ -66,8 +66,8 @@
         raise NotWell(f'{target} is not drained') from None
 
 
-def wait_drained(platform: PlatformClient, target: str) -> None:
-    """Wait until the keeper says that no work is left.
+def wait_drained(platform: PlatformClient, target: str) -> Drain:
+    """Wait until the keeper says that no work is left; return the drain.
 
     Raises
     ------
@@ -80,20 +80,22 @@
             drain = _read(platform, target)
             progress.show(str(drain))
             if drain.state == _DRAINED:
-                return
+                return drain
             time.sleep(_POLL_S)
     raise NotWell(f'{target} is not drained after {_WAIT_TIMEOUT_S} s')
 
 
 def _read(platform: PlatformClient, target: str) -> Drain:
     try:
-        return _decode(platform.read(ObjectKey(_KIND, target)))
+        return _decode(platform.read(ObjectKey(_KIND, target)).body)
     except ObjectMissing:
         raise NotWell(f'the drain of {target} was ended') from None
 
 
-def _decode(stored: StoredObject) -> Drain:
-    document = parse_json(stored.body)
+def _decode(text: str) -> Drain:
+    document = parse_json(text)
+    if not isinstance(document, dict):
+        raise TypeError('expected an object')
     # Keepers add fields of their own to the object.
     progress = document.get('status') or document.get('state') or _ASKED
     return Drain(document['target'], document['kind'], progress)
--- a/apps/cowslipstep/src/cowslipstep/cli/_endings.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_endings.py
@@ -8,7 +8,7 @@
 
 from cowslipstep.cli._exits import Conflict, ExitCode, Unreachable, WrongUse
 from cowslipstep.model import DocumentError
-from cowslipstep.platform import PlatformUnavailable
+from cowslipstep.platform import ObjectMissing, PlatformUnavailable
 
 
 @frozen
@@ -45,6 +45,8 @@
     match error:
         case PlatformUnavailable():
             return f'error: the platform does not answer: {error}'
+        case ObjectMissing():
+            return f'error: not found, is that the platform? {error}'
         case _:
             return f'error: {error}'
 
@@ -55,7 +57,7 @@
             return ExitCode.wrong_use
         case Conflict():
             return ExitCode.conflict
-        case Unreachable() | PlatformUnavailable():
+        case Unreachable() | PlatformUnavailable() | ObjectMissing():
             return ExitCode.unreachable
         case _:
             return ExitCode.failed
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_floods.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_floods.py
@@ -57,10 +57,10 @@
         for rank in facts.configuration.ranks
         for text in _below_floor(facts, rank, slots)
     ]
-    number = len(floods)
+    number = 'one flood' if len(floods) == 1 else f'{len(floods)} floods'
     return Measure(
         'ranks below their floor in a flood',
-        ', '.join(starved) or f'none in {number} floods',
+        ', '.join(starved) or f'none in {number}',
         'none',
         not starved,
     )
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_page.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_page.py
@@ -8,6 +8,7 @@
 from cowslipstep.cli._evening._floods import flood_section
 from cowslipstep.cli._evening._groups import group_section
 from cowslipstep.cli._evening._incidents import incident_section
+from cowslipstep.cli._evening._numbers import count_text
 from cowslipstep.cli._evening._orders import outcome_section
 from cowslipstep.cli._evening._parts import Measure, Section
 from cowslipstep.cli._evening._ranks import rank_section
@@ -86,5 +87,5 @@
             for measure in missed
         )
         return f'No: {reasons}'
-    asked = facts.asked()
+    asked = count_text(facts.asked())
     return f'Yes: all targets were reached, with {asked} requests'
--- a/apps/cowslipstep/src/cowslipstep/cli/_explain.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_explain.py
@@ -23,6 +23,7 @@
 
 explain = typer.Typer(
     no_args_is_help=True,
+    rich_markup_mode=None,
     help='Say why a group, host, request or part of the configuration is '
     'as it is.',
 )
--- a/apps/cowslipstep/src/cowslipstep/cli/_fleet.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_fleet.py
@@ -4,6 +4,7 @@
 
 import time
 
+from cowslipstep.cli._readable import decode_each
 from cowslipstep.groups import DomainLedger
 from cowslipstep.metrics import (
     DaemonIdentity,
@@ -21,30 +22,15 @@
 
 
 def read_statuses(platform: PlatformClient) -> tuple[Status, ...]:
-    """Read all statuses.
-
-    Raises
-    ------
-    ExceptionGroup
-        If one of them cannot be read.
-    """
-    return tuple(
-        decode_status(stored.body) for stored in platform.read_all(_STATUS_KIND)
-    )
+    """Read all statuses."""
+    listed = platform.read_all(_STATUS_KIND)
+    return tuple(decode_each(listed, decode_status))
 
 
 def read_live(platform: PlatformClient) -> tuple[DaemonIdentity, ...]:
-    """Return the daemons that still write, from their small objects.
-
-    Raises
-    ------
-    ExceptionGroup
-        If one of them cannot be read.
-    """
-    indexes = [
-        decode_index(stored.body) for stored in platform.read_all(_INDEX_KIND)
-    ]
+    """Return the daemons that still write, from their small objects."""
     now_unix_s = time.time()
+    indexes = decode_each(platform.read_all(_INDEX_KIND), decode_index)
     return tuple(
         sorted(index.daemon for index in indexes if index.is_live(now_unix_s)),
     )
@@ -52,8 +38,9 @@
 
 def read_groups(platform: PlatformClient) -> tuple[Group, ...]:
     """Read the groups of all fabric domains."""
-    ledgers = [
-        structure(parse_json(stored.body), DomainLedger)
-        for stored in platform.read_all(_LEDGER_KIND)
-    ]
+    ledgers = decode_each(platform.read_all(_LEDGER_KIND), _decode_ledger)
     return tuple(group for ledger in ledgers for group in ledger.groups)
+
+
+def _decode_ledger(text: str) -> DomainLedger:
+    return structure(parse_json(text), DomainLedger)
--- a/apps/cowslipstep/src/cowslipstep/cli/_report.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import pathlib
 import time
 from typing import Annotated
@@ -47,11 +48,12 @@
     """Print the evening page: did the day go well, and why.
 
     The first line says yes or no with the reason. Exit codes: 0 yes, 1 no,
-    2 the HTML file cannot be written, 4 platform does not answer.
+    2 no such day or the HTML file cannot be written, 4 platform does not
+    answer.
 
     Example: cowslipstep report --html today.html
     """
-    page = read_page(connect(platform), day or day_of(time.time()))
+    page = read_page(connect(platform), _checked_day(day))
     if html is not None:
         _write(html, render_html(page))
     if as_json:
@@ -74,6 +76,16 @@
     return build_page(merged, require_configuration(platform))
 
 
+def _checked_day(text: str) -> str:
+    if not text:
+        return day_of(time.time())
+    try:
+        return datetime.date.fromisoformat(text).isoformat()
+    except ValueError:
+        message = f'--day: expected YYYY-MM-DD, got {text!r}'
+    raise WrongUse(message)
+
+
 def _write(path: pathlib.Path, text: str) -> None:
     try:
         path.write_text(text)
--- a/apps/cowslipstep/src/cowslipstep/cli/_store.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_store.py
@@ -22,10 +22,25 @@
 
     @property
     def configuration(self) -> Configuration | None:
-        """What the text says, if there is any and it can be read."""
+        """What the text says, if there is any.
+
+        Raises
+        ------
+        ExceptionGroup
+            Holds one ``NotWell`` for each mistake in it.
+        """
         if self.version == NO_VERSION:
             return None
-        return parse_configuration(self.text)
+        try:
+            return parse_configuration(self.text)
+        except ExceptionGroup as group:
+            problems = [
+                NotWell(
+                    f'configuration in force, version {self.version}: {one}'
+                )
+                for one in group.exceptions
+            ]
+        raise ExceptionGroup('the configuration cannot be read', problems)
 
 
 def read_stored(platform: PlatformClient) -> StoredText:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/__main__.py
@@ -12,14 +12,21 @@
 eventlet.monkey_patch()
 
 import pathlib  # noqa: E402
-from typing import Annotated  # noqa: E402
+from collections.abc import Iterable  # noqa: E402
+from typing import Annotated, NoReturn  # noqa: E402
 
 import typer  # noqa: E402
 
 from cowslipstep.daemon._daemon import run_daemon  # noqa: E402
 from cowslipstep.daemon._listening import ListenError  # noqa: E402
 from cowslipstep.daemon._logs import start_logging  # noqa: E402
-from cowslipstep.settings import load_daemon_settings  # noqa: E402
+from cowslipstep.settings import (  # noqa: E402
+    DaemonSettings,
+    load_daemon_settings,
+)
+
+_FAILED = 1
+_WRONG_USE = 2
 
 
 def run(
@@ -29,23 +36,40 @@
     ],
 ) -> None:
     """Run a cowslipstep daemon."""
+    loaded = _load(settings)
     try:
-        loaded = load_daemon_settings(settings)
-    except ExceptionGroup as group:
-        for problem in group.exceptions:
-            typer.echo(f'error: {problem}', err=True)
-        raise typer.Exit(2) from None
-    start_logging(loaded.log_level)
+        start_logging(loaded.log_level)
+    except ValueError as error:
+        _end([error], _WRONG_USE)
     try:
         run_daemon(loaded)
     except ListenError as error:
+        _end([error], _FAILED)
+
+
+def _load(settings: pathlib.Path) -> DaemonSettings:
+    try:
+        return load_daemon_settings(settings)
+    except ExceptionGroup as group:
+        _end(group.exceptions, _WRONG_USE)
+
+
+def _end(errors: Iterable[Exception], code: int) -> NoReturn:
+    """End the program with a line for each error."""
+    for error in errors:
         typer.echo(f'error: {error}', err=True)
-        raise typer.Exit(1) from None
+    raise typer.Exit(code) from None
 
 
 def main() -> None:
     """Entry point of ``cowslipstepd``."""
-    typer.run(run)
+    app = typer.Typer(
+        add_completion=False,
+        pretty_exceptions_enable=False,
+        rich_markup_mode=None,
+    )
+    app.command()(run)
+    app()
 
 
 if __name__ == '__main__':
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_logs.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_logs.py
@@ -29,6 +29,11 @@
         ``COWSLIPSTEP_LOG_LEVEL`` goes before it.
     stream
         Receives the lines.
+
+    Raises
+    ------
+    ValueError
+        If there is no such level.
     """
     target = stream or sys.stderr
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_retention.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_retention.py
@@ -9,7 +9,7 @@
 from cowslipstep.daemon._old_statuses import delete_status, is_old
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._status_index import INDEX_KIND
-from cowslipstep.metrics import decode_index
+from cowslipstep.metrics import StatusIndex, decode_index
 from cowslipstep.model import CowslipstepError
 from cowslipstep.platform import PlatformClient, StoredObject
 from cowslipstep.routing import rank_owners
@@ -29,17 +29,25 @@
         return
     try:
         _delete_all_old(state.platform)
-    except (CowslipstepError, ExceptionGroup) as error:
+    except CowslipstepError as error:
         logger.warning('old statuses not deleted: {}', error)
 
 
 def _delete_all_old(platform: PlatformClient) -> None:
     for stored in platform.read_all(INDEX_KIND):
-        _delete_if_old(platform, stored)
-
-
-def _delete_if_old(platform: PlatformClient, stored: StoredObject) -> None:
-    index = decode_index(stored.body)
+        try:
+            index = decode_index(stored.body)
+        except ExceptionGroup:
+            logger.warning('{} cannot be read', stored.key)
+        else:
+            _delete_if_old(platform, stored, index)
+
+
+def _delete_if_old(
+    platform: PlatformClient,
+    stored: StoredObject,
+    index: StatusIndex,
+) -> None:
     needed = [name for name in index.statuses if not is_old(name)]
     if needed or index.is_live(time.time()):
         return
--- a/apps/cowslipstepd/tests/test_main.py
+++ b/apps/cowslipstepd/tests/test_main.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -47,3 +49,22 @@
     assert len(lines) == len(places)
     for line, place in zip(lines, places, strict=True):
         assert line.startswith(f'error: {place}: ')
+
+
+def test_a_wrong_log_level(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / 'settings.json'
+    names = ('http_address', 'peer_address', 'platform_address')
+    addresses = dict.fromkeys(names, '127.0.0.1:1')
+    settings = {'name': 'd0', 'failure_domain': 'ebene', **addresses}
+    path.write_text(json.dumps(settings))
+    ended = subprocess.run(
+        [sys.executable, '-m', 'cowslipstep.daemon', str(path)],
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_S,
+        env={**os.environ, 'COWSLIPSTEP_LOG_LEVEL': 'nonsense'},
+    )
+    assert ended.returncode == _WRONG_USE
+    assert ended.stderr.splitlines() == [
+        "error: Level 'NONSENSE' does not exist",
+    ]
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -44,3 +44,7 @@
       | explain group nobody                   | 1    | no group       |
       | report --day 1999-01-01                | 1    | no daemon wrote |
       | submit /nonexistent.json               | 2    | cannot read    |
+      | report --day yesterday                 | 2    | expected YYYY  |
+      | explain group                          | 2    | Missing argument |
+      | nonsense                               | 2    | No such command |
+      | drain nobody --json                    | 2    | no host        |
