Name daemons that do not answer, and wait only for live ones

Ruled out: dropping a daemon at the first missed answer (a slow one still serves the old configuration).

Waits still last their 60 s where the lost daemon's index is not yet three periods old.

--- a/apps/cowslipstep/src/cowslipstep/cli/_rates.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_rates.py
@@ -37,14 +37,27 @@
     amount: int
 
 
-def read_loads(addresses: Iterable[str]) -> tuple[Load, ...] | None:
-    """Add up the metrics of daemons; ``None`` if none of them answers."""
+@frozen
+class LoadView:
+    """The loads of the daemons that answer, and the addresses of others."""
+
+    loads: tuple[Load, ...]
+    answered: int
+    silent: tuple[str, ...]
+
+
+def read_loads(addresses: Iterable[str]) -> LoadView:
+    """Add up the metrics of daemons."""
     http = urllib3.PoolManager(retries=False)
-    texts = [get_text(http, address, '/metrics') for address in addresses]
-    answered = [text for text in texts if text is not None]
-    if not answered:
-        return None
-    return add_loads(answered)
+    answered: list[str] = []
+    silent: list[str] = []
+    for address in addresses:
+        text = get_text(http, address, '/metrics')
+        if text is None:
+            silent.append(address)
+        else:
+            answered.append(text)
+    return LoadView(add_loads(answered), len(answered), tuple(silent))
 
 
 def add_loads(texts: Iterable[str]) -> tuple[Load, ...]:
--- a/apps/cowslipstep/src/cowslipstep/cli/_submit.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_submit.py
@@ -23,7 +23,7 @@
 from cowslipstep.cli._output import print_json, progress_line
 from cowslipstep.cli._submission import Submitted, submit_document
 from cowslipstep.metrics import DaemonIdentity
-from cowslipstep.platform import PlatformClient
+from cowslipstep.platform import PlatformClient, PlatformUnavailable
 
 _WAIT_TIMEOUT_S = 60
 _POLL_S = 0.3
@@ -97,6 +97,7 @@
     with progress_line() as progress:
         daemons = read_live(platform)
         while time.monotonic() < end_s:
+            daemons = _live_now(platform, daemons)
             spread = _look(daemons, version)
             progress.show(str(spread))
             if spread.complete:
@@ -105,6 +106,17 @@
     raise NotWell(f'not in force everywhere: {spread}')
 
 
+def _live_now(
+    platform: PlatformClient,
+    known: tuple[DaemonIdentity, ...],
+) -> tuple[DaemonIdentity, ...]:
+    """Read which daemons are live; in an outage, those known before."""
+    try:
+        return read_live(platform)
+    except PlatformUnavailable:
+        return known
+
+
 def _look(daemons: tuple[DaemonIdentity, ...], version: int) -> _Spread:
     views = view_daemons(daemons)
     lagging = [view.name for view in views if view.version < version]
--- a/apps/cowslipstep/src/cowslipstep/cli/_top.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_top.py
@@ -60,10 +60,12 @@
 
 def _look(platform: PlatformClient) -> tuple[Load, ...]:
     addresses = [daemon.http_address for daemon in read_live(platform)]
-    loads = read_loads(addresses)
-    if loads is None:
+    view = read_loads(addresses)
+    if not view.answered:
         raise Unreachable('no daemon answers')
-    return loads
+    for address in view.silent:
+        typer.echo(f'warning: no answer from {address}, not counted', err=True)
+    return view.loads
 
 
 def _lines(loads: tuple[Load, ...]) -> Iterator[str]:
