Count a host as a straggler only after 1.5 s of slow reports

The test slows all engines one after the other. A probe between two of these calls found one host far slower than the other three, and this single report barred the host and drained its group for 60 s. There was no spare, so the cell ran on one group meanwhile.

Ruled out, by writing down each group's weight, failures, slots in use and readiness twice a second: weight of a slow group (1.0), failures (0), the reduced share of a new dispatcher (1). One group's readiness ran out and did not come back for 30 s.

Change: StragglerWatch bars a host when each report of 1.5 s has been slow; it takes the bookkeeping of bars from the daemon's DrainTracker.

Conclusion: hosts that slow down together keep their groups.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
@@ -9,18 +9,17 @@
 from cowslipstep.groups import (
     DomainLedger,
     Records,
+    StragglerWatch,
     count_running,
     domain_of_group,
     draining_groups,
     is_at_work,
-    stragglers,
 )
 from cowslipstep.model import Group
 
 # Slots granted before the drain are in use by then.
 _SETTLE_S = 2
 _DRAIN_LIMIT_S = 600
-_STRAGGLER_BAR_S = 60
 _CAUSE = 'a member leaves or is slow, or an operator asked'
 
 
@@ -39,18 +38,12 @@
         self._state = state
         self._feed = feed
         self._since_s: dict[str, float] = {}
-        self._barred_until_s: dict[str, float] = {}
+        self._stragglers = StragglerWatch(time.monotonic)
 
     @property
     def barred(self) -> frozenset[str]:
         """Hosts and groups that take no new work."""
-        now = time.monotonic()
-        slow = {
-            host
-            for host, until_s in self._barred_until_s.items()
-            if until_s > now
-        }
-        return self._feed.names | slow
+        return self._feed.names | self._stragglers.barred
 
     def is_draining(self, group: str) -> bool:
         """Whether a group takes no new work."""
@@ -59,8 +52,7 @@
     def update(self, ledger: DomainLedger, records: Records) -> None:
         """Note which groups of a ledger drain now."""
         now = time.monotonic()
-        for host in stragglers(records):
-            self._barred_until_s[host] = now + _STRAGGLER_BAR_S
+        self._stragglers.observe(records)
         draining = draining_groups(ledger, self.barred, records)
         for started in draining - self._since_s.keys():
             self._state.events.add('drain_started', started, _CAUSE)
--- a/libs/groups/src/cowslipstep/groups/_stragglers.py
+++ b/libs/groups/src/cowslipstep/groups/_stragglers.py
@@ -4,12 +4,56 @@
 
 import collections
 import statistics
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from cowslipstep.groups._hosts import HostRecord, HostReport, HostState
 
 _STRAGGLER_FACTOR = 4
 _MIN_TO_COMPARE = 3
+_SLOW_FOR_S = 1.5
+_BAR_S = 60
+
+
+class StragglerWatch:
+    """Bars hosts that stay far slower than the others of their model.
+
+    Explanation
+    -----------
+    One slow report says little: hosts that all become slower together are
+    probed one after the other, and the first to say so looks like a
+    straggler until the others have said so too.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._slow_since_s: dict[str, float] = {}
+        self._barred_until_s: dict[str, float] = {}
+
+    @property
+    def barred(self) -> frozenset[str]:
+        """Hosts that belong in no group for now."""
+        now = self._clock()
+        return frozenset(
+            host
+            for host, until_s in self._barred_until_s.items()
+            if until_s > now
+        )
+
+    def observe(self, records: Mapping[str, HostRecord]) -> None:
+        """Note which hosts are slow; to be called periodically."""
+        now = self._clock()
+        self._slow_since_s = {
+            host: self._slow_since_s.get(host, now)
+            for host in stragglers(records)
+        }
+        for host, since_s in self._slow_since_s.items():
+            if now - since_s >= _SLOW_FOR_S:
+                self._barred_until_s[host] = now + _BAR_S
 
 
 def stragglers(records: Mapping[str, HostRecord]) -> frozenset[str]:
