Share limits of workspaces between cells by what each one uses

Cause: each cell had a fixed share of a workspace's limits, by slots over all models. What one cell could not use was lost to the others.

Ruled out: one owner a workspace (a message more before each grant); heartbeats (reach all daemons up to 16 only); buckets of the whole limit at each cell that are charged with the use elsewhere (nothing is told before the first refusal).

Change: replies to asks of a workspace with limits carry its use of the cell, and entries pass it on with their next asks to other cells. A cell's share of the tokens grows while all use less than the limit and it refuses, and shrinks while they use more; requests in progress are counted over all cells that told theirs lately. The dispatcher that only one entry uses takes its part of the limits.

Not covered: callers that reach one model only through some daemons and another one only through others.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_asks.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_asks.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import time
 from collections.abc import Iterator
 from typing import Any
 
 import eventlet
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from eventlet.event import Event
 
 from cowslipstep.daemon._owner_calls import OwnerCalls
@@ -15,11 +16,13 @@
     Ask,
     Cell,
     Grant,
+    Message,
     NotRun,
     Reason,
     Refusal,
     Release,
 )
+from cowslipstep.routing import SeenUses, newest_uses
 
 
 @frozen
@@ -63,6 +66,7 @@
 
     def __init__(self, calls: OwnerCalls) -> None:
         self._calls = calls
+        self._uses = SeenUses(time.monotonic)
 
     def ask(self, asks: list[Ask]) -> Granted | NotRun:
         """Ask at several cells at once and take the first grant."""
@@ -74,7 +78,9 @@
     def _ask(self, race: _Race, ask: Ask) -> None:
         for owner in self._calls.owners.candidates(ask.cell):
             race.open[owner, ask.cell] = ask
-            match self._calls.ask(owner, ask):
+            reply = self._calls.ask(owner, self._with_uses(ask))
+            self._note_use(ask, reply)
+            match reply:
                 case Grant() as grant:
                     race.win(Granted(ask.cell, owner, grant))
                     return
@@ -84,6 +90,14 @@
                     return
         race.lose(NotRun(Reason.no_capacity, retry_after_s=1))
 
+    def _with_uses(self, ask: Ask) -> Ask:
+        uses = self._uses.known(ask.request.workspace, ask.cell)
+        return evolve(ask, uses=newest_uses(uses)) if uses else ask
+
+    def _note_use(self, ask: Ask, reply: Message | None) -> None:
+        if isinstance(reply, Grant | Refusal) and reply.use is not None:
+            self._uses.note(ask.request.workspace, reply.use)
+
     @contextlib.contextmanager
     def _withdrawn(self, race: _Race) -> Iterator[None]:
         try:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
@@ -21,11 +21,12 @@
 )
 from cowslipstep.routing import (
     CellPolicy,
+    CellSlots,
     Dispatcher,
     DispatcherLoad,
     GroupSlots,
     ReplyToAsk,
-    share_limits,
+    read_limits,
 )
 
 _UPDATE_PERIOD_S = 0.1
@@ -81,7 +82,7 @@
             return
         sharing = len(self._state.live_daemons) if self._local else 1
         self._dispatchers[cell].update(
-            _policy(cell, self._state, configuration),
+            _policy(cell, self._state, configuration, sharing),
             _group_slots(cell, self._state, configuration, sharing),
         )
 
@@ -103,14 +104,15 @@
     cell: Cell,
     state: DaemonState,
     configuration: Configuration,
+    sharing: int,
 ) -> CellPolicy:
     per_group = _slots_per_group(configuration)
     slots: collections.Counter[Cell] = collections.Counter({cell: 0})
     for group in _groups(state):
         own = Cell(group.model, group.failure_domain)
         slots[own] += per_group.get(group.model, 0)
-    shares = share_limits(configuration.workspaces, cell, slots)
-    return CellPolicy(configuration.ranks, shares)
+    limits = read_limits(configuration.workspaces, sharing)
+    return CellPolicy(configuration.ranks, limits, CellSlots(cell, slots))
 
 
 def _groups(state: DaemonState) -> Iterator[Group]:
--- a/bench/bench_dispatch.py
+++ b/bench/bench_dispatch.py
@@ -12,6 +12,7 @@
 
 from _dispatch_costs import cost_figures
 from _figures import Figure
+from _limit_figures import limit_figures
 
 from cowslipstep.replay import (
     DispatchPolicy,
@@ -27,9 +28,10 @@
 
 
 def figures() -> Iterator[Figure]:
-    """Yield the figures of all traces, then those of single operations."""
+    """Yield the figures of traces, of limits and of single operations."""
     for path in sorted(_TRACES.glob('*.json')):
         yield from _trace_figures(path.stem, read_spec(path))
+    yield from limit_figures()
     yield from cost_figures()
 
 
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -21,6 +21,7 @@
 from cowslipstep.model._fleet import Address, Cell, Fencing, Group, Runner
 from cowslipstep.model._grants import (
     Ask,
+    CellUse,
     Grant,
     GrantMessage,
     Refusal,
--- a/libs/model/src/cowslipstep/model/_grants.py
+++ b/libs/model/src/cowslipstep/model/_grants.py
@@ -9,18 +9,33 @@
 from cowslipstep.model._verdicts import NotRun
 
 
+@frozen
+class CellUse:
+    """What a workspace that has limits uses of a cell.
+
+    ``age_s`` is the time since the cell's dispatcher told it.
+    """
+
+    cell: Cell
+    tokens_per_s: float
+    in_progress: int
+    age_s: float = 0
+
+
 @frozen
 class Ask:
     """An entry daemon asks the dispatcher of a cell for a slot.
 
     ``avoid`` names groups on which an earlier try failed; ``immediate`` asks
-    for a slot now or a refusal.
+    for a slot now or a refusal; ``uses`` passes on what other cells told of
+    the workspace.
     """
 
     cell: Cell
     request: Request
     avoid: tuple[str, ...] = ()
     immediate: bool = False
+    uses: tuple[CellUse, ...] = ()
 
 
 @frozen
@@ -40,6 +55,8 @@
     startable_s
         Seconds within which the request may be sent to the group, since the
         group's readiness runs out then.
+    use
+        What the workspace uses of the cell, if it has limits.
     """
 
     request_id: str
@@ -47,14 +64,19 @@
     address: Address
     valid_s: float
     startable_s: float = 0
+    use: CellUse | None = None
 
 
 @frozen
 class Refusal:
-    """The dispatcher will not grant a slot for the request."""
+    """The dispatcher will not grant a slot for the request.
+
+    ``use`` is what the workspace uses of the cell, if it has limits.
+    """
 
     request_id: str
     verdict: NotRun
+    use: CellUse | None = None
 
 
 @frozen
--- a/libs/peers/src/cowslipstep/peers/_decode_grants.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_grants.py
@@ -9,7 +9,6 @@
 from cowslipstep.model import (
     Address,
     Ask,
-    Cell,
     Grant,
     GrantMessage,
     NotRun,
@@ -18,6 +17,11 @@
     Release,
     Renewal,
 )
+from cowslipstep.peers._decode_cells import (
+    decode_cell,
+    decode_own_use,
+    decode_use,
+)
 from cowslipstep.peers._decode_request import decode_request
 from cowslipstep.peers._units import ms_to_seconds
 
@@ -28,13 +32,15 @@
     return None if reader is None else reader(body)
 
 
-def _cell(raw: Any) -> Cell:
-    return Cell(raw.model, raw.failureDomain)
-
-
 def _ask(raw: Any) -> Ask:
     request = decode_request(raw.request)
-    return Ask(_cell(raw.cell), request, tuple(raw.avoid), raw.immediate)
+    return Ask(
+        decode_cell(raw.cell),
+        request,
+        tuple(raw.avoid),
+        raw.immediate,
+        tuple(decode_use(use) for use in raw.uses),
+    )
 
 
 def _grant(raw: Any) -> Grant:
@@ -44,17 +50,18 @@
         Address(raw.ip, raw.port),
         ms_to_seconds(raw.validMs),
         ms_to_seconds(raw.startableMs),
+        decode_own_use(raw),
     )
 
 
 def _refusal(raw: Any) -> Refusal:
     verdict = NotRun(Reason(raw.reason), ms_to_seconds(raw.retryAfterMs))
-    return Refusal(raw.requestId, verdict)
+    return Refusal(raw.requestId, verdict, decode_own_use(raw))
 
 
 def _renewal(raw: Any) -> Renewal:
     return Renewal(
-        _cell(raw.cell),
+        decode_cell(raw.cell),
         raw.requestId,
         raw.streamedTokens,
         raw.group,
@@ -65,7 +72,7 @@
 
 
 def _release(raw: Any) -> Release:
-    cell = _cell(raw.cell)
+    cell = decode_cell(raw.cell)
     return Release(cell, raw.requestId, raw.streamedTokens, raw.failed)
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode_grants.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_grants.py
@@ -6,13 +6,17 @@
 
 from cowslipstep.model import (
     Ask,
-    Cell,
     Grant,
     GrantMessage,
     Refusal,
     Release,
     Renewal,
 )
+from cowslipstep.peers._encode_cells import (
+    write_cell,
+    write_own_use,
+    write_uses,
+)
 from cowslipstep.peers._encode_request import write_request
 from cowslipstep.peers._units import seconds_to_ms
 
@@ -34,18 +38,14 @@
             release.failed = failed
 
 
-def _write_cell(builder: Any, cell: Cell) -> None:
-    builder.model = cell.model
-    builder.failureDomain = cell.failure_domain
-
-
 def _write_ask(builder: Any, ask: Ask) -> None:
-    _write_cell(builder.init('cell'), ask.cell)
+    write_cell(builder.init('cell'), ask.cell)
     write_request(builder.init('request'), ask.request)
     avoid = builder.init('avoid', len(ask.avoid))
     for index, group in enumerate(ask.avoid):
         avoid[index] = group
     builder.immediate = ask.immediate
+    write_uses(builder.init('uses', len(ask.uses)), ask.uses)
 
 
 def _write_grant(builder: Any, grant: Grant) -> None:
@@ -55,12 +55,14 @@
     builder.port = grant.address.port
     builder.validMs = seconds_to_ms(grant.valid_s)
     builder.startableMs = seconds_to_ms(grant.startable_s)
+    write_own_use(builder, grant)
 
 
 def _write_refusal(builder: Any, refusal: Refusal) -> None:
     builder.requestId = refusal.request_id
     builder.reason = refusal.verdict.reason.value
     builder.retryAfterMs = seconds_to_ms(refusal.verdict.retry_after_s)
+    write_own_use(builder, refusal)
 
 
 def _write_renewal(builder: Any, renewal: Renewal) -> None:
@@ -72,6 +74,6 @@
 
 
 def _write_progress(builder: Any, progress: Renewal | Release) -> None:
-    _write_cell(builder.init('cell'), progress.cell)
+    write_cell(builder.init('cell'), progress.cell)
     builder.requestId = progress.request_id
     builder.streamedTokens = progress.streamed_tokens
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -39,11 +39,20 @@
   prefixHash @8 :UInt64;
 }
 
+# Without a cell where the workspace has no limits.
+struct CellUse {
+  cell @0 :Cell;
+  tokensPerS @1 :UInt32;
+  inProgress @2 :UInt32;
+  ageMs @3 :UInt32;
+}
+
 struct Ask {
   cell @0 :Cell;
   request @1 :Request;
   avoid @2 :List(Text);
   immediate @3 :Bool;
+  uses @4 :List(CellUse);
 }
 
 struct Grant {
@@ -53,12 +62,14 @@
   port @3 :UInt16;
   validMs @4 :UInt32;
   startableMs @5 :UInt32;
+  use @6 :CellUse;
 }
 
 struct Refusal {
   requestId @0 :Text;
   reason @1 :Text;
   retryAfterMs @2 :UInt32;
+  use @3 :CellUse;
 }
 
 struct Renewal {
--- a/libs/peers/tests/test_frames.py
+++ b/libs/peers/tests/test_frames.py
@@ -9,6 +9,7 @@
     Address,
     Ask,
     Cell,
+    CellUse,
     ConfigurationCopy,
     ConfigurationQuery,
     DaemonEntry,
@@ -28,14 +29,16 @@
 
 CELL = Cell('drafting', 'ebene')
 REQUEST = Request('r1', 'grid-a', 'urgent', 'drafting', 900, 200, 30, True, 7)
+USE = CellUse(CELL, 2500, 7, 1.5)
 LATE = GroupReadiness('g1', 0.25)
 REPORT = ReadinessReport(7, ('g1', 'g2'), 1.5, (LATE,))
 NEWS = DaemonNews('d1', 3, 0.5)
 MESSAGES = (
     Acknowledgement(),
-    Ask(CELL, REQUEST, ('g1', 'g2')),
-    Grant('r1', 'g1', Address('127.0.0.1', 80), 1.5),
+    Ask(CELL, REQUEST, ('g1', 'g2'), True, (USE, USE)),
+    Grant('r1', 'g1', Address('127.0.0.1', 80), 1.5, 1, USE),
     Refusal('r1', NotRun(Reason.no_capacity, 2)),
+    Refusal('r1', NotRun(Reason.limit, 2), USE),
     Renewal(CELL, 'r1', 12),
     Release(CELL, 'r1', 12, True),
     Heartbeat('d0', 2**62, 9, True, 77, REPORT, (NEWS,)),
--- /dev/null
+++ b/libs/routing/src/cowslipstep/replay/_cell_models.py
@@ -0,0 +1,63 @@
+"""Cells of a modelled fleet."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+from attrs import frozen
+
+from cowslipstep.model import Address, Cell
+from cowslipstep.replay._baselines import FifoDispatcher
+from cowslipstep.replay._fleet import FleetModel
+from cowslipstep.replay._spec import TraceSpec
+from cowslipstep.routing import (
+    CellPolicy,
+    CellSlots,
+    Dispatcher,
+    GroupSlots,
+    read_limits,
+)
+
+_ADDRESS = Address('127.0.0.1', 1)
+
+
+@frozen
+class CellModel:
+    """A cell's dispatcher, policy and groups."""
+
+    dispatcher: Dispatcher | FifoDispatcher
+    policy: CellPolicy
+    groups: tuple[GroupSlots, ...]
+
+
+def model_cells(
+    spec: TraceSpec,
+    fleet: FleetModel,
+    make: Callable[[], Dispatcher | FifoDispatcher],
+) -> dict[Cell, CellModel]:
+    """Return the cells of all models, which share the limits."""
+    pairs = itertools.product(fleet.models, fleet.failure_domains)
+    cells = [Cell(model, domain) for model, domain in pairs]
+    slots = dict.fromkeys(cells, fleet.groups_per_cell * fleet.slots)
+    return {
+        cell: CellModel(
+            make(),
+            _cell_policy(spec, CellSlots(cell, slots)),
+            _cell_groups(cell, fleet),
+        )
+        for cell in cells
+    }
+
+
+def _cell_policy(spec: TraceSpec, cells: CellSlots) -> CellPolicy:
+    return CellPolicy(tuple(spec.ranks), read_limits(spec.workspaces), cells)
+
+
+def _cell_groups(cell: Cell, fleet: FleetModel) -> tuple[GroupSlots, ...]:
+    dark = cell.failure_domain in fleet.dark_domains
+    ready_until_s = 0 if dark else float('inf')
+    return tuple(
+        GroupSlots(f'{cell}{index}', _ADDRESS, fleet.slots, ready_until_s)
+        for index in range(fleet.groups_per_cell)
+    )
--- a/libs/routing/src/cowslipstep/replay/_cells.py
+++ b/libs/routing/src/cowslipstep/replay/_cells.py
@@ -6,10 +6,7 @@
 import itertools
 from collections.abc import Mapping
 
-from attrs import evolve, frozen
-
 from cowslipstep.model import (
-    Address,
     Ask,
     Cell,
     Grant,
@@ -18,35 +15,22 @@
     Renewal,
 )
 from cowslipstep.replay._attempts import (
-    MODEL,
     AskedCells,
     Attempt,
     make_request,
+    open_entries,
 )
 from cowslipstep.replay._baselines import FifoDispatcher
+from cowslipstep.replay._cell_models import CellModel, model_cells
 from cowslipstep.replay._engines import Engine
 from cowslipstep.replay._fleet import FleetModel
 from cowslipstep.replay._outcomes import Outcome
 from cowslipstep.replay._spec import TraceSpec
 from cowslipstep.replay._timeline import Timeline
-from cowslipstep.routing import (
-    CellPolicy,
-    CellChoice,
-    Dispatcher,
-    GroupSlots,
-)
+from cowslipstep.routing import Dispatcher
 
 _PERIOD_S = 0.1
 _RENEWAL_PERIOD_S = 4
-_ADDRESS = Address('127.0.0.1', 1)
-
-
-@frozen
-class _CellModel:
-    """A cell's dispatcher and groups."""
-
-    dispatcher: Dispatcher | FifoDispatcher
-    groups: tuple[GroupSlots, ...]
 
 
 class CellRunner:
@@ -75,20 +59,9 @@
         self._numbers = itertools.count()
         self._timeline = timeline
         self._fleet = fleet
-        self._policy = CellPolicy(tuple(spec.ranks))
         make = FifoDispatcher if fifo else Dispatcher
-        self._cells = {
-            Cell(MODEL, domain): _CellModel(
-                make(timeline.clock),
-                _cell_groups(domain, fleet),
-            )
-            for domain in fleet.failure_domains
-        }
-        domains = fleet.failure_domains
-        self._entries = [
-            CellChoice(timeline.clock, domains[index % len(domains)])
-            for index in range(fleet.daemons)
-        ]
+        self._cells = model_cells(spec, fleet, lambda: make(timeline.clock))
+        self._entries = open_entries(timeline.clock, fleet)
         self._engines = {
             group.group: Engine(timeline, fleet)
             for cell in self._cells.values()
@@ -98,7 +71,7 @@
     def start(self, end_s: float) -> None:
         """Bring the dispatchers up to date until ``end_s``."""
         for cell in self._cells.values():
-            cell.dispatcher.update(self._policy, cell.groups)
+            cell.dispatcher.update(cell.policy, cell.groups)
         if self._timeline.clock() < end_s:
             next_s = self._timeline.clock() + _PERIOD_S
             self._timeline.at(next_s, functools.partial(self.start, end_s))
@@ -107,7 +80,7 @@
         """Ask the cells for a slot, the daemon's own one first."""
         entry = self._entries[daemon]
         request = make_request(f'r{next(self._numbers)}', outcome)
-        tries = entry.tries(self._cells, request)
+        tries = entry.choice.tries(self._cells, request)
         self._ask(Attempt(request, outcome, tries, entry))
 
     def _ask(self, attempt: Attempt) -> None:
@@ -115,17 +88,13 @@
         left_s = attempt.expires_s - self._timeline.clock()
         if chosen is None or left_s <= 0:
             attempt.outcome.ended_s = self._timeline.clock()
-            attempt.entry.note_refusal(attempt.request)
+            attempt.entry.choice.note_refusal(attempt.request)
             return
-        request = evolve(attempt.request, timeout_s=left_s)
         asked = AskedCells(set(chosen.cells))
         for cell in chosen.cells:
             if not asked.granted:
-                self._submit(
-                    attempt,
-                    asked,
-                    Ask(cell, request, immediate=chosen.immediate),
-                )
+                ask = attempt.ask(cell, left_s, immediate=chosen.immediate)
+                self._submit(attempt, asked, ask)
 
     def _submit(self, attempt: Attempt, asked: AskedCells, ask: Ask) -> None:
         reply = functools.partial(self._answer, attempt, asked, ask)
@@ -139,11 +108,15 @@
         answer: Grant | Refusal,
     ) -> None:
         asked.open.discard(ask.cell)
+        if answer.use is not None and self._fleet.passes_uses:
+            attempt.entry.uses.note(ask.request.workspace, answer.use)
         match answer:
             case Grant(group=group):
                 _withdraw(self._cells, asked, ask.request.request_id)
                 waited_s = self._timeline.clock() - attempt.arrival_s
-                attempt.entry.note_wait(ask.cell, ask.request.rank, waited_s)
+                attempt.entry.choice.note_wait(
+                    ask.cell, ask.request.rank, waited_s
+                )
                 dispatcher = self._cells[ask.cell].dispatcher
                 finished = functools.partial(_release, dispatcher, ask)
                 self._engines[group].start(attempt.outcome, finished)
@@ -166,7 +139,7 @@
 
 
 def _withdraw(
-    cells: Mapping[Cell, _CellModel],
+    cells: Mapping[Cell, CellModel],
     asked: AskedCells,
     request_id: str,
 ) -> None:
@@ -183,10 +156,3 @@
 ) -> None:
     tokens = outcome.arrival.output_tokens
     dispatcher.release(Release(ask.cell, ask.request.request_id, tokens))
-
-
-def _cell_groups(domain: str, fleet: FleetModel) -> tuple[GroupSlots, ...]:
-    return tuple(
-        GroupSlots(f'{domain}{index}', _ADDRESS, fleet.slots, float('inf'))
-        for index in range(fleet.groups_per_cell)
-    )
--- a/libs/routing/src/cowslipstep/replay/_fleet.py
+++ b/libs/routing/src/cowslipstep/replay/_fleet.py
@@ -23,6 +23,15 @@
         Speed at which a prompt is read.
     daemons
         Entry daemons, spread over the failure domains.
+    entry_weights
+        Part of the requests that each entry daemon gets; empty for equal
+        ones.
+    models
+        Models; each has its cells, with as many groups.
+    dark_domains
+        Failure domains whose groups are not ready.
+    passes_uses
+        Whether entries pass on what cells told of workspaces' use.
     """
 
     failure_domains: tuple[str, ...] = ('a', 'b', 'c')
@@ -31,6 +40,10 @@
     token_s: float = 0.02
     prefill_tokens_per_s: float = 5000
     daemons: int = 9
+    entry_weights: tuple[float, ...] = ()
+    models: tuple[str, ...] = ('drafting',)
+    dark_domains: tuple[str, ...] = ()
+    passes_uses: bool = True
 
     @property
     def slot_count(self) -> int:
--- a/libs/routing/src/cowslipstep/replay/_replay.py
+++ b/libs/routing/src/cowslipstep/replay/_replay.py
@@ -38,6 +38,7 @@
     outcomes = list(map(Outcome, expand(spec, fleet)))
     daemons = random.Random(spec.seed).choices(
         range(fleet.daemons),
+        fleet.entry_weights or None,
         k=len(outcomes),
     )
     _schedule(runner, timeline, zip(outcomes, daemons, strict=True))
--- a/libs/routing/src/cowslipstep/replay/_spec.py
+++ b/libs/routing/src/cowslipstep/replay/_spec.py
@@ -8,7 +8,7 @@
 import cattrs
 from attrs import field, frozen
 
-from cowslipstep.model import Rank
+from cowslipstep.model import Rank, Workspace
 
 
 @frozen
@@ -44,6 +44,8 @@
         Time within which the first token must come.
     phases
         When the stream runs, and how much work it brings.
+    model
+        Model that is asked for.
     """
 
     rank: str
@@ -52,6 +54,7 @@
     output_tokens: int
     timeout_s: float
     phases: list[Phase]
+    model: str = 'drafting'
 
 
 @frozen
@@ -74,6 +77,8 @@
         What arrives.
     outcomes
         Stated outcomes: bound by figure.
+    workspaces
+        Workspaces that have limits.
     """
 
     name: str
@@ -83,6 +88,7 @@
     flood: Phase
     streams: list[Stream]
     outcomes: dict[str, float] = field(factory=dict)
+    workspaces: list[Workspace] = field(factory=list)
 
 
 def read_spec(path: pathlib.Path) -> TraceSpec:
--- a/libs/routing/src/cowslipstep/replay/_trace.py
+++ b/libs/routing/src/cowslipstep/replay/_trace.py
@@ -24,6 +24,7 @@
     prompt_tokens: int
     output_tokens: int
     timeout_s: float
+    model: str = 'drafting'
 
 
 def expand(spec: TraceSpec, fleet: FleetModel) -> list[Arrival]:
@@ -81,6 +82,7 @@
         _size(stream.prompt_tokens, rng),
         _size(stream.output_tokens, rng),
         stream.timeout_s,
+        stream.model,
     )
 
 
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -4,10 +4,12 @@
 passed in.
 """
 
+from cowslipstep.routing._cell_slots import CellSlots
 from cowslipstep.routing._cells import CellChoice, CellTry, order_cells
 from cowslipstep.routing._dispatcher import Dispatcher
-from cowslipstep.routing._limits import share_limits
+from cowslipstep.routing._limits import read_limits
 from cowslipstep.routing._ownership import rank_owners
+from cowslipstep.routing._uses import SeenUses, newest_uses
 from cowslipstep.routing._views import (
     CellPolicy,
     Clock,
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_cell_slots.py
@@ -0,0 +1,51 @@
+"""Cells that share the limits of workspaces."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+
+from attrs import frozen
+
+from cowslipstep.model import Cell
+
+
+@frozen
+class CellSlots:
+    """A cell and the slots of all cells of all models.
+
+    Examples
+    --------
+    >>> one, two = Cell('m', 'a'), Cell('n', 'a')
+    >>> CellSlots(one, {one: 20, two: 60}).part
+    0.25
+    >>> CellSlots(one, {one: 20, two: 60}).part_of_model(one)
+    1.0
+    """
+
+    cell: Cell
+    slots: Mapping[Cell, int]
+
+    @property
+    def part(self) -> float:
+        """Part of all slots that this cell has."""
+        total = _total(self.slots, self.slots)
+        return self.slots[self.cell] / max(1, total)
+
+    @property
+    def siblings(self) -> list[Cell]:
+        """The cells of the same model, with this one."""
+        return [cell for cell in self.slots if cell.model == self.cell.model]
+
+    def part_of_model(self, cell: Cell) -> float:
+        """Return the part of this model's slots that one of its cells has."""
+        total = _total(self.slots, self.siblings)
+        return self.slots[cell] / max(1, total)
+
+
+_LONE_CELL = Cell('', '')
+ONE_CELL = CellSlots(_LONE_CELL, MappingProxyType({_LONE_CELL: 1}))
+
+
+def _total(slots: Mapping[Cell, int], cells: Iterable[Cell]) -> int:
+    return sum(slots[cell] for cell in cells)
--- a/libs/routing/src/cowslipstep/routing/_dispatcher.py
+++ b/libs/routing/src/cowslipstep/routing/_dispatcher.py
@@ -90,6 +90,7 @@
     def submit(self, ask: Ask, reply: ReplyToAsk) -> None:
         """Queue an ask; ``reply`` is called once, now or later."""
         request_id = ask.request.request_id
+        reply = self._books.limits.reporting(ask, reply)
         if not self._choice.may_serve(ask):
             verdict = NotRun(Reason.no_capacity, retry_after_s=1)
             reply(Refusal(request_id, verdict))
@@ -113,7 +114,7 @@
 
     def _apply(self, policy: CellPolicy, *, serving: bool) -> None:
         books = self._books
-        books.limits.apply_shares(policy.workspaces)
+        books.limits.apply(policy)
         for gone in self._queue.apply_policy(policy, serving=serving):
             self._waiting.queued.pop(gone.request_id)
             self._intake.refuse(gone, Reason.unknown_rank)
--- a/libs/routing/src/cowslipstep/routing/_limits.py
+++ b/libs/routing/src/cowslipstep/routing/_limits.py
@@ -2,35 +2,30 @@
 
 from __future__ import annotations
 
-import collections
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable
 
-from attrs import define
+from attrs import evolve
 
-from cowslipstep.model import Cell, Workspace
-from cowslipstep.routing._ownership import rank_owners
-from cowslipstep.routing._views import Clock, WorkspaceShare
+from cowslipstep.model import Ask, CellUse, Workspace
+from cowslipstep.routing._count_limits import CountLimits
+from cowslipstep.routing._token_limits import TokenLimits
+from cowslipstep.routing._uses import SeenUses
+from cowslipstep.routing._views import (
+    CellPolicy,
+    Clock,
+    ReplyToAsk,
+    WorkspaceShare,
+)
 
-_BURST_S = 1
-
-
-@define
-class _Bucket:
-    """Tokens that a workspace may still use; negative after a large ask."""
-
-    level: float
-    filled_at_s: float
-
-    def fill(self, per_s: float, now_s: float) -> None:
-        """Add what has come in since the last call."""
-        gained = per_s * (now_s - self.filled_at_s)
-        self.level = min(self.level + gained, per_s * _BURST_S)
-        self.filled_at_s = now_s
+_RETRY_S = 1
 
 
 class WorkspaceLimits:
     """Checks asks against the limits of their workspaces.
 
+    Limits are shared with other cells by what each of them told of its use.
+
     Parameters
     ----------
     clock
@@ -39,99 +34,97 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._shares: dict[str, WorkspaceShare] = {}
-        self._buckets: dict[str, _Bucket] = {}
-        self._in_progress: collections.Counter[str] = collections.Counter()
+        self._limits: dict[str, WorkspaceShare] = {}
+        self._elsewhere = SeenUses(clock)
+        self._tokens = TokenLimits(clock, self._elsewhere)
+        self._counts = CountLimits(self._elsewhere)
 
-    def apply_shares(self, shares: Iterable[WorkspaceShare]) -> None:
+    def apply(self, policy: CellPolicy) -> None:
         """Take over the limits."""
-        self._shares = {share.workspace: share for share in shares}
+        self._limits = {share.workspace: share for share in policy.workspaces}
+        self._tokens.cells = policy.cells
+        self._counts.cells = policy.cells
 
     def delay_s(self, workspace: str) -> float:
         """Return after how many seconds to try again; zero if allowed."""
-        share = self._shares.get(workspace, WorkspaceShare(workspace))
-        most = share.max_in_progress
-        if most is not None and self._in_progress[workspace] >= most:
-            return _BURST_S
-        if share.tokens_per_s is None:
+        limits = self._limits.get(workspace)
+        if limits is None:
             return 0
-        bucket = self._bucket(workspace, share.tokens_per_s)
-        return max(0, -bucket.level / share.tokens_per_s)
+        if self._counts.is_full(limits):
+            return _RETRY_S
+        return self._tokens.delay_s(limits)
 
     def begin(self, workspace: str, tokens: float) -> None:
         """Count a request in progress and its tokens."""
-        self._in_progress[workspace] += 1
+        self._counts.in_progress[workspace] += 1
         self.charge(workspace, tokens)
 
     def charge(self, workspace: str, tokens: float) -> None:
         """Charge tokens; a negative number gives back."""
-        share = self._shares.get(workspace)
-        if share is not None and share.tokens_per_s is not None:
-            bucket = self._bucket(workspace, share.tokens_per_s)
-            bucket.level -= tokens
+        limits = self._limits.get(workspace)
+        if limits is not None:
+            self._tokens.charge(limits, tokens)
 
     def end(self, workspace: str) -> None:
         """Count a request in progress no more."""
-        self._in_progress[workspace] -= 1
-        if not self._in_progress[workspace]:
-            self._in_progress.pop(workspace)
-
-    def _bucket(self, workspace: str, per_s: float) -> _Bucket:
-        now = self._clock()
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
-            bucket = _Bucket(per_s * _BURST_S, now)
-            self._buckets[workspace] = bucket
-        bucket.fill(per_s, now)
-        return bucket
+        self._counts.in_progress[workspace] -= 1
+        if not self._counts.in_progress[workspace]:
+            self._counts.in_progress.pop(workspace)
+
+    def reporting(self, ask: Ask, reply: ReplyToAsk) -> ReplyToAsk:
+        """Note what an ask tells; add to its reply what is used here.
+
+        Nothing is told of a workspace that has no limits. The rate is taken
+        before the ask is charged: right after that it is above its mean.
+        """
+        limits = self._limits.get(ask.request.workspace)
+        if limits is None or not _limited(limits):
+            return reply
+        for use in ask.uses:
+            self._elsewhere.note(limits.workspace, use)
+        asked_s = self._clock()
+        per_s = self._tokens.used_per_s(limits)
+        return lambda answer: reply(
+            evolve(
+                answer,
+                use=CellUse(
+                    ask.cell,
+                    per_s,
+                    self._counts.in_progress[limits.workspace],
+                    self._clock() - asked_s,
+                ),
+            ),
+        )
 
 
-def share_limits(
+def read_limits(
     workspaces: Iterable[Workspace],
-    cell: Cell,
-    slots: Mapping[Cell, int],
+    sharing: int = 1,
 ) -> tuple[WorkspaceShare, ...]:
-    """Give a cell its share of the limits of workspaces.
+    """Return the weights and limits of workspaces.
 
-    Explanation
-    -----------
-    Tokens a second are split by slots. Requests in progress are whole: each
-    cell gets the same number, and the rest goes to the first cells by hash
-    of the workspace. The shares add up to the limit exactly.
+    Parameters
+    ----------
+    workspaces
+        As configured.
+    sharing
+        Number of dispatchers of each cell that share the limits evenly.
 
     Examples
     --------
-    >>> one, two = Cell('m', 'a'), Cell('m', 'b')
-    >>> limited = Workspace('grid-a', tokens_per_s=90, max_in_progress=3)
-    >>> slots = {one: 20, two: 10}
-    >>> share_limits([limited], one, slots)[0].tokens_per_s
-    60.0
-    >>> sum(
-    ...     share_limits([limited], cell, slots)[0].max_in_progress
-    ...     for cell in slots
-    ... )
-    3
+    >>> read_limits([Workspace('grid-a', tokens_per_s=90)])[0].tokens_per_s
+    90.0
     """
-    share = slots[cell] / max(1, sum(slots.values()))
-    names = [str(known) for known in slots]
     return tuple(
         WorkspaceShare(
             workspace.name,
             workspace.weight,
-            workspace.tokens_per_s * share or None,
-            _whole_share(workspace, str(cell), names),
+            workspace.tokens_per_s / sharing or None,
+            math.ceil(workspace.max_in_progress / sharing) or None,
         )
         for workspace in workspaces
     )
 
 
-def _whole_share(
-    workspace: Workspace,
-    cell: str,
-    cells: list[str],
-) -> int | None:
-    if not workspace.max_in_progress:
-        return None
-    order = rank_owners(workspace.name, cells)
-    even, rest = divmod(workspace.max_in_progress, len(cells))
-    return even + (order.index(cell) < rest)
+def _limited(limits: WorkspaceShare) -> bool:
+    return not (limits.tokens_per_s is None and limits.max_in_progress is None)
--- a/libs/routing/src/cowslipstep/routing/_views.py
+++ b/libs/routing/src/cowslipstep/routing/_views.py
@@ -15,6 +15,7 @@
     Reason,
     Refusal,
 )
+from cowslipstep.routing._cell_slots import ONE_CELL, CellSlots
 
 Clock = Callable[[], float]
 ReplyToAsk = Callable[[Grant | Refusal], None]
@@ -44,7 +45,7 @@
 
 @frozen
 class WorkspaceShare:
-    """Weight of a workspace and a cell's share of its limits.
+    """Weight and limits of a workspace.
 
     Parameters
     ----------
@@ -53,10 +54,9 @@
     weight
         Weight in fair queueing.
     tokens_per_s
-        Share of the rate limit; ``None`` for no limit.
+        Rate limit over all cells; ``None`` for no limit.
     max_in_progress
-        Share of the requests in progress; ``None`` for no limit, and zero
-        where other cells hold all of them.
+        Requests in progress over all cells; ``None`` for no limit.
     """
 
     workspace: str
@@ -74,11 +74,14 @@
     ranks
         Ranks, the most urgent first.
     workspaces
-        Workspaces, with this cell's share of their limits.
+        Workspaces with their limits.
+    cells
+        Cells that share the limits, with this one.
     """
 
     ranks: tuple[Rank, ...]
     workspaces: tuple[WorkspaceShare, ...] = ()
+    cells: CellSlots = ONE_CELL
 
 
 @frozen
