Refuse no keyed order while any daemon can write the ledger

Cause: a first failed or held-back platform call refused a keyed order with platform_down at once. So did an owner without the platform, for all daemons, and a daemon cut off from it although its peers could write. Claims of unknown outcome were left open, so that a re-send was told may_have_run although nothing ran.

Ruled out: conflicts between writers (at most 7 in 600 orders, all retried); pauses and kills of a daemon (0 refused before as well).

Change: a call that failed or was held back is tried again for 2 s while the platform has answered within the last second; a write that was not sent is sent as it is; who cannot write asks another daemon, and who asks an owner in vain writes itself; claims of unknown outcome are withdrawn in the background. A part of the platform's rate follows the shards of the ledger to their owners, who are now chosen by shard.

Conclusion: refusals are left for outages and for real shortage.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_messages.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_messages.py
@@ -84,6 +84,13 @@
     return LedgerReply(LedgerOutcome.unavailable)
 
 
+def failure_of(failure: LedgerUnavailable) -> LedgerReply:
+    """Return the message that tells that a change was not confirmed."""
+    if failure.unknown:
+        return LedgerReply(LedgerOutcome.unknown)
+    return LedgerReply(LedgerOutcome.unavailable)
+
+
 def result_of(reply: LedgerReply) -> EntryResult:
     """Return the result that a message tells.
 
@@ -96,7 +103,9 @@
         case LedgerOutcome.answered:
             return Answered(_received_answer(reply.answer))
         case LedgerOutcome.unavailable:
-            raise LedgerUnavailable('the owner could not write')
+            raise LedgerUnavailable('the owner could not write', unknown=False)
+        case LedgerOutcome.unknown:
+            raise LedgerUnavailable('the owner may have written', unknown=True)
         case outcome:
             return _PLAIN_RESULTS[outcome]
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
@@ -27,6 +27,8 @@
 
 _UNAVAILABLE = 503
 _LOOK_AGAIN_S = (0.1, 0.2, 0.4)
+_WITHDRAWAL_TIMEOUT_S = 4
+_SETTLE_AGAIN_S = (0.5, 1, 2, 4, 8, 16)
 
 Task = Any
 
@@ -62,6 +64,8 @@
         try:
             return self._enter(order)
         except LedgerUnavailable as error:
+            if error.unknown:
+                self._withdraw(order)
             down = NotRun(Reason.platform_down, retry_after_s=1)
             raise RequestError(
                 before_ledger(down, first_send=order.first_send),
@@ -80,7 +84,8 @@
             yield
         except RequestError as error:
             if isinstance(error.verdict, NotRun):
-                self._withdraw(order).wait()
+                with eventlet.Timeout(_WITHDRAWAL_TIMEOUT_S, exception=False):
+                    self._withdraw(order).wait()
             raise
         except BaseException:
             # The caller is gone; nobody waits for the ledger.
@@ -91,11 +96,11 @@
     def answer(self, order: KeyedOrder, answer: OrderAnswer) -> None:
         """Begin to keep the answer of an order that ran."""
         change = AnswerOrder(order.claim, answer)
-        eventlet.spawn(self._try_change, order, change)
+        eventlet.spawn(self._settle, order, change)
 
     def _withdraw(self, order: KeyedOrder) -> Task:
         change = WithdrawOrder(order.claim)
-        return eventlet.spawn(self._try_change, order, change)
+        return eventlet.spawn(self._settle, order, change)
 
     def _enter(self, order: KeyedOrder) -> EntryResult:
         change = EnterOrder(order.claim)
@@ -107,12 +112,18 @@
             outcome = _change(self._ledger, order, change)
         return outcome
 
-    def _try_change(self, order: KeyedOrder, change: OrderChange) -> None:
-        try:
-            _change(self._ledger, order, change)
-        except LedgerUnavailable as error:
-            # The entry stays open, so that the order cannot run again.
-            logger.warning('an order entry stays open: {}', error)
+    def _settle(self, order: KeyedOrder, change: OrderChange) -> None:
+        """Apply a change, again and again through a short outage."""
+        for delay_s in _SETTLE_AGAIN_S:
+            try:
+                _change(self._ledger, order, change)
+            except LedgerUnavailable as error:
+                logger.info('an order entry is still open: {}', error)
+                eventlet.sleep(delay_s)
+                continue
+            return
+        # The entry stays open, so that the order cannot run again.
+        logger.warning('an order entry stays open')
 
 
 def _change(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
@@ -135,5 +135,7 @@
 
 
 def _fail_all(batch: Iterable[_Waiting], error: Exception) -> None:
+    unknown = getattr(error, 'unknown', True)
     for entry in batch:
-        entry.done.send_exception(LedgerUnavailable(str(error)))
+        failure = LedgerUnavailable(str(error), unknown=unknown)
+        entry.done.send_exception(failure)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_segment_batches.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_segment_batches.py
@@ -10,7 +10,24 @@
 
 
 class LedgerUnavailable(CowslipstepError):
-    """The platform did not confirm a change of the order ledger."""
+    """The platform did not confirm a change of the order ledger.
+
+    Parameters
+    ----------
+    message
+        What was seen.
+    unknown
+        Whether the change may have taken effect, or still may.
+    """
+
+    def __init__(self, message: str, *, unknown: bool) -> None:
+        super().__init__(message)
+        self._unknown = unknown
+
+    @property
+    def unknown(self) -> bool:
+        """Whether the change may have taken effect, or still may."""
+        return self._unknown
 
 
 @frozen
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_segment_store.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_segment_store.py
@@ -32,6 +32,11 @@
     def __init__(self, platform: PlatformClient) -> None:
         self._platform = platform
 
+    @property
+    def answered_at_s(self) -> float:
+        """Monotonic clock reading of the platform's last answer."""
+        return self._platform.answered_at_s
+
     def read(self, name: str) -> ReadSegment:
         """Read a segment, an empty one if there is none.
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_segment_writer.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_segment_writer.py
@@ -10,24 +10,25 @@
 import time
 
 import eventlet
-from attrs import frozen
+from attrs import evolve
 
 from cowslipstep.daemon._segment_batches import (
     LedgerUnavailable,
     SegmentBatch,
     Written,
 )
-from cowslipstep.daemon._segment_store import ReadSegment, SegmentStore
-from cowslipstep.delivery import Applied, apply_changes
-from cowslipstep.model import NotRun
-from cowslipstep.platform import (
-    ObjectMissing,
-    PlatformUnavailable,
-    VersionConflict,
+from cowslipstep.daemon._segment_store import SegmentStore
+from cowslipstep.daemon._segment_tries import (
+    Failed,
+    try_known,
+    try_write,
+    write_unsent,
 )
 
 _RETRY_DELAY_S = 0.02
 _MAX_RETRY_DELAY_S = 0.5
+_OUTAGE_AFTER_S = 1
+_PATIENCE_S = 2
 
 
 def write_batch(store: SegmentStore, batch: SegmentBatch) -> Written:
@@ -36,78 +37,45 @@
     Raises
     ------
     LedgerUnavailable
-        If the platform is down; at once while no write may have taken
-        effect, otherwise at the end of the batch's time.
+        If the platform has not answered for a while and no write may have
+        taken effect; otherwise at the end of the batch's time.
     """
-    tried = _try_known(store, batch)
-    if isinstance(tried, _Failed) and tried.again:
-        tried = _try_until_end(store, batch)
-    match tried:
-        case _Failed(message):
-            raise LedgerUnavailable(message)
-    return tried
-
-
-def _try_until_end(
-    store: SegmentStore,
-    batch: SegmentBatch,
-) -> Written | _Failed:
+    patient_until_s = time.monotonic() + _PATIENCE_S
     delay_s = _RETRY_DELAY_S
-    while True:
+    tried = try_known(store, batch)
+    while isinstance(tried, Failed):
+        if _gives_up(store, batch, tried, patient_until_s):
+            raise LedgerUnavailable(tried.message, unknown=tried.unknown)
         eventlet.sleep(delay_s)
-        tried = _try_write(store, batch)
-        if isinstance(tried, Written) or time.monotonic() > batch.end_s:
-            return tried
         delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
+        tried = _try_again(store, batch, tried)
+    return tried
 
 
-@frozen
-class _Failed:
-    """A try failed; ``again`` says whether the outcome must be looked up."""
-
-    message: str
-    again: bool
-
-
-def _try_known(store: SegmentStore, batch: SegmentBatch) -> Written | _Failed:
-    if batch.known is None:
-        return _try_write(store, batch)
-    applied = _apply(batch.known, batch)
-    if applied.segment == batch.known.segment:
-        return _try_write(store, batch)
-    return _write(store, batch.known, applied)
-
-
-def _try_write(store: SegmentStore, batch: SegmentBatch) -> Written | _Failed:
-    try:
-        known = store.read(batch.name)
-    except PlatformUnavailable as error:
-        return _Failed(str(error), again=False)
-    applied = _apply(known, batch)
-    if applied.segment == known.segment:
-        return Written(applied, known)
-    return _write(store, known, applied)
-
-
-def _apply(known: ReadSegment, batch: SegmentBatch) -> Applied:
-    return apply_changes(
-        known.segment,
-        batch.changes,
-        time.time(),
-        batch.retention_s,
-    )
-
-
-def _write(
+def _gives_up(
     store: SegmentStore,
-    known: ReadSegment,
-    applied: Applied,
-) -> Written | _Failed:
-    try:
-        written = store.write(known, applied.segment)
-    except (VersionConflict, ObjectMissing) as conflict:
-        return _Failed(str(conflict), again=True)
-    except PlatformUnavailable as error:
-        sent = not isinstance(error.verdict, NotRun)
-        return _Failed(str(error), again=sent)
-    return Written(applied, written)
+    batch: SegmentBatch,
+    failed: Failed,
+    patient_until_s: float,
+) -> bool:
+    now_s = time.monotonic()
+    if failed.unknown or failed.conflict:
+        return now_s > batch.end_s
+    # One failed call, or one that the budget held back, is no outage.
+    outage = now_s - store.answered_at_s > _OUTAGE_AFTER_S
+    return outage or now_s > min(patient_until_s, batch.end_s)
+
+
+def _try_again(
+    store: SegmentStore,
+    batch: SegmentBatch,
+    failed: Failed,
+) -> Written | Failed:
+    if failed.unsent is None:
+        tried = try_write(store, batch)
+    else:
+        tried = write_unsent(store, failed.unsent)
+    match tried:
+        case Failed() if failed.unknown:
+            return evolve(tried, unknown=True)
+    return tried
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_shared_ledger.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_shared_ledger.py
@@ -1,4 +1,4 @@
-"""Order ledger whose busy segments are written by one daemon each."""
+"""Order ledger whose segments may be written by other daemons."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from cowslipstep.daemon._ledger_messages import (
     call_of,
     change_of,
+    failure_of,
     reply_of,
     result_of,
 )
@@ -16,8 +17,14 @@
 from cowslipstep.daemon._order_ledger import OrderLedger
 from cowslipstep.daemon._segment_batches import LedgerUnavailable
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.delivery import EntryResult, OrderChange, SegmentPlace
-from cowslipstep.model import LedgerCall, LedgerOutcome, LedgerReply
+from cowslipstep.delivery import (
+    EntryResult,
+    OrderChange,
+    SegmentPlace,
+    segment_place,
+    segment_role,
+)
+from cowslipstep.model import LedgerCall, LedgerReply
 from cowslipstep.peers import PeerUnreachable, Reply
 from cowslipstep.routing import rank_owners
 
@@ -28,8 +35,9 @@
     """Sends changes of busy segments to their owner.
 
     The owner of a segment puts the changes of all daemons into one write.
-    Ownership saves writes, no more: a daemon whose owner does not answer
-    writes by itself, and a change that was applied already is applied again
+    Ownership saves writes, no more: a daemon whose owner cannot write
+    writes by itself, and one that cannot reach the platform lets another
+    daemon write. A change that was applied already is applied again
     without effect.
 
     Parameters
@@ -66,30 +74,63 @@
         LedgerUnavailable
             If the platform did not confirm it in time.
         """
-        if not place.expires:
-            owner = rank_owners(place.name, self._state.live_daemons)[0]
-            if owner != self._state.settings.name:
-                reply = self._ask(owner, call_of(place.name, change))
-                if reply is not None:
-                    return result_of(reply)
-        return self._ledger.change(place, change, retention_s)
+        first, *others = self._writers(place)
+        try:
+            return self._write_by(first, place, change, retention_s)
+        except LedgerUnavailable as failure:
+            if not others:
+                raise
+            unknown = failure.unknown
+        try:
+            return self._write_by(others[0], place, change, retention_s)
+        except LedgerUnavailable as failure:
+            unknown = unknown or failure.unknown
+            raise LedgerUnavailable(str(failure), unknown=unknown) from failure
 
     def serve(self, call: LedgerCall, reply: Reply) -> None:
         """Apply the change that another daemon asks for."""
         eventlet.spawn(self._serve, call, reply)
 
-    def _ask(self, owner: str, call: LedgerCall) -> LedgerReply | None:
+    def _writers(self, place: SegmentPlace) -> tuple[str, ...]:
+        """Return who writes a segment, and who does if that one cannot."""
+        own = self._state.settings.name
+        ranked = rank_owners(
+            segment_role(place.name),
+            self._state.live_daemons,
+        )
+        if ranked[0] != own and not place.expires:
+            return (ranked[0], own)
+        others = [daemon for daemon in ranked if daemon != own]
+        return (own, *others[:1])
+
+    def _write_by(
+        self,
+        daemon: str,
+        place: SegmentPlace,
+        change: OrderChange,
+        retention_s: float,
+    ) -> EntryResult:
+        if daemon == self._state.settings.name:
+            return self._ledger.change(place, change, retention_s)
+        call = call_of(place.name, change)
         try:
-            reply = self._links.call(owner, call, _OWNER_TIMEOUT_S)
-        except PeerUnreachable:
-            return None
-        return reply if isinstance(reply, LedgerReply) else None
+            reply = self._links.call(daemon, call, _OWNER_TIMEOUT_S)
+        except PeerUnreachable as error:
+            raise LedgerUnavailable(str(error), unknown=True) from error
+        match reply:
+            case LedgerReply():
+                return result_of(reply)
+        raise LedgerUnavailable(f'no result from {daemon}', unknown=False)
 
     def _serve(self, call: LedgerCall, reply: Reply) -> None:
-        place = SegmentPlace(call.segment, call.digest, expires=False)
+        place = segment_place(call.segment, call.digest)
+        configuration = self._state.configuration
+        retention_s = math.inf
+        if configuration is not None:
+            retention_s = configuration.key_retention_s
         try:
-            outcome = self._ledger.change(place, change_of(call), math.inf)
-        except LedgerUnavailable:
-            reply(LedgerReply(LedgerOutcome.unavailable))
+            outcome = self._ledger.change(place, change_of(call), retention_s)
+        except LedgerUnavailable as failure:
+            reply(failure_of(failure))
             return
         reply(reply_of(outcome))
--- a/bench/_memory_platform.py
+++ b/bench/_memory_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 from collections.abc import Iterator
 
 import eventlet
@@ -28,6 +29,11 @@
     _stored: dict[ObjectKey, StoredObject] = field(factory=dict)
     _versions: Iterator[int] = field(factory=lambda: itertools.count(1))
 
+    @property
+    def answered_at_s(self) -> float:
+        """Clock reading of the last answer; it always answers."""
+        return time.monotonic()
+
     def read(self, key: ObjectKey) -> StoredObject:
         """Read an object."""
         self.reads += 1
--- a/libs/delivery/src/cowslipstep/delivery/__init__.py
+++ b/libs/delivery/src/cowslipstep/delivery/__init__.py
@@ -22,6 +22,7 @@
     SegmentPlace,
     digest_of,
     locate_key,
+    segment_place,
 )
 from cowslipstep.delivery._orders import (
     AnswerOrder,
@@ -46,8 +47,11 @@
     apply_changes,
 )
 from cowslipstep.delivery._slots import (
+    SHARDS,
     SLOT_S,
     expired_slots,
+    segment_role,
+    shard_role,
     slot_segment,
     slot_segments,
 )
--- a/libs/delivery/src/cowslipstep/delivery/_keys.py
+++ b/libs/delivery/src/cowslipstep/delivery/_keys.py
@@ -24,6 +24,7 @@
 _TIMED_VERSION = 7
 _MS_PER_S = 1000
 _TIME_SHIFT_BITS = 80
+_BUCKET = 'bucket-'
 _BUCKET_CHARS = 4
 _DIGEST_CHARS = 32
 
@@ -68,6 +69,17 @@
     return hashed.hexdigest()[:_DIGEST_CHARS]
 
 
+def segment_place(name: str, digest: str) -> SegmentPlace:
+    """Return the place of a digest in a segment of that name.
+
+    Examples
+    --------
+    >>> segment_place('bucket-00ff', '00ff').expires
+    True
+    """
+    return SegmentPlace(name, digest, expires=name.startswith(_BUCKET))
+
+
 def locate_key(
     workspace: str,
     key: str,
@@ -85,14 +97,14 @@
     issued_unix_s = _issue_time(key)
     if issued_unix_s is None:
         bucket = digest[:_BUCKET_CHARS]
-        return SegmentPlace(f'bucket-{bucket}', digest, expires=True)
+        return segment_place(f'{_BUCKET}{bucket}', digest)
     if issued_unix_s > now_unix_s + MAX_SKEW_S:
         return FutureKey()
     if issued_unix_s < now_unix_s - retention_s:
         return ExpiredKey()
     shard = int(digest[0], SHARDS)
     name = slot_segment(int(issued_unix_s // SLOT_S), shard)
-    return SegmentPlace(name, digest, expires=False)
+    return segment_place(name, digest)
 
 
 def _issue_time(key: str) -> float | None:
--- a/libs/delivery/src/cowslipstep/delivery/_slots.py
+++ b/libs/delivery/src/cowslipstep/delivery/_slots.py
@@ -7,11 +7,12 @@
 SLOT_S = 60
 SHARDS = 16
 MAX_SKEW_S = 300
+_SLOT = 'slot-'
 
 
 def slot_segment(slot: int, shard: int) -> str:
     """Return the name of a segment of keys that carry their time."""
-    return f'slot-{slot}-{shard}'
+    return f'{_SLOT}{slot}-{shard}'
 
 
 def slot_segments(slot: int) -> Iterator[str]:
@@ -20,6 +21,27 @@
         yield slot_segment(slot, shard)
 
 
+def segment_role(name: str) -> str:
+    """Return the role of whoever writes a segment.
+
+    The segments of one shard have the same writer, whatever their time.
+
+    Examples
+    --------
+    >>> segment_role('slot-29000000-3') == shard_role(3)
+    True
+    """
+    kind, _, shard = name.rpartition('-')
+    if kind.startswith(_SLOT):
+        return shard_role(shard)
+    return name
+
+
+def shard_role(shard: int | str) -> str:
+    """Return the role of whoever writes the segments of a shard."""
+    return f'order-shard-{shard}'
+
+
 def expired_slots(
     now_unix_s: float,
     retention_s: float,
--- a/libs/model/src/cowslipstep/model/_order_messages.py
+++ b/libs/model/src/cowslipstep/model/_order_messages.py
@@ -25,6 +25,7 @@
     full = 'full'
     noted = 'noted'
     unavailable = 'unavailable'
+    unknown = 'unknown'
 
 
 @frozen
--- a/libs/peers/tests/test_orders.py
+++ b/libs/peers/tests/test_orders.py
@@ -26,6 +26,7 @@
         CALL,
         LedgerCall('slot-1-2', LedgerStep.answer, 'd', 'a', 'f', ANSWER),
         LedgerReply(LedgerOutcome.in_use),
+        LedgerReply(LedgerOutcome.unknown),
         LedgerReply(LedgerOutcome.answered, LONG_ANSWER),
     ],
 )
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -77,6 +77,12 @@
     Then all of them are answered
     And no order ran twice
 
+  Scenario: A daemon cannot reach the platform
+    Given daemon 2 is cut off from the platform
+    When 24 orders with keys of both kinds are sent to all daemons
+    Then all of them are answered
+    And no order ran twice
+
   Scenario: Orders are sent again through random daemons under faults
     When 30 orders are sent 1 to 5 times while faults come and go
     Then no order ran twice
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -129,6 +129,27 @@
     set_platform(orders.fleet, {'outage': True})
 
 
+@given(parsers.parse('daemon {daemon:d} is cut off from the platform'))
+def platform_cut_off(orders: Orders, daemon: int) -> None:
+    set_platform(orders.fleet, {'cut_off': [f'd{daemon}']})
+
+
+@when(
+    parsers.parse(
+        '{count:d} orders with keys of both kinds are sent to all daemons',
+    ),
+    target_fixture='outcomes',
+)
+def send_to_all(orders: Orders, count: int) -> list[Outcome]:
+    return [
+        orders.send(
+            number % 3,
+            Call('x', 'grid-a', key=key, service=True),
+        )
+        for number, key in enumerate(map(random_key, range(count)))
+    ]
+
+
 @given(parsers.parse('the platform takes {seconds:g} seconds for a call'))
 def platform_slow(orders: Orders, seconds: float) -> None:
     set_platform(orders.fleet, {'delay_s': seconds})
@@ -259,7 +280,7 @@
 
 
 def random_key(number: int) -> str:
-    return timed_key(number) if number % 2 else f'r-{number}'
+    return timed_key(number) if number % 2 else f'r-{next(_NUMBERS)}'
 
 
 def repeated_sends(key: str, rng: random.Random) -> list[Call]:
