Prove planned stops under orders and the ejection of a failing runner

Change: three scenarios in orders.feature and unit tests of the runners' loads. An owner of ledger shards is stopped as planned under 12 callers, then every order is sent again and must be answered the same. A runner that fails each call gets 3 of 40 orders and one more for each 5 s. Runners that have all failed are still used.

Seen with the mechanism off: a stop that does not wait fails the first; without ejection 40 of 40 calls failed; ejection without a cap passes the process scenario, since orders wait until a runner returns, and fails the unit test only.

--- a/apps/cowslipstepd/tests/test_platform_share.py
+++ b/apps/cowslipstepd/tests/test_platform_share.py
@@ -5,8 +5,9 @@
 import pytest
 
 from cowslipstep.daemon._platform_share import share_of_platform
-from cowslipstep.delivery import SHARDS
+from cowslipstep.delivery import SHARDS, shard_role
 from cowslipstep.model import Address
+from cowslipstep.routing import rank_owners
 from cowslipstep.settings import DaemonSettings
 
 ADDRESS = Address('127.0.0.1', 1)
@@ -36,3 +37,9 @@
 @pytest.mark.parametrize('shards', [1, 3])
 def test_an_owner_may_write_its_shards_in_time(shards):
     assert share(340, shards) >= shards / ONE_WRITE_EACH_S
+
+
+def test_each_of_three_daemons_owns_shards():
+    roles = map(shard_role, range(SHARDS))
+    owners = {rank_owners(role, ('d0', 'd1', 'd2'))[0] for role in roles}
+    assert len(owners) == 3
--- /dev/null
+++ b/libs/delivery/tests/test_runners.py
@@ -0,0 +1,42 @@
+"""Tests of the choice of a plain-service runner."""
+
+from __future__ import annotations
+
+from cowslipstep.delivery import RunnerLoads
+from cowslipstep.model import Address
+
+FIRST = Address('10.0.0.1', 80)
+SECOND = Address('10.0.0.2', 80)
+BOTH = (FIRST, SECOND)
+
+
+def fail(loads, runner, times=3):
+    for _ in range(times):
+        loads.begin(runner)
+        loads.end(runner, failed=True)
+
+
+def test_a_runner_that_fails_is_left_out():
+    now_s = [0]
+    loads = RunnerLoads(lambda: now_s[0])
+    fail(loads, FIRST, times=2)
+    assert loads.choose(BOTH, slots=1) == FIRST
+    fail(loads, FIRST, times=1)
+    assert loads.choose(BOTH, slots=1) == SECOND
+    now_s[0] = 6
+    assert loads.choose(BOTH, slots=1) == FIRST
+
+
+def test_runners_that_all_fail_are_still_chosen():
+    loads = RunnerLoads(int)
+    fail(loads, FIRST)
+    fail(loads, SECOND)
+    assert loads.choose(BOTH, slots=1) == FIRST
+
+
+def test_an_ejected_runner_takes_what_is_too_much():
+    loads = RunnerLoads(int)
+    fail(loads, FIRST)
+    loads.begin(SECOND)
+    assert loads.choose(BOTH, slots=2) == SECOND
+    assert loads.choose(BOTH, slots=1) == FIRST
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -83,6 +83,27 @@
     Then all of them are answered
     And no order ran twice
 
+  Scenario: A daemon that writes for the others stops as planned
+    Given the runners take 1 second for a call
+    When orders are sent to all ready daemons while daemon 2 stops
+    Then daemon 2 exits with status 0
+    And all of them are answered
+    And each is answered the same when it is sent again
+    And no order ran twice
+
+  Scenario: A runner that fails each call is left out
+    Given the runner that is taken first fails each call
+    When 40 orders are sent to daemon 0
+    Then only the calls failed that its ejections allow
+    And no order ran twice
+
+  Scenario: Runners that have all failed are not left out
+    Given both runners fail each call
+    When 8 orders are sent to daemon 0
+    And the runners take calls again
+    And an order is sent to daemon 0
+    Then the answers are "completed"
+
   Scenario: Orders are sent again through random daemons under faults
     When 30 orders are sent 1 to 5 times while faults come and go
     Then no order ran twice
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,21 +13,25 @@
 import attrs
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
-from urllib3 import PoolManager
 
 from cowslipstep.delivery import locate_key
+from cowslipstep_standins._balancer import Balancer
 from cowslipstep_standins._caller import Caller
 from cowslipstep_standins._checker import tally
 from cowslipstep_standins._fleet import LocalFleet, local_fleet
 from cowslipstep_standins._outcomes import Call, Outcome
 from cowslipstep_standins._plan import FleetShape
-from cowslipstep_standins._processes import wait_until
+from cowslipstep_standins._processes import LocalProcess, wait_until
 from cowslipstep_standins._records import service_calls
 
 scenarios('orders.feature')
 
 _NUMBERS = itertools.count()
 _SEED = 11
+_CALLERS = 12
+_ALL_CALLS = 1000
+_FAILURES_TO_EJECT = 3
+_EJECTION_S = 5
 _FAULT_FIELDS = MappingProxyType(
     {
         'cut before run': {'cut_before_run': 1},
@@ -53,6 +57,7 @@
     call: Call
     sent: list[Outcome] = attrs.field(factory=list)
     pending: Future[Outcome] | None = None
+    exit_status: int | None = None
 
     def send(self, daemon: int, call: Call) -> Outcome:
         """Send a call to a daemon."""
@@ -79,7 +84,7 @@
 
 @pytest.fixture
 def pool() -> Iterator[ThreadPoolExecutor]:
-    with ThreadPoolExecutor(4) as threads:
+    with ThreadPoolExecutor(_CALLERS + 1) as threads:
         yield threads
 
 
@@ -150,6 +155,95 @@
     ]
 
 
+@when(
+    'orders are sent to all ready daemons while daemon 2 stops',
+    target_fixture='outcomes',
+)
+def send_during_stop(
+    orders: Orders,
+    pool: ThreadPoolExecutor,
+) -> list[Outcome]:
+    balancer = Balancer(orders.fleet)
+    stopping = orders.fleet.daemon('d2')
+    callers = [
+        pool.submit(send_until_stopped, balancer, stopping, caller)
+        for caller in range(_CALLERS)
+    ]
+    pool.submit(time.sleep, 1).result()
+    orders.exit_status = stopping.stop()
+    return [outcome for caller in callers for outcome in caller.result()]
+
+
+def send_until_stopped(
+    balancer: Balancer,
+    stopping: LocalProcess,
+    caller: int,
+) -> list[Outcome]:
+    outcomes = []
+    while stopping.running:
+        number = next(_NUMBERS)
+        call = Call('x', 'grid-a', key=random_key(number), service=True)
+        address = balancer.choose(caller + number)
+        outcomes.append(balancer.caller.send(address, call))
+    return outcomes
+
+
+@then('daemon 2 exits with status 0')
+def check_stopped(orders: Orders) -> None:
+    assert orders.exit_status == 0
+
+
+@then('each is answered the same when it is sent again')
+def check_replays(orders: Orders, outcomes: list[Outcome]) -> None:
+    for first in outcomes:
+        again = orders.send(0, attrs.evolve(first.call, attempt=2))
+        assert again.verdict == 'completed'
+        assert again.headers['Idempotent-Replayed'] == 'true'
+
+
+@given('the runner that is taken first fails each call')
+def first_runner_fails(orders: Orders) -> None:
+    first = min(orders.fleet.plan.services, key=port_of)
+    wait_until(lambda: answers_order(orders, first), 'its failures forgotten')
+    orders.fleet.control(first, {'fail_after_run': _ALL_CALLS})
+
+
+def port_of(address: str) -> int:
+    return int(address.rpartition(':')[-1])
+
+
+def answers_order(orders: Orders, runner: str) -> bool:
+    """Send an order and say whether that runner has answered it."""
+    key = random_key(next(_NUMBERS))
+    orders.send(0, Call('x', 'grid-a', key=key, service=True))
+    calls = orders.fleet.control(runner)['calls']
+    return any(call['key'] == key for call in calls)
+
+
+@given('both runners fail each call')
+def all_runners_fail(orders: Orders) -> None:
+    set_runners(orders.fleet, {'fail_after_run': _ALL_CALLS})
+
+
+@when(
+    parsers.parse('{count:d} orders are sent to daemon 0'),
+    target_fixture='outcomes',
+)
+def send_to_one(orders: Orders, count: int) -> list[Outcome]:
+    return [
+        orders.send(0, Call('x', 'grid-a', key=key, service=True))
+        for key in map(random_key, range(count))
+    ]
+
+
+@then('only the calls failed that its ejections allow')
+def check_ejected(outcomes: list[Outcome]) -> None:
+    took_s = time.monotonic() - outcomes[0].started_s
+    failed = [outcome for outcome in outcomes if not outcome.correct]
+    assert len(failed) >= _FAILURES_TO_EJECT
+    assert len(failed) <= _FAILURES_TO_EJECT + took_s / _EJECTION_S
+
+
 @given(parsers.parse('the platform takes {seconds:g} seconds for a call'))
 def platform_slow(orders: Orders, seconds: float) -> None:
     set_platform(orders.fleet, {'delay_s': seconds})
@@ -220,7 +314,7 @@
     place = locate_key(call.workspace, call.key, 0, 1)
     platform = orders.fleet.plan.platform
     url = f'http://{platform}/objects/orders'
-    listed = PoolManager().request('GET', url)
+    listed = Balancer(orders.fleet).http.request('GET', url)
     return place.digest in listed.data.decode()
 
 
@@ -295,7 +389,12 @@
     return orders.send(rng.randrange(3), call)
 
 
-@then(parsers.parse('the answers are "{first}" and "{second}"'))
+@then(parsers.re('the answers are "(?P<only>[^"]+)"$'))
+def check_verdict(orders: Orders, only: str) -> None:
+    assert [outcome.verdict for outcome in orders.sent] == [only]
+
+
+@then(parsers.re('the answers are "(?P<first>[^"]+)" and "(?P<second>[^"]+)"'))
 def check_verdicts(orders: Orders, first: str, second: str) -> None:
     orders.settle()
     verdicts = [outcome.verdict for outcome in orders.sent]
