Compare floors in tokens on the evening page

Cause: a rank's floor is a share of tokens, and the page compared it with its share of the requests: a rank with short answers looked kept while it was starved, and the other way round.

Ruled out: tokens as streamed (unary answers are not counted by token; the estimate of the request is what the dispatcher admits by).

Change: answered_tokens by rank, counted with the verdict and kept in slots of five minutes like the downtime of groups; floods, floors and their charts use them.

--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_flood_parts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_flood_parts.py
@@ -23,7 +23,7 @@
     'asked',
     'answered',
     'of its own',
-    'of all answers',
+    'of all tokens',
     'floor',
 )
 
@@ -46,11 +46,10 @@
     """Return the shares that the ranks had of the answers in a flood."""
     share = facts.flood_refused_share
     whole = flood.whole()
-    answers = whole.answered.total()
     bars = [
         ShareBar(
             rank.name,
-            ratio(whole.answered[rank.name], answers) or 0,
+            whole.share(rank.name) or 0,
             rank.floor_share,
             reached=not whole.is_below_floor(rank, share),
         )
@@ -58,7 +57,7 @@
     ]
     return Chart(
         f'What each rank kept, {flood_title(flood)}; lines are floors',
-        'share of the answers in the flood',
+        'share of the tokens answered in the flood',
         tuple(bars),
     )
 
@@ -74,7 +73,7 @@
     answered = whole.answered[rank.name]
     shares = (
         ratio(answered, asked),
-        ratio(answered, whole.answered.total()),
+        whole.share(rank.name),
         rank.floor_share,
     )
     counts = map(count_text, (asked, answered))
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_groups.py
@@ -41,8 +41,8 @@
 def _curve(facts: Facts, model: Model) -> Curve:
     down_ms: collections.Counter[int] = collections.Counter()
     for entry in facts.day.downtime:
-        if entry.model == model.name:
-            down_ms[entry.slot] += entry.down_ms
+        if entry.label == model.name:
+            down_ms[entry.slot] += entry.amount
     means = [down_ms[slot] / _SLOT_MS for slot in range(_SLOTS_PER_DAY)]
     return Curve(model.name, tuple(means))
 
--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_slots.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_slots.py
@@ -15,12 +15,16 @@
 
 @define
 class Slot:
-    """Requests of one slot by rank: that ended, answered and refused."""
+    """Requests of one slot by rank: that ended, answered and refused.
+
+    ``tokens`` are those of the answered requests, as estimated at the start.
+    """
 
     number: int
     asked: collections.Counter[str] = field(factory=collections.Counter)
     answered: collections.Counter[str] = field(factory=collections.Counter)
     refused: collections.Counter[str] = field(factory=collections.Counter)
+    tokens: collections.Counter[str] = field(factory=collections.Counter)
 
     @property
     def flooding(self) -> str:
@@ -34,10 +38,14 @@
     def is_below_floor(self, rank: Rank, refused_share: float) -> bool:
         """Whether a rank was refused work while it had less than its floor."""
         name = rank.name
-        of_all = ratio(self.answered[name], self.answered.total()) or 0
+        of_all = self.share(name) or 0
         refused = _is_more(self.refused[name], self.asked[name], refused_share)
         return refused and of_all < rank.floor_share
 
+    def share(self, rank: str) -> float | None:
+        """Return the share that a rank had of all answers, by tokens."""
+        return ratio(self.tokens[rank], self.tokens.total())
+
     def add(self, entry: SlotCount) -> None:
         """Add the requests of one rank and verdict."""
         self.asked[entry.key.rank] += entry.count
@@ -71,6 +79,7 @@
             added.asked.update(slot.asked)
             added.answered.update(slot.answered)
             added.refused.update(slot.refused)
+            added.tokens.update(slot.tokens)
         return added
 
 
@@ -80,6 +89,9 @@
     for entry in facts.day.timeline:
         number = entry.key.slot
         slots.setdefault(number, Slot(number)).add(entry)
+    for tokens in facts.day.answered_tokens:
+        slot = slots.setdefault(tokens.slot, Slot(tokens.slot))
+        slot.tokens[tokens.label] += tokens.amount
     return [slots[number] for number in sorted(slots)]
 
 
--- a/apps/cowslipstep/tests/test_evening.py
+++ b/apps/cowslipstep/tests/test_evening.py
@@ -17,7 +17,7 @@
     Histograms,
     Series,
     SlotCount,
-    SlotDowntime,
+    SlotAmount,
     SlotKey,
     Status,
     merge_day,
@@ -155,7 +155,7 @@
         _slot('background', 'completed', kept),
         _slot('background', 'not_run', 5),
     )
-    page = _page(evolve(figures.status(), timeline=timeline))
+    page = _page(_in_slots(figures, timeline))
     assert page.well == well
     text = '\n'.join(render_text(page))
     assert 'floods: 01:00 to 01:05 urgent' in text
@@ -170,7 +170,7 @@
         _slot('background', 'completed', 20),
         _slot('background', 'not_run', 1),
     )
-    page = _page(evolve(figures.status(), timeline=timeline))
+    page = _page(_in_slots(figures, timeline))
     assert page.well
 
 
@@ -180,7 +180,7 @@
         for slot in (12, 13, 14, 20)
         for verdict in ('completed', 'not_run')
     )
-    page = _page(evolve(figures.status(), timeline=timeline))
+    page = _page(_in_slots(figures, timeline))
     assert 'floods: 01:00 to 01:15 urgent, 01:40 to 01:45 urgent' in (
         page.summary
     )
@@ -247,7 +247,7 @@
 
 
 def test_downtime_is_drawn_in_its_slot(figures: _Figures) -> None:
-    downtime = (SlotDowntime(12, 'drafting', 300000),)
+    downtime = (SlotAmount(12, 'drafting', 300000),)
     page = _page(evolve(figures.status(), downtime=downtime))
     plots = [plot for section in page.sections for plot in section.plots]
     curve = plots[-1].curves[0].figures
@@ -255,6 +255,39 @@
     assert sum(curve) == 1
 
 
+def test_floors_count_in_tokens(figures: _Figures) -> None:
+    timeline = (
+        _slot('urgent', 'completed', 100),
+        _slot('urgent', 'not_run', 900),
+        _slot('background', 'completed', 40),
+        _slot('background', 'not_run', 5),
+    )
+    status = _in_slots(figures, timeline)
+    many = SlotAmount(12, 'urgent', 900)
+    tokens = (*status.answered_tokens, many)
+    page = _page(evolve(status, answered_tokens=tokens))
+    assert [measure.figure for measure in page.missed] == [
+        'background at 01:00',
+    ]
+
+
+def _in_slots(
+    figures: _Figures,
+    timeline: tuple[SlotCount, ...],
+) -> Status:
+    """Return a status with counts in slots, one token an answer."""
+    tokens = tuple(
+        SlotAmount(entry.key.slot, entry.key.rank, entry.count)
+        for entry in timeline
+        if entry.key.verdict == 'completed'
+    )
+    return evolve(
+        figures.status(),
+        timeline=timeline,
+        answered_tokens=tokens,
+    )
+
+
 def _slot(rank_name: str, verdict: str, count: int) -> SlotCount:
     return SlotCount(SlotKey(12, rank_name, verdict), count)
 
--- /dev/null
+++ b/apps/cowslipstep/tests/test_evening_pages.py
@@ -0,0 +1,34 @@
+"""The made-up days of both example fleets give the pages they should."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+_ROOT = pathlib.Path(__file__).parents[3]
+_TIMEOUT_S = 100
+_MISSED = (
+    'urgent requests answered',
+    'calls to plain services with uncertain outcome',
+    'orders with uncertain outcome',
+    'ranks below their floor in a flood: normal at 11:30',
+    'groups of drafting serving',
+)
+
+
+def test_pages_of_both_fleets(tmp_path: pathlib.Path) -> None:
+    subprocess.run(
+        [sys.executable, _ROOT / 'bench' / 'evening_pages.py', tmp_path],
+        check=True,
+        timeout=_TIMEOUT_S,
+    )
+    text = (tmp_path / 'gridsight.txt').read_text()
+    assert text.startswith('No: ')
+    places = [text.find(reason) for reason in _MISSED]
+    assert min(places) > 0 and places == sorted(places)
+    assert 'floods: 08:10 to 09:10 background, 11:30 to 11:55' in text
+    other = (tmp_path / 'tatranske_palicky.txt').read_text()
+    assert other.startswith('Yes: all targets were reached')
+    for page in tmp_path.glob('*.html'):
+        assert page.read_text().count('<svg class="narrow"') >= 3
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_completions.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_completions.py
@@ -58,6 +58,7 @@
             self.request.request_id,
             self.request.workspace,
             self.request.rank,
+            self.request.cost_tokens,
         )
 
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_day_figures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_day_figures.py
@@ -53,6 +53,7 @@
         period_s,
         timeline=sampler.timeline,
         downtime=sampler.downtime,
+        answered_tokens=sampler.answered_tokens,
     )
     return _filled(status, state)
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_outcomes.py
@@ -14,7 +14,13 @@
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.metrics import CounterKey, RequestRecord, Series
-from cowslipstep.model import MayHaveRun, NotRun, RequestError, Verdict
+from cowslipstep.model import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    RequestError,
+    Verdict,
+)
 
 _TOTAL = 'total'
 _FIRST_TOKEN = 'first_token'
@@ -25,12 +31,14 @@
 class RequestLabels:
     """Labels of a request in logs and metrics.
 
-    ``rank`` is the name of the service for calls to plain services.
+    ``rank`` is the name of the service for calls to plain services, and
+    ``cost_tokens`` the estimated tokens of a completion.
     """
 
     request_id: str
     workspace: str
     rank: str
+    cost_tokens: int = 0
 
 
 class OutcomeLog:
@@ -82,6 +90,9 @@
         ).info('request ended')
         if run.begun:
             self._keep(labels, run.verdict)
+        if labels.cost_tokens and verdict == Completed().code:
+            key = CounterKey('answered_tokens', (('rank', labels.rank),))
+            self._counters.add(key, labels.cost_tokens)
 
     def _keep(self, labels: RequestLabels, verdict: Verdict) -> None:
         """Keep a request without a whole answer."""
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_sampling.py
@@ -8,9 +8,9 @@
 from cowslipstep.metrics import (
     SLOT_S,
     CounterKey,
-    Downtimes,
+    SlotAmount,
+    SlotAmounts,
     SlotCount,
-    SlotDowntime,
     Timeline,
 )
 
@@ -35,7 +35,8 @@
     def __init__(self, state: DaemonState) -> None:
         self._state = state
         self._timeline = Timeline()
-        self._downtimes = Downtimes()
+        self._downtime = SlotAmounts('group_down_ms', 'model')
+        self._tokens = SlotAmounts('answered_tokens', 'rank')
         self._sampled_at_s = time.monotonic()
         self._midnight_unix_s = _midnight_unix_s()
 
@@ -45,38 +46,45 @@
         return self._timeline.counts
 
     @property
-    def downtime(self) -> tuple[SlotDowntime, ...]:
+    def downtime(self) -> tuple[SlotAmount, ...]:
         """Downtime of groups in slots of the day."""
-        return self._downtimes.slots
+        return self._downtime.slots
+
+    @property
+    def answered_tokens(self) -> tuple[SlotAmount, ...]:
+        """Tokens of answered requests in slots of the day."""
+        return self._tokens.slots
 
     def sample(self) -> None:
         """Take the figures since the last call."""
         now_s = time.monotonic()
-        self._integrate(min(_MAX_ELAPSED_S, now_s - self._sampled_at_s))
+        elapsed_s = min(_MAX_ELAPSED_S, now_s - self._sampled_at_s)
+        _add_stranded(self._state, elapsed_s)
         self._sampled_at_s = now_s
         slot = self._slot()
         samples = self._state.counters.samples
-        self._timeline.note(slot, samples)
-        self._downtimes.note(slot, samples)
+        for slots in (self._timeline, self._downtime, self._tokens):
+            slots.note(slot, samples)
 
     def clear(self) -> None:
         """Forget all slots and begin a new day."""
         self._midnight_unix_s = _midnight_unix_s()
-        self._timeline.clear()
-        self._downtimes.clear()
+        for slots in (self._timeline, self._downtime, self._tokens):
+            slots.clear()
 
     def _slot(self) -> int:
         """Return the slot of now; a day goes on until it is cleared."""
         passed_s = time.time() - self._midnight_unix_s
         return max(0, min(_LAST_SLOT, int(passed_s // SLOT_S)))
 
-    def _integrate(self, elapsed_s: float) -> None:
-        """Add stranded accelerators, times the time, to a counter."""
-        for gauge in self._state.gauges.samples:
-            if gauge.key.name == _STRANDED:
-                key = CounterKey(_STRANDED_MS, gauge.key.labels)
-                amount_ms = int(gauge.amount * elapsed_s * _MS_PER_S)
-                self._state.counters.add(key, amount_ms)
+
+def _add_stranded(state: DaemonState, elapsed_s: float) -> None:
+    """Add stranded accelerators, times the time, to a counter."""
+    for gauge in state.gauges.samples:
+        if gauge.key.name == _STRANDED:
+            key = CounterKey(_STRANDED_MS, gauge.key.labels)
+            amount_ms = int(gauge.amount * elapsed_s * _MS_PER_S)
+            state.counters.add(key, amount_ms)
 
 
 def _midnight_unix_s() -> int:
--- a/apps/cowslipstepd/tests/test_outcomes.py
+++ b/apps/cowslipstepd/tests/test_outcomes.py
@@ -17,6 +17,7 @@
     MayHaveRun,
     Reason,
     RequestError,
+    Verdict,
 )
 from cowslipstep.settings import DaemonSettings
 
@@ -140,3 +141,20 @@
 ) -> None:
     _end(state, run, CallerGone())
     assert not state.requests.records
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'tokens'),
+    [(Completed(), 30), (MayHaveRun(Reason.upstream_cut), 0)],
+)
+def test_tokens_of_answers_are_counted(
+    state: DaemonState,
+    run: RunState,
+    verdict: Verdict,
+    tokens: int,
+) -> None:
+    labels = RequestLabels('r1', 'firm', 'urgent', cost_tokens=30)
+    with OutcomeLog(state, 'requests').noted(labels, run):
+        run.verdict = verdict
+    key = 'answered_tokens_total{rank="urgent"}'
+    assert _counts(state).get(key, 0) == tokens
--- a/apps/cowslipstepd/tests/test_status.py
+++ b/apps/cowslipstepd/tests/test_status.py
@@ -227,10 +227,12 @@
     _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
     writer = StatusWriter(state)
     state.counters.add(key)
+    state.counters.add(CounterKey('answered_tokens', (('rank', 'urgent'),)))
     _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
     writer.step()
-    timeline = _days(store)[0].timeline
-    assert [entry.key.slot for entry in timeline] == [287]
+    day = _days(store)[0]
+    assert [entry.key.slot for entry in day.timeline] == [287]
+    assert [entry.slot for entry in day.answered_tokens] == [287]
 
 
 def test_a_request_during_a_write_counts_once(
--- a/bench/_sample_figures.py
+++ b/bench/_sample_figures.py
@@ -14,6 +14,7 @@
     Histograms,
     RequestRecord,
     Series,
+    SlotAmount,
     SlotCount,
     SlotKey,
 )
@@ -24,6 +25,7 @@
 _SPREAD = 0.6
 _TOKEN_S = 0.02
 _ANSWER_S = 4
+_TOKENS = 400
 
 
 @define
@@ -36,6 +38,7 @@
     histograms: Histograms = field(factory=Histograms)
     slots: list[SlotCount] = field(factory=list)
     records: list[RequestRecord] = field(factory=list)
+    tokens: list[SlotAmount] = field(factory=list)
 
     def note(self, cell: Cell) -> None:
         """Count the requests of a cell."""
@@ -48,6 +51,8 @@
             self._keep(cell, 'may_have_run', 'upstream_cut')
         if cell.refused:
             self._keep(cell, 'not_run', 'deadline')
+        answered = SlotAmount(cell.slot, cell.rank.name, completed * _TOKENS)
+        self.tokens.append(answered)
         for _ in range(completed):
             self._time(cell)
 
--- a/bench/_sample_groups.py
+++ b/bench/_sample_groups.py
@@ -6,7 +6,7 @@
 
 from _sample_plan import LostGroup
 
-from cowslipstep.metrics import SLOT_S, Event, SlotDowntime
+from cowslipstep.metrics import SLOT_S, Event, SlotAmount
 
 _MS_PER_S = 1000
 
@@ -28,11 +28,11 @@
 def group_downtime(
     groups: Iterable[LostGroup],
     model: str,
-) -> Iterator[SlotDowntime]:
+) -> Iterator[SlotAmount]:
     """Yield for how long groups did not serve in each slot."""
     for group in groups:
         end_s = group.at_s + group.down_s
         for slot in range(group.at_s // SLOT_S, end_s // SLOT_S + 1):
             begin_s = max(group.at_s, slot * SLOT_S)
             until_s = min(end_s, (slot + 1) * SLOT_S)
-            yield SlotDowntime(slot, model, (until_s - begin_s) * _MS_PER_S)
+            yield SlotAmount(slot, model, (until_s - begin_s) * _MS_PER_S)
--- a/bench/_sample_statuses.py
+++ b/bench/_sample_statuses.py
@@ -98,4 +98,5 @@
         histograms=tuple(figures.histograms.encode_each()),
         requests=tuple(figures.records[-_MAX_RECORDS:]),
         timeline=tuple(figures.slots),
+        answered_tokens=tuple(figures.tokens),
     )
--- a/libs/metrics/src/cowslipstep/metrics/_day.py
+++ b/libs/metrics/src/cowslipstep/metrics/_day.py
@@ -10,12 +10,12 @@
 from attrs import field, frozen
 
 from cowslipstep.metrics._counters import Sample
-from cowslipstep.metrics._downtime import SlotDowntime
 from cowslipstep.metrics._durations import DurationHistogram
 from cowslipstep.metrics._events import Event
 from cowslipstep.metrics._histograms import Series
 from cowslipstep.metrics._merging import merge_histograms, merge_samples
 from cowslipstep.metrics._requests import RequestRecord
+from cowslipstep.metrics._slot_amounts import SlotAmount
 from cowslipstep.metrics._status import Status
 from cowslipstep.metrics._timeline import SlotCount
 
@@ -43,7 +43,11 @@
     timeline
         Counts of requests in slots, not yet added up.
     downtime
-        Downtime of groups in slots, not yet added up.
+        Downtime of groups in slots, by model, milliseconds, not yet added
+        up.
+    answered_tokens
+        Estimated tokens of answered requests in slots, by rank, not yet
+        added up.
     """
 
     name: str
@@ -53,7 +57,8 @@
     events: tuple[Event, ...] = ()
     requests: tuple[RequestRecord, ...] = ()
     timeline: tuple[SlotCount, ...] = ()
-    downtime: tuple[SlotDowntime, ...] = ()
+    downtime: tuple[SlotAmount, ...] = ()
+    answered_tokens: tuple[SlotAmount, ...] = ()
 
     def select(self, name: str) -> Iterator[Sample]:
         """Yield the counters of a name."""
@@ -110,6 +115,7 @@
         _in_order(chain(status.requests for status in kept)),
         tuple(chain(status.timeline for status in kept)),
         tuple(chain(status.downtime for status in kept)),
+        tuple(chain(status.answered_tokens for status in kept)),
     )
 
 
--- a/libs/metrics/src/cowslipstep/metrics/_status.py
+++ b/libs/metrics/src/cowslipstep/metrics/_status.py
@@ -7,10 +7,10 @@
 from attrs import field, frozen
 
 from cowslipstep.metrics._counters import Sample
-from cowslipstep.metrics._downtime import SlotDowntime
 from cowslipstep.metrics._events import Event
 from cowslipstep.metrics._histograms import EncodedSeries
 from cowslipstep.metrics._requests import RequestRecord
+from cowslipstep.metrics._slot_amounts import SlotAmount
 from cowslipstep.metrics._timeline import SlotCount
 from cowslipstep.settings import parse_json, structure, unstructure
 
@@ -60,7 +60,8 @@
     events: tuple[Event, ...] = ()
     requests: tuple[RequestRecord, ...] = ()
     timeline: tuple[SlotCount, ...] = ()
-    downtime: tuple[SlotDowntime, ...] = field(default=())
+    downtime: tuple[SlotAmount, ...] = ()
+    answered_tokens: tuple[SlotAmount, ...] = field(default=())
 
     @property
     def object_name(self) -> str:
