Move asks to a cell's new owner, which listens before it grants

Requests then waited at engines for up to 10 s.

Change: asks that wait at a former owner are moved within 0.25 s; a new or paused dispatcher grants nothing for 0.4 s and uses half of the slots until 1.5 s; new grants are told to the former owner for as long as grants last, if it lives.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_asks.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_asks.py
@@ -12,17 +12,17 @@
 from eventlet.event import Event
 
 from cowslipstep.daemon._owner_calls import OwnerCalls
+from cowslipstep.daemon._owner_waits import OwnerChanged
+from cowslipstep.daemon._use_exchange import UseExchange
 from cowslipstep.model import (
     Ask,
     Cell,
     Grant,
-    Message,
     NotRun,
     Reason,
     Refusal,
     Release,
 )
-from cowslipstep.routing import SeenUses, newest_uses
 
 
 @frozen
@@ -66,7 +66,7 @@
 
     def __init__(self, calls: OwnerCalls) -> None:
         self._calls = calls
-        self._uses = SeenUses(time.monotonic)
+        self._uses = UseExchange()
 
     def ask(self, asks: list[Ask]) -> Granted | NotRun:
         """Ask at several cells at once and take the first grant."""
@@ -76,10 +76,20 @@
             return race.done.wait()
 
     def _ask(self, race: _Race, ask: Ask) -> None:
+        expires_s = time.monotonic() + ask.request.timeout_s
+        while not race.done.ready():
+            left_s = max(0, expires_s - time.monotonic())
+            request = evolve(ask.request, timeout_s=left_s)
+            with contextlib.suppress(OwnerChanged):
+                self._ask_owners(race, evolve(ask, request=request))
+                return
+            self._withdraw(race, ask.cell)
+
+    def _ask_owners(self, race: _Race, ask: Ask) -> None:
         for owner in self._calls.owners.candidates(ask.cell):
             race.open[owner, ask.cell] = ask
-            reply = self._calls.ask(owner, self._with_uses(ask))
-            self._note_use(ask, reply)
+            reply = self._calls.ask(owner, self._uses.inform(ask))
+            self._uses.learn(ask, reply)
             match reply:
                 case Grant() as grant:
                     race.win(Granted(ask.cell, owner, grant))
@@ -90,22 +100,21 @@
                     return
         race.lose(NotRun(Reason.no_capacity, retry_after_s=1))
 
-    def _with_uses(self, ask: Ask) -> Ask:
-        uses = self._uses.known(ask.request.workspace, ask.cell)
-        return evolve(ask, uses=newest_uses(uses)) if uses else ask
-
-    def _note_use(self, ask: Ask, reply: Message | None) -> None:
-        if isinstance(reply, Grant | Refusal) and reply.use is not None:
-            self._uses.note(ask.request.workspace, reply.use)
-
     @contextlib.contextmanager
     def _withdrawn(self, race: _Race) -> Iterator[None]:
         try:
             yield
         finally:
-            for (owner, cell), ask in tuple(race.open.items()):
+            cells = {cell for _, cell in race.open}
+            for cell in cells:
+                self._withdraw(race, cell)
+
+    def _withdraw(self, race: _Race, cell: Cell) -> None:
+        for place, ask in tuple(race.open.items()):
+            if place[1] == cell:
+                race.open.pop(place)
                 release = Release(cell, ask.request.request_id, 0)
-                self._calls.tell(owner, release)
+                self._calls.tell(place[0], release)
 
 
 @contextlib.contextmanager
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
@@ -30,7 +30,7 @@
 )
 
 _UPDATE_PERIOD_S = 0.1
-_LEARNING_S = 1
+_LEARNING_S = 1.5
 
 
 class CellService:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_owner_calls.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_owner_calls.py
@@ -9,6 +9,7 @@
 
 from cowslipstep.daemon._cells import CellService
 from cowslipstep.daemon._links import PeerLinks
+from cowslipstep.daemon._owner_waits import OwnerWaits
 from cowslipstep.daemon._owners import LOCAL, Owners
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.model import Ask, Message, Release, Renewal
@@ -38,7 +39,8 @@
         links: PeerLinks,
     ) -> None:
         self._links = links
-        self._owners = Owners(state, links)
+        self._owners = Owners(state)
+        self._waits = OwnerWaits(state, links, self._owners)
         self._services = {
             state.settings.name: cells,
             LOCAL: CellService(state, local=True),
@@ -49,23 +51,27 @@
         """Owners of the cells."""
         return self._owners
 
+    def check(self) -> None:
+        """Look for owners that fell silent or changed; call periodically."""
+        self._waits.check()
+
     def run_local(self) -> None:
         """Keep the dispatchers up to date that only this daemon uses."""
         self._services[LOCAL].run()
 
     def ask(self, owner: str, ask: Ask) -> Message | None:
-        """Return the owner's reply, or nothing if it cannot be reached."""
-        service = self._services.get(owner)
-        if service is not None:
-            replied = Event()
-            service.submit(ask, replied.send)
-            return replied.wait()
-        timeout_s = ask.request.timeout_s + _REPLY_MARGIN_S
+        """Return the owner's reply, or nothing if it cannot be reached.
+
+        Raises
+        ------
+        OwnerChanged
+            If another daemon owns the cell meanwhile.
+        """
         with (
             contextlib.suppress(PeerUnreachable),
-            self._owners.watched(owner),
+            self._waits.watched(owner, ask.cell),
         ):
-            return self._links.call(owner, ask, timeout_s)
+            return self._reply(owner, ask)
         return None
 
     def tell(self, owner: str, message: Release | Renewal) -> None:
@@ -77,11 +83,25 @@
             case Renewal() if service:
                 service.renew(message)
             case _:
-                self._tell_peer(owner, message)
+                _tell_peer(self._links, owner, message)
 
-    def _tell_peer(self, owner: str, message: Release | Renewal) -> None:
-        with (
-            contextlib.suppress(PeerUnreachable),
-            eventlet.Timeout(_TELL_TIMEOUT_S, False),
-        ):
-            self._links.tell(owner, message)
+    def _reply(self, owner: str, ask: Ask) -> Message:
+        service = self._services.get(owner)
+        if service is None:
+            timeout_s = ask.request.timeout_s + _REPLY_MARGIN_S
+            return self._links.call(owner, ask, timeout_s)
+        replied = Event()
+        service.submit(ask, replied.send)
+        return replied.wait()
+
+
+def _tell_peer(
+    links: PeerLinks,
+    owner: str,
+    message: Release | Renewal,
+) -> None:
+    with (
+        contextlib.suppress(PeerUnreachable),
+        eventlet.Timeout(_TELL_TIMEOUT_S, False),
+    ):
+        links.tell(owner, message)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_slots.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_slots.py
@@ -13,7 +13,7 @@
 from cowslipstep.daemon._cells import CellService
 from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._owner_calls import OwnerCalls
-from cowslipstep.daemon._owners import CHECK_PERIOD_S
+from cowslipstep.daemon._owner_waits import CHECK_PERIOD_S
 from cowslipstep.daemon._search import SlotFinder
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._tasks import start_task
@@ -103,10 +103,10 @@
     def _run(self) -> None:
         while True:
             eventlet.sleep(CHECK_PERIOD_S)
-            self._calls.owners.check()
+            self._calls.check()
             oldest_s = time.monotonic() - _RENEWAL_PERIOD_S
             for held in tuple(self._held.values()):
-                present = next(self._calls.owners.candidates(held.cell))
+                present = self._calls.owners.present(held.cell)
                 if present != held.owner or held.renewed_s < oldest_s:
                     self._renew_if_held(held)
 
@@ -117,15 +117,15 @@
 
     def _tell(self, held: Slot, message: Release | Renewal) -> None:
         # Each owner that ever knew of the grant must learn that it ended.
-        present = next(self._calls.owners.candidates(held.cell))
-        held.told.update((held.owner, present))
-        if isinstance(message, Renewal):
-            told = {held.owner, present}
-            held.owner = present
-        else:
+        told = {held.owner, *self._calls.owners.to_tell(held.cell)}
+        held.told.update(told)
+        held.owner = self._calls.owners.present(held.cell)
+        if isinstance(message, Release):
             told = held.told
-        for owner in tuple(told):
-            self._calls.tell(owner, message)
+        self._calls.tell(held.owner, message)
+        # A former owner may be gone; that must not delay the request.
+        for former in told - {held.owner}:
+            eventlet.spawn_n(self._calls.tell, former, message)
 
 
 def _release(held: Slot) -> Release:
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_use_exchange.py
@@ -0,0 +1,27 @@
+"""What cells told of workspaces' use, passed on between them."""
+
+from __future__ import annotations
+
+import time
+
+from attrs import evolve
+
+from cowslipstep.model import Ask, Grant, Message, Refusal
+from cowslipstep.routing import SeenUses, newest_uses
+
+
+class UseExchange:
+    """Adds to asks what the replies of other cells told."""
+
+    def __init__(self) -> None:
+        self._uses = SeenUses(time.monotonic)
+
+    def inform(self, ask: Ask) -> Ask:
+        """Return the ask with what other cells told of its workspace."""
+        uses = self._uses.known(ask.request.workspace, ask.cell)
+        return evolve(ask, uses=newest_uses(uses)) if uses else ask
+
+    def learn(self, ask: Ask, reply: Message | None) -> None:
+        """Remember what a reply tells."""
+        if isinstance(reply, Grant | Refusal) and reply.use is not None:
+            self._uses.note(ask.request.workspace, reply.use)
--- a/libs/routing/src/cowslipstep/replay/_attempts.py
+++ b/libs/routing/src/cowslipstep/replay/_attempts.py
@@ -4,20 +4,35 @@
 
 from collections.abc import Iterator
 
-from attrs import define, evolve, frozen
+from attrs import define, evolve, field, frozen
 
 from cowslipstep.model import Ask, Cell, Request
 from cowslipstep.replay._fleet import FleetModel
 from cowslipstep.replay._outcomes import Outcome
-from cowslipstep.routing import CellChoice, CellTry, Clock, SeenUses
+from cowslipstep.replay._owners import AnyDispatcher, CellOwners
+from cowslipstep.routing import (
+    CellChoice,
+    CellTry,
+    Clock,
+    OwnerHistory,
+    SeenUses,
+)
 
 
 @frozen
 class Entry:
     """What an entry daemon knows of the cells."""
 
+    number: int
     choice: CellChoice
     uses: SeenUses
+    history: OwnerHistory[AnyDispatcher]
+
+    def owner(self, cell: Cell, owners: CellOwners) -> AnyDispatcher:
+        """Return the owner that it asks now."""
+        present = owners.present(self.number)
+        self.history.note(cell, present)
+        return present
 
 
 @define
@@ -39,7 +54,7 @@
         """When its first token must have come."""
         return self.arrival_s + self.outcome.arrival.timeout_s
 
-    def ask(self, cell: Cell, left_s: float, *, immediate: bool) -> Ask:
+    def ask(self, cell: Cell, left_s: float, *, immediate: bool = False) -> Ask:
         """Return the ask to a cell, with what other cells told."""
         request = evolve(self.request, timeout_s=left_s)
         uses = self.entry.uses.known(request.workspace, cell)
@@ -48,9 +63,9 @@
 
 @define
 class AskedCells:
-    """Cells that were asked at once and have not answered."""
+    """Owners of cells that were asked at once and have not answered."""
 
-    open: set[Cell]
+    open: dict[Cell, AnyDispatcher] = field(factory=dict)
     granted: bool = False
 
 
@@ -59,8 +74,10 @@
     domains = fleet.failure_domains
     return [
         Entry(
+            index,
             CellChoice(clock, domains[index % len(domains)]),
             SeenUses(clock),
+            OwnerHistory(clock),
         )
         for index in range(fleet.daemons)
     ]
--- a/libs/routing/src/cowslipstep/replay/_baselines.py
+++ b/libs/routing/src/cowslipstep/replay/_baselines.py
@@ -28,7 +28,7 @@
         Clock of the replay.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, _learning_s: float = 0) -> None:
         self._clock = clock
         self._groups: tuple[GroupSlots, ...] = ()
         self._queue: collections.deque[QueuedAsk] = collections.deque()
--- a/libs/routing/src/cowslipstep/replay/_cell_models.py
+++ b/libs/routing/src/cowslipstep/replay/_cell_models.py
@@ -8,13 +8,12 @@
 from attrs import frozen
 
 from cowslipstep.model import Address, Cell
-from cowslipstep.replay._baselines import FifoDispatcher
 from cowslipstep.replay._fleet import FleetModel
+from cowslipstep.replay._owners import CellOwners
 from cowslipstep.replay._spec import TraceSpec
 from cowslipstep.routing import (
     CellPolicy,
     CellSlots,
-    Dispatcher,
     GroupSlots,
     read_limits,
 )
@@ -24,9 +23,9 @@
 
 @frozen
 class CellModel:
-    """A cell's dispatcher, policy and groups."""
+    """A cell's owners, policy and groups."""
 
-    dispatcher: Dispatcher | FifoDispatcher
+    owners: CellOwners
     policy: CellPolicy
     groups: tuple[GroupSlots, ...]
 
@@ -34,7 +33,7 @@
 def model_cells(
     spec: TraceSpec,
     fleet: FleetModel,
-    make: Callable[[], Dispatcher | FifoDispatcher],
+    make: Callable[[], CellOwners],
 ) -> dict[Cell, CellModel]:
     """Return the cells of all models, which share the limits."""
     pairs = itertools.product(fleet.models, fleet.failure_domains)
--- a/libs/routing/src/cowslipstep/replay/_fleet.py
+++ b/libs/routing/src/cowslipstep/replay/_fleet.py
@@ -30,6 +30,8 @@
         Models; each has its cells, with as many groups.
     dark_domains
         Failure domains whose groups are not ready.
+    engine_priorities
+        Whether engines are told the rank of a request.
     passes_uses
         Whether entries pass on what cells told of workspaces' use.
     """
@@ -43,6 +45,7 @@
     entry_weights: tuple[float, ...] = ()
     models: tuple[str, ...] = ('drafting',)
     dark_domains: tuple[str, ...] = ()
+    engine_priorities: bool = False
     passes_uses: bool = True
 
     @property
--- a/libs/routing/src/cowslipstep/replay/_load_figures.py
+++ b/libs/routing/src/cowslipstep/replay/_load_figures.py
@@ -23,7 +23,7 @@
         _scaled(stream, flood, 1 / flood.load) for stream in run.spec.streams
     ]
     single = run.replay(evolve(run.spec, streams=streams))
-    return _goodput(run.outcomes, flood) / _goodput(single, flood)
+    return goodput(run.outcomes, flood) / goodput(single, flood)
 
 
 def recovery_s(run: Run) -> float:
@@ -50,8 +50,8 @@
     return p95_wait_s(run.arrived(rank, start_s, start_s + _WINDOW_S))
 
 
-def _goodput(outcomes: Iterable[Outcome], phase: Phase) -> float:
-    """Slot-seconds of requests begun in time."""
+def goodput(outcomes: Iterable[Outcome], phase: Phase) -> float:
+    """Return the slot-seconds of requests begun in time."""
     return sum(
         outcome.ended_s - outcome.started_s
         for outcome in outcomes
--- a/libs/routing/src/cowslipstep/replay/_outcomes.py
+++ b/libs/routing/src/cowslipstep/replay/_outcomes.py
@@ -9,6 +9,7 @@
 from cowslipstep.replay._trace import Arrival
 
 _DECIMALS = 4
+_NOTICEABLE_S = 0.000001
 
 
 @define
@@ -19,8 +20,10 @@
     ----------
     code
         ``completed``, or why it was not run.
+    granted_s
+        When it was granted a slot; zero without dispatchers.
     started_s
-        When its slot was granted.
+        When an engine began with it.
     first_token_s
         When its first token came.
     ended_s
@@ -29,6 +32,7 @@
 
     arrival: Arrival
     code: str = 'open'
+    granted_s: float = 0
     started_s: float = 0
     first_token_s: float = 0
     ended_s: float = 0
@@ -43,6 +47,16 @@
         """Seconds to the first token."""
         return self.first_token_s - self.arrival.arrival_s
 
+    @property
+    def engine_wait_s(self) -> float:
+        """Seconds that it waited for a slot that it had been granted."""
+        return self.started_s - self.granted_s
+
+    @property
+    def over_admitted(self) -> bool:
+        """Whether it was granted a slot that was not free."""
+        return self.ran and self.engine_wait_s > _NOTICEABLE_S
+
     @property
     def in_time(self) -> bool:
         """Whether its first token came within its timeout."""
--- a/libs/routing/src/cowslipstep/replay/_replay.py
+++ b/libs/routing/src/cowslipstep/replay/_replay.py
@@ -5,15 +5,22 @@
 import enum
 import functools
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from cowslipstep.replay._baselines import FifoDispatcher
 from cowslipstep.replay._cells import CellRunner
 from cowslipstep.replay._direct import DirectRunner
 from cowslipstep.replay._fleet import FleetModel
 from cowslipstep.replay._outcomes import Outcome
+from cowslipstep.replay._owners import (
+    CellOwners,
+    MakeDispatcher,
+    OwnerSplit,
+)
 from cowslipstep.replay._spec import TraceSpec
 from cowslipstep.replay._timeline import Timeline
 from cowslipstep.replay._trace import expand
+from cowslipstep.routing import Clock, Dispatcher
 
 _DRAIN_S = 120
 _TODAY = FleetModel()
@@ -31,10 +38,16 @@
     spec: TraceSpec,
     policy: DispatchPolicy = DispatchPolicy.dispatcher,
     fleet: FleetModel = _TODAY,
+    split: OwnerSplit | None = None,
 ) -> list[Outcome]:
     """Replay a trace and return the outcomes in order of arrival."""
     timeline = Timeline()
-    runner = _make_runner(spec, policy, fleet, timeline)
+    runner = _make_runner(
+        spec,
+        fleet,
+        timeline,
+        _owners(policy, timeline.clock, split),
+    )
     outcomes = list(map(Outcome, expand(spec, fleet)))
     daemons = random.Random(spec.seed).choices(
         range(fleet.daemons),
@@ -67,13 +80,25 @@
 
 def _make_runner(
     spec: TraceSpec,
-    policy: DispatchPolicy,
     fleet: FleetModel,
     timeline: Timeline,
+    owners: Callable[[], CellOwners] | None,
 ) -> CellRunner | DirectRunner:
+    if owners is None:
+        return DirectRunner(spec, fleet, timeline)
+    return CellRunner(spec, fleet, timeline, owners)
+
+
+def _owners(
+    policy: DispatchPolicy,
+    clock: Clock,
+    split: OwnerSplit | None,
+) -> Callable[[], CellOwners] | None:
     match policy:
         case DispatchPolicy.choice_of_two:
-            return DirectRunner(spec, fleet, timeline)
+            return None
+        case DispatchPolicy.fifo:
+            make: MakeDispatcher = functools.partial(FifoDispatcher, clock)
         case _:
-            fifo = policy == DispatchPolicy.fifo
-            return CellRunner(spec, fleet, timeline, fifo=fifo)
+            make = functools.partial(Dispatcher, clock)
+    return functools.partial(CellOwners, clock, make, split)
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -8,6 +8,7 @@
 from cowslipstep.routing._cells import CellChoice, CellTry, order_cells
 from cowslipstep.routing._dispatcher import Dispatcher
 from cowslipstep.routing._limits import read_limits
+from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._ownership import rank_owners
 from cowslipstep.routing._uses import SeenUses, newest_uses
 from cowslipstep.routing._views import (
--- a/libs/routing/src/cowslipstep/routing/_choice.py
+++ b/libs/routing/src/cowslipstep/routing/_choice.py
@@ -118,7 +118,9 @@
         return emptiest.group
 
     def _room(self, group: GroupSlots, now_s: float) -> _Room | None:
-        if group.ready_until_s <= now_s or self._outliers.ejected(group.group):
+        if not self._slot_share or group.ready_until_s <= now_s:
+            return None
+        if self._outliers.ejected(group.group):
             return None
         share = self._slot_share * self._outliers.weight(group.group)
         slots = max(1, int(group.slots * share))
--- a/libs/routing/src/cowslipstep/routing/_learning.py
+++ b/libs/routing/src/cowslipstep/routing/_learning.py
@@ -5,14 +5,16 @@
 from cowslipstep.routing._views import Clock
 
 _CAUTIOUS_SHARE = 0.5
+_SILENT_S = 0.4
 _PAUSE_S = 1
 
 
 class Learning:
     """Share of the slots that a dispatcher uses.
 
-    It is reduced for a while at the start and after a pause: meanwhile the
-    grants that another dispatcher gave arrive with their renewals.
+    For a while at the start and after a pause it is zero and then one half:
+    meanwhile the grants that another dispatcher gave arrive with their
+    renewals.
 
     Parameters
     ----------
@@ -34,4 +36,8 @@
         if now - self._seen_s > _PAUSE_S:
             self._until_s = now + self._learning_s
         self._seen_s = now
-        return _CAUTIOUS_SHARE if now < self._until_s else 1
+        left_s = self._until_s - now
+        if left_s <= 0:
+            return 1
+        silent = left_s > self._learning_s - _SILENT_S
+        return 0 if silent else _CAUTIOUS_SHARE
