Let all requests wait at the dispatcher that is killed

Cause: the feature on a killed dispatcher passed without a second owner: of 12 requests at a time few waited at the owner, and the retry budget of delivery was enough for them.

Change: all 40 requests are sent at once, so that most wait at the owner when it fails. The order of the two checks of the first scenario is turned, so that a failure shows the answer first.

--- a/tests/features/dispatch.feature
+++ b/tests/features/dispatch.feature
@@ -3,12 +3,12 @@
   Scenario: Urgent requests go first under a background flood
     Given a fleet of three daemons
     When an urgent request comes behind 30 background ones
-    Then it runs before the background requests that waited
-    And each answer is complete and belongs to its caller
+    Then each answer is complete and belongs to its caller
+    And it runs before the background requests that waited
 
   Scenario Outline: Requests go on while the dispatcher's daemon is <fault>
     Given a fleet of three daemons
-    When the cell's owner is <fault> while 40 requests are sent through the others
+    When the cell's owner is <fault> while 40 requests wait at it through the others
     Then each answer is complete and belongs to its caller
     And the owner comes back and requests through it are answered
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -22,7 +22,7 @@
 scenarios('dispatch.feature')
 
 CONCURRENCY = 32
-SENDERS = 12
+SENDERS = 40
 URGENT_PROMPT = 'a crew waits at a pole'
 
 
@@ -75,7 +75,7 @@
 
 @when(
     parsers.parse(
-        "the cell's owner is {fault} while {count:d} requests are sent"
+        "the cell's owner is {fault} while {count:d} requests wait at it"
         ' through the others',
     ),
     target_fixture='outcomes',
