--- a/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
@@ -99,6 +99,7 @@
             case TryRefused():
                 return False
             case GrantLapsed():
+                self._outcomes.count('lapsed_grants', caller.labels)
                 return not run.overdue
         if run.begun:
             return self._resumes(caller, run, failure)
