Share the loop of tries between completions and plain services

Cause: DeliveryService and ServiceCalls held the same loop, budget, counters and ledger steps; they differ in one try, in whether another follows and in how the last failure ends. The parameters of a ledger change stood in three signatures.

Change: DeliveryLoop runs the tries of a request; each kind of request brings an attrs class with once, goes_on and end. PlacedChange carries a change of the order ledger with its place. No change in behaviour.

Ruled out: a common base class, since only the data differs for all but those three steps.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_delivery.py
@@ -1,14 +1,16 @@
-"""Delivery of completions: tries, verdicts, answers to callers."""
+"""Delivery of completions: tries, resumptions, answers to callers."""
 
 from __future__ import annotations
 
-from collections.abc import Generator, Iterator
+from collections.abc import Iterator
+
+from attrs import frozen
 
 from cowslipstep.daemon._completions import CallerRequest
+from cowslipstep.daemon._delivery_loop import Delivery, DeliveryLoop
 from cowslipstep.daemon._keyed import KeyedRuns
-from cowslipstep.daemon._outcomes import OutcomeLog, Timings, measured
 from cowslipstep.daemon._relay import Piece
-from cowslipstep.daemon._run_state import RunState, start_run
+from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._slots import SlotService
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._stream_errors import error_event, failed_request
@@ -18,8 +20,7 @@
     TryRefused,
 )
 from cowslipstep.daemon._upstream import UpstreamFailure
-from cowslipstep.delivery import RetryBudget, may_resume, may_retry
-from cowslipstep.model import Completed
+from cowslipstep.delivery import may_resume
 
 _MAX_RESUMES = 3
 
@@ -44,10 +45,7 @@
         keyed: KeyedRuns,
     ) -> None:
         self._tries = CompletionTries(state, slots)
-        self._keyed = keyed
-        self._budget = RetryBudget()
-        self._outcomes = OutcomeLog(state, 'requests')
-        self._timings = Timings(state)
+        self._loop = DeliveryLoop(state, keyed, 'requests')
 
     def deliver(self, caller: CallerRequest) -> Iterator[Piece]:
         """Yield the head of the answer, then its body piece by piece.
@@ -57,90 +55,55 @@
         RequestError
             If the request fails before the head was yielded.
         """
-        run = start_run(caller.request.timeout_s)
-        labels = caller.labels
-        with self._outcomes.noted(labels, run):
-            yield from measured(
-                self._answer(caller, run),
-                self._timings,
-                labels,
-            )
-
-    def _answer(self, caller: CallerRequest, run: RunState) -> Iterator[Piece]:
-        pieces = self._run(caller, run)
-        if caller.order is None:
-            return pieces
-        return self._keyed.run(caller.order, pieces, run)
-
-    def _run(
-        self,
-        caller: CallerRequest,
-        run: RunState,
-    ) -> Generator[Piece, None, None]:
-        self._budget.add_first_try()
-        while run.verdict != Completed():
-            try:
-                yield from self._tries.once(caller, run)
-            except UpstreamFailure as failure:
-                run.note_failure(failure.verdict)
-                if not self._goes_on(caller, run, failure):
-                    yield _end(caller, run, failure)
-                    return
-                continue
-            run.verdict = Completed()
-
-    def _goes_on(
-        self,
-        caller: CallerRequest,
-        run: RunState,
-        failure: UpstreamFailure,
-    ) -> bool:
+        delivery = Delivery(
+            caller.labels,
+            caller.request.timeout_s,
+            caller.request.idempotent,
+            caller.order,
+        )
+        tries = _CallerTries(caller, delivery, self._tries, self._loop)
+        return self._loop.deliver(delivery, tries)
+
+
+@frozen
+class _CallerTries:
+    """Tries of one completion."""
+
+    _caller: CallerRequest
+    _delivery: Delivery
+    _tries: CompletionTries
+    _loop: DeliveryLoop
+
+    def once(self, run: RunState) -> Iterator[Piece]:
+        """Yield the pieces of an answer from one group."""
+        return self._tries.once(self._caller, run)
+
+    def goes_on(self, run: RunState, failure: UpstreamFailure) -> bool:
+        """Say whether a retry or a resumption follows."""
         match failure:
             case TryRefused():
                 return False
             case GrantLapsed():
-                self._outcomes.count('lapsed_grants', caller.labels)
+                self._loop.count('lapsed_grants', self._delivery)
                 return not run.overdue
         if run.begun:
-            return self._resumes(caller, run, failure)
-        return self._retries(caller, run, failure)
-
-    def _retries(
-        self,
-        caller: CallerRequest,
-        run: RunState,
-        failure: UpstreamFailure,
-    ) -> bool:
-        idempotent = caller.request.idempotent
-        allowed = may_retry(failure.verdict, idempotent=idempotent, begun=False)
-        if not allowed or run.overdue or not self._budget.take():
-            return False
-        self._outcomes.count('retries', caller.labels)
-        return True
-
-    def _resumes(
-        self,
-        caller: CallerRequest,
-        run: RunState,
-        failure: UpstreamFailure,
-    ) -> bool:
-        idempotent = caller.request.idempotent
-        if not (caller.stream and run.resumes < _MAX_RESUMES):
+            return self._resumes(run, failure)
+        return self._loop.retries(self._delivery, run, failure)
+
+    def end(self, run: RunState, failure: UpstreamFailure) -> bytes:
+        """Return an error event for a stream that has begun, else raise."""
+        if not run.begun:
+            raise failed_request(run.verdict, str(failure)) from failure
+        request_id = self._caller.request.request_id
+        return error_event(run.verdict, str(failure), request_id)
+
+    def _resumes(self, run: RunState, failure: UpstreamFailure) -> bool:
+        if not (self._caller.stream and run.resumes < _MAX_RESUMES):
             return False
+        idempotent = self._delivery.idempotent
         if not may_resume(failure.verdict, idempotent=idempotent):
             return False
         run.resumes += 1
         run.stream.drop_rest()
-        self._outcomes.count('resumes', caller.labels)
+        self._loop.count('resumes', self._delivery)
         return True
-
-
-def _end(
-    caller: CallerRequest,
-    run: RunState,
-    failure: UpstreamFailure,
-) -> bytes:
-    request_id = caller.request.request_id
-    if not run.begun:
-        raise failed_request(run.verdict, str(failure)) from failure
-    return error_event(run.verdict, str(failure), request_id)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_calls.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_calls.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from attrs import frozen
+
 from cowslipstep.delivery import EntryResult, OrderChange, SegmentPlace
 from cowslipstep.model import LedgerCall, LedgerOutcome, LedgerReply
 from cowslipstep.peers import Reply
@@ -12,16 +14,26 @@
 LedgerHandler = Callable[[LedgerCall, Reply], None]
 
 
+@frozen
+class PlacedChange:
+    """A change, the segment that it belongs to and how long entries stay."""
+
+    place: SegmentPlace
+    change: OrderChange
+    retention_s: float
+
+
 class ChangeLedger(Protocol):
     """Applies changes to the order ledger."""
 
-    def change(
-        self,
-        place: SegmentPlace,
-        change: OrderChange,
-        retention_s: float,
-    ) -> EntryResult:
-        """Apply a change and wait until the platform has confirmed it."""
+    def apply(self, placed: PlacedChange) -> EntryResult:
+        """Apply a change and wait until the platform has confirmed it.
+
+        Raises
+        ------
+        LedgerUnavailable
+            If the platform did not confirm it in time.
+        """
 
 
 def refuse_ledger_call(_call: LedgerCall, reply: Reply) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from cowslipstep.daemon._keyed_orders import KeyedOrder
-from cowslipstep.daemon._ledger_calls import ChangeLedger
+from cowslipstep.daemon._ledger_calls import ChangeLedger, PlacedChange
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._segment_batches import LedgerUnavailable
 from cowslipstep.delivery import (
@@ -131,4 +131,5 @@
     order: KeyedOrder,
     change: OrderChange,
 ) -> EntryResult:
-    return ledger.change(order.place, change, order.retention_s)
+    placed = PlacedChange(order.place, change, order.retention_s)
+    return ledger.apply(placed)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_ledger.py
@@ -11,6 +11,7 @@
 from attrs import field, frozen
 from eventlet.event import Event
 
+from cowslipstep.daemon._ledger_calls import PlacedChange
 from cowslipstep.daemon._segment_batches import (
     LedgerUnavailable,
     SegmentBatch,
@@ -66,21 +67,11 @@
         self._write_period_s = write_period_s
         self._waiting: dict[str, collections.deque[_Waiting]] = {}
 
-    def change(
-        self,
-        place: SegmentPlace,
-        change: OrderChange,
-        retention_s: float,
-    ) -> EntryResult:
-        """Apply a change and wait until the platform has confirmed it.
-
-        Raises
-        ------
-        LedgerUnavailable
-            If the platform did not confirm it in time.
-        """
-        kept_s = retention_s if place.expires else math.inf
-        entry = _Waiting(change, kept_s)
+    def apply(self, placed: PlacedChange) -> EntryResult:
+        """Apply a change in the next write of its segment."""
+        place = placed.place
+        kept_s = placed.retention_s if place.expires else math.inf
+        entry = _Waiting(placed.change, kept_s)
         waiting = self._waiting.get(place.name)
         if waiting is None:
             self._waiting[place.name] = collections.deque([entry])
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_services.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_services.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator, Iterator
+from collections.abc import Iterator
 
+from attrs import field, frozen
+
+from cowslipstep.daemon._delivery_loop import Delivery, DeliveryLoop
 from cowslipstep.daemon._keyed import KeyedRuns
-from cowslipstep.daemon._outcomes import OutcomeLog, Timings, measured
 from cowslipstep.daemon._relay import Piece, relay_whole
-from cowslipstep.daemon._run_state import RunState, start_run
+from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._runner_slots import HeldRunner, RunnerSlots
 from cowslipstep.daemon._service_requests import ServiceRequest, service_call
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._stream_errors import failed_request
 from cowslipstep.daemon._tries import TryRefused
 from cowslipstep.daemon._upstream import UpstreamFailure, UpstreamPool
-from cowslipstep.delivery import RetryBudget, may_retry
-from cowslipstep.model import Completed, NotRun, Reason
+from cowslipstep.model import NotRun, Reason
+
+
+@frozen
+class _Upstreams:
+    """Runners of the plain services and connections to them."""
+
+    slots: RunnerSlots = field(factory=RunnerSlots)
+    pool: UpstreamPool = field(factory=UpstreamPool)
 
 
 class ServiceCalls:
@@ -30,12 +39,8 @@
     """
 
     def __init__(self, state: DaemonState, keyed: KeyedRuns) -> None:
-        self._runners = RunnerSlots()
-        self._upstreams = UpstreamPool()
-        self._keyed = keyed
-        self._budget = RetryBudget()
-        self._outcomes = OutcomeLog(state, 'service_calls')
-        self._timings = Timings(state)
+        self._upstreams = _Upstreams()
+        self._loop = DeliveryLoop(state, keyed, 'service_calls')
 
     def deliver(self, request: ServiceRequest) -> Iterator[Piece]:
         """Yield the head of the answer, then its body.
@@ -45,83 +50,54 @@
         RequestError
             If the call fails.
         """
-        run = start_run(request.timeout_s)
-        labels = request.labels
-        with self._outcomes.noted(labels, run):
-            yield from measured(
-                self._answer(request, run),
-                self._timings,
-                labels,
-            )
-
-    def _answer(
-        self, request: ServiceRequest, run: RunState
-    ) -> Iterator[Piece]:
-        pieces = self._run(request, run)
-        if request.order is None:
-            return pieces
-        return self._keyed.run(request.order, pieces, run)
-
-    def _run(
-        self,
-        request: ServiceRequest,
-        run: RunState,
-    ) -> Generator[Piece, None, None]:
-        self._budget.add_first_try()
-        while run.verdict != Completed():
-            try:
-                yield from self._once(request, run)
-            except UpstreamFailure as failure:
-                run.note_failure(failure.verdict)
-                if not self._goes_on(request, run, failure):
-                    raise failed_request(run.verdict, str(failure)) from failure
-                continue
-            run.verdict = Completed()
-
-    def _once(
-        self,
-        request: ServiceRequest,
-        run: RunState,
-    ) -> Iterator[Piece]:
-        with self._runners.runner(request.target.service, run) as held:
+        delivery = Delivery(
+            request.labels,
+            request.timeout_s,
+            request.target.idempotent,
+            request.order,
+        )
+        tries = _ServiceTries(request, delivery, self._upstreams, self._loop)
+        return self._loop.deliver(delivery, tries)
+
+
+@frozen
+class _ServiceTries:
+    """Tries of one call."""
+
+    _request: ServiceRequest
+    _delivery: Delivery
+    _upstreams: _Upstreams
+    _loop: DeliveryLoop
+
+    def once(self, run: RunState) -> Iterator[Piece]:
+        """Yield the pieces of an answer from one runner."""
+        service = self._request.target.service
+        with self._upstreams.slots.runner(service, run) as held:
             match held:
                 case NotRun():
                     raise TryRefused(held, 'no runner has room')
                 case HeldRunner():
-                    yield from self._send(request, held, run)
-
-    def _send(
-        self,
-        request: ServiceRequest,
-        held: HeldRunner,
-        run: RunState,
-    ) -> Iterator[Piece]:
+                    yield from self._send(held, run)
+
+    def goes_on(self, run: RunState, failure: UpstreamFailure) -> bool:
+        """Say whether a retry follows."""
+        match failure:
+            case TryRefused():
+                return False
+        return self._loop.retries(self._delivery, run, failure)
+
+    def end(self, run: RunState, failure: UpstreamFailure) -> bytes:
+        """Raise, since answers are passed on whole."""
+        raise failed_request(run.verdict, str(failure)) from failure
+
+    def _send(self, held: HeldRunner, run: RunState) -> Iterator[Piece]:
         run.avoid.append(str(held.address))
-        call = service_call(request, held.address, run)
+        call = service_call(self._request, held.address, run)
         if run.overdue:
             raise TryRefused(NotRun(Reason.deadline), 'the deadline has passed')
         run.note_sending()
         try:
-            yield from relay_whole(self._upstreams, call, run)
+            yield from relay_whole(self._upstreams.pool, call, run)
         except UpstreamFailure:
             held.failed = True
             raise
-
-    def _goes_on(
-        self,
-        request: ServiceRequest,
-        run: RunState,
-        failure: UpstreamFailure,
-    ) -> bool:
-        match failure:
-            case TryRefused():
-                return False
-        allowed = may_retry(
-            failure.verdict,
-            idempotent=request.target.idempotent,
-            begun=run.begun,
-        )
-        if not allowed or run.overdue or not self._budget.take():
-            return False
-        self._outcomes.count('retries', request.labels)
-        return True
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_shared_ledger.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_shared_ledger.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from cowslipstep.daemon._ledger_calls import PlacedChange
 from cowslipstep.daemon._ledger_messages import (
     call_of,
     change_of,
@@ -19,7 +20,6 @@
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.delivery import (
     EntryResult,
-    OrderChange,
     SegmentPlace,
     segment_place,
     segment_role,
@@ -61,28 +61,17 @@
         self._links = links
         state.ledger_calls = self.serve
 
-    def change(
-        self,
-        place: SegmentPlace,
-        change: OrderChange,
-        retention_s: float,
-    ) -> EntryResult:
-        """Apply a change and wait until the platform has confirmed it.
-
-        Raises
-        ------
-        LedgerUnavailable
-            If the platform did not confirm it in time.
-        """
-        first, *others = self._writers(place)
+    def apply(self, placed: PlacedChange) -> EntryResult:
+        """Apply a change by its first writer, else by the second one."""
+        first, *others = self._writers(placed.place)
         try:
-            return self._write_by(first, place, change, retention_s)
+            return self._write_by(first, placed)
         except LedgerUnavailable as failure:
             if not others:
                 raise
             unknown = failure.unknown
         try:
-            return self._write_by(others[0], place, change, retention_s)
+            return self._write_by(others[0], placed)
         except LedgerUnavailable as failure:
             unknown = unknown or failure.unknown
             raise LedgerUnavailable(str(failure), unknown=unknown) from failure
@@ -103,16 +92,10 @@
         others = [daemon for daemon in ranked if daemon != own]
         return (own, *others[:1])
 
-    def _write_by(
-        self,
-        daemon: str,
-        place: SegmentPlace,
-        change: OrderChange,
-        retention_s: float,
-    ) -> EntryResult:
+    def _write_by(self, daemon: str, placed: PlacedChange) -> EntryResult:
         if daemon == self._state.settings.name:
-            return self._ledger.change(place, change, retention_s)
-        call = call_of(place.name, change)
+            return self._ledger.apply(placed)
+        call = call_of(placed.place.name, placed.change)
         try:
             reply = self._links.call(daemon, call, _OWNER_TIMEOUT_S)
         except PeerUnreachable as error:
@@ -128,8 +111,9 @@
         retention_s = math.inf
         if configuration is not None:
             retention_s = configuration.key_retention_s
+        placed = PlacedChange(place, change_of(call), retention_s)
         try:
-            outcome = self._ledger.change(place, change_of(call), retention_s)
+            outcome = self._ledger.apply(placed)
         except LedgerUnavailable as failure:
             reply(failure_of(failure))
             return
