Refuse frames whose packing is broken before the codec reads them

Cause: a frame with a right checksum and a wrong body ended the process, on green threads and on the main stack alike. The codec reads the segments of a packed message lazily and the rest of them in a destructor; a premature end there is fatal ("terminate called after throwing an instance of kj::ExceptionImpl", "Premature EOF"). A list that claims 5 million entries without a size was decoded, for 25 s.

Ruled out: decoding on a native thread (ends the process there too), unpacked messages (several times the bytes).

Change: the packing and the segment table are checked against the length before the codec reads; reads are limited to 8 for each word. A link that is closed for a broken frame says so in the log on the calling side too.

Measured: `pytest libs/peers/tests/test_broken_frames.py`, 3,500 seeded cases on green threads: all decoded or refused.

Conclusion: broken bytes cost one link, with a log line.

--- a/libs/peers/src/cowslipstep/peers/_decode.py
+++ b/libs/peers/src/cowslipstep/peers/_decode.py
@@ -12,8 +12,13 @@
 from cowslipstep.peers._decode_membership import decode_membership_message
 from cowslipstep.peers._decode_orders import decode_order_message
 from cowslipstep.peers._frames import Frame, FrameError
+from cowslipstep.peers._packing import count_words
 from cowslipstep.peers._schema import SCHEMA
 
+# Lists that claim more entries than they hold are refused after these.
+_READS_PER_WORD = 8
+_MIN_READS = 64
+
 _DECODERS: tuple[Callable[[str, Any], Message | None], ...] = (
     decode_grant_message,
     decode_membership_message,
@@ -36,7 +41,11 @@
 
 
 def _frame(payload: bytes) -> Frame:
-    raw = SCHEMA.Frame.from_bytes_packed(payload)
+    words = count_words(payload)
+    raw = SCHEMA.Frame.from_bytes_packed(
+        payload,
+        traversal_limit_in_words=_READS_PER_WORD * words + _MIN_READS,
+    )
     return Frame(raw.call, raw.reply, _message(raw))
 
 
--- a/libs/peers/src/cowslipstep/peers/_dialer.py
+++ b/libs/peers/src/cowslipstep/peers/_dialer.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 from eventlet.event import Event
 from eventlet.green import socket
+from loguru import logger
 
 from cowslipstep.model import Address, Message
 from cowslipstep.peers._connection import FrameConnection, Traffic
@@ -53,8 +54,12 @@
     def run(self, on_down: Callable[[], None]) -> None:
         """Connect again and again; ``on_down`` follows each connection."""
         while True:
-            with contextlib.suppress(OSError, FrameError):
+            try:
                 self._connect_and_read()
+            except OSError as closed:
+                logger.debug('link closed: {}', closed)
+            except FrameError as error:
+                logger.warning('link closed, broken frame: {}', error)
             on_down()
             eventlet.sleep(
                 random.uniform(
--- /dev/null
+++ b/libs/peers/tests/test_broken_frames.py
@@ -0,0 +1,217 @@
+"""Frames with a right checksum and a wrong body, on green threads.
+
+Each of them is decoded or refused with an error: none ends the process.
+"""
+
+import struct
+import zlib
+
+import eventlet
+import pytest
+from eventlet.green import socket
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loguru import logger
+
+from cowslipstep import model
+from cowslipstep.peers import (
+    Callee,
+    Frame,
+    FrameError,
+    PeerLink,
+    PeerServer,
+    PeerUnreachable,
+    Traffic,
+    decode_frame,
+    encode_frame,
+)
+from cowslipstep.peers._schema import SCHEMA
+
+CELL = model.Cell('drafting', 'ebene')
+REQUEST = model.Request(
+    'r1', 'grid-a', 'urgent', 'drafting', 900, 200, 30, True, 7
+)
+NEWS = (model.DaemonNews('d1', 3, 0.5),) * 3
+REPORT = model.ReadinessReport(
+    7, ('g1', 'g2'), 1.5, (model.GroupReadiness('g1', 0.25),)
+)
+ANSWER = model.LedgerAnswer(200, 'application/json', b'{}')
+MESSAGES = (
+    model.Ask(CELL, REQUEST, ('g1', 'g2')),
+    model.Grant('r1', 'g1', model.Address('127.0.0.1', 80), 1.5),
+    model.Refusal('r1', model.NotRun(model.Reason.no_capacity, 2)),
+    model.Renewal(CELL, 'r1', 12),
+    model.Release(CELL, 'r1', 12, True),
+    model.Heartbeat('d0', 9, 9, True, 77, REPORT, NEWS),
+    model.DaemonEntry('d0', model.Address('127.0.0.1', 80), 'ebene', 2**62),
+    model.ConfigurationCopy(5, 'x' * 20000),
+    model.LedgerCall('s', next(iter(model.LedgerStep)), 'd', 'a', 'f', ANSWER),
+    model.LedgerReply(next(iter(model.LedgerOutcome)), ANSWER),
+)
+WORD = struct.Struct('<Q')
+TABLE_BYTES = 8
+# Pointers to huge, empty and far lists, and words without sense.
+WORDS = (
+    0,
+    2**64 - 1,
+    0xFFFFFFFF00000001,
+    0xFFFFFFF800000001,
+    0x7FFFFFFFD,
+    2,
+    0xFFFFFFFF00000002,
+    0x100000003,
+    0x1000100000000,
+    0x120000000D,
+)
+
+
+def pack(flat):
+    """Pack whole words, in the plainest way."""
+    starts = range(0, len(flat), WORD.size)
+    words = [flat[at : at + WORD.size] for at in starts]
+    return b''.join(map(pack_word, words))
+
+
+def pack_word(word):
+    filled = [place for place, byte in enumerate(word) if byte]
+    tag = sum(1 << place for place in filled)
+    no_run = b'\0' if tag in {0, 255} else b''
+    return bytes([tag, *filter(None, word)]) + no_run
+
+
+def flat_frame(message):
+    frame = SCHEMA.Frame.from_bytes_packed(
+        encode_frame(Frame(3, False, message))
+    )
+    return bytearray(frame.as_builder().to_bytes())
+
+
+def outcome_of(payload):
+    try:
+        return decode_frame(payload)
+    except FrameError as error:
+        return error
+
+
+def decode_on_green_thread(payload):
+    decoded = eventlet.spawn(outcome_of, payload).wait()
+    assert isinstance(decoded, Frame | FrameError)
+
+
+PLACES = st.integers(0, 400)
+KNOWN_WORD = st.sampled_from(WORDS)
+ANY_WORD = KNOWN_WORD | st.integers(0, WORDS[1])
+
+
+def damage(body, flips):
+    for at, byte in flips:
+        body[at % len(body)] = byte
+
+
+ANY_WORDS = st.lists(st.tuples(PLACES, ANY_WORD), max_size=3)
+ANY_BYTE = st.integers(0, 255)
+ANY_BYTES = st.lists(st.tuples(PLACES, ANY_BYTE), max_size=4)
+
+
+@settings(derandomize=True, max_examples=2000, deadline=None)
+@given(st.sampled_from(MESSAGES), ANY_WORDS, ANY_BYTES)
+def test_wrong_bodies_are_decoded_or_refused(message, words, flips):
+    flat = flat_frame(message)
+    body = memoryview(flat)[TABLE_BYTES:]
+    for place, word in words:
+        WORD.pack_into(body, place * WORD.size % len(body), word)
+    damage(body, flips)
+    decode_on_green_thread(pack(flat))
+
+
+ENDS = st.binary(max_size=9)
+
+
+@settings(derandomize=True, max_examples=1000, deadline=None)
+@given(st.sampled_from(MESSAGES), PLACES, ENDS)
+def test_cut_frames_are_refused(message, cut, tail):
+    payload = encode_frame(Frame(3, False, message))
+    decode_on_green_thread(payload[: cut % len(payload)] + tail)
+
+
+TABLES = st.lists(KNOWN_WORD | st.integers(0, 9), max_size=8)
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(TABLES)
+def test_wrong_segment_tables_are_refused(words):
+    decode_on_green_thread(pack(b''.join(map(WORD.pack, words))))
+
+
+def test_frames_of_several_segments_are_decoded():
+    copy = model.ConfigurationCopy(5, 'x' * 1000000)
+    frame = Frame(3, False, copy)
+    decoded = eventlet.spawn(outcome_of, encode_frame(frame)).wait()
+    assert decoded == frame
+
+
+def test_invalid_text_is_refused():
+    payload = encode_frame(
+        Frame(3, False, model.ConfigurationCopy(5, 'abcdef'))
+    )
+    broken = payload.replace(b'abcdef', b'ab\xff\xfeef')
+    assert isinstance(outcome_of(broken), FrameError)
+
+
+def framed(payload):
+    return struct.pack('>II', len(payload), zlib.crc32(payload)) + payload
+
+
+BROKEN = framed(pack(struct.pack('<QQQ', 0x100000001, 1, 1)))
+
+
+@pytest.fixture
+def warnings():
+    seen = []
+    sink = logger.add(seen.append, level='WARNING')
+    yield seen
+    logger.remove(sink)
+
+
+def accept(address):
+    listener = eventlet.listen((address.ip, address.port), reuse_port=False)
+    return listener, model.Address(*listener.getsockname()[:2])
+
+
+def test_a_server_closes_the_link_and_says_so(warnings):
+    listener, address = accept(model.Address('127.0.0.1', 0))
+    listener.close()
+    server = PeerServer(
+        address,
+        lambda _message, reply: reply(model.Acknowledgement()),
+        Traffic(),
+    )
+    task = eventlet.spawn(server.run)
+    sock = socket.create_connection((address.ip, address.port))
+    sock.sendall(BROKEN)
+    assert sock.recv(1) == b''
+    assert 'broken frame' in str(warnings)
+    task.kill()
+
+
+def test_a_link_closes_says_so_and_connects_again(warnings):
+    listener, address = accept(model.Address('127.0.0.1', 0))
+    link = PeerLink(Callee(address, model.Acknowledgement(), Traffic()))
+    task = eventlet.spawn(link.run)
+    listener.accept()[0].sendall(BROKEN)
+    with pytest.raises(PeerUnreachable):
+        link.call(model.ConfigurationQuery(1), timeout_s=0.1)
+    listener.accept()
+    assert 'broken frame' in str(warnings)
+    task.kill()
+
+
+def test_a_list_without_bytes_is_refused():
+    news = (model.DaemonNews('d1', 3, 0.5),)
+    flat = flat_frame(model.Heartbeat('d0', 9, 9, news=news))
+    tag = WORD.pack(0x1000200000004)
+    assert flat.count(tag) == 1
+    # Five million entries without a size need no bytes.
+    many = WORD.pack(5_000_000 << 2)
+    outcome = outcome_of(pack(bytes(flat).replace(tag, many)))
+    assert isinstance(outcome, FrameError)
