Split the fleet in tests, with both sides running

Cause: no test cut daemons from each other while both sides went on; the features paused processes or cut them from the platform only.

Ruled out: a network of the system's own (needs rights), settings that give each daemon other addresses of its peers (the directory and the entries that begin links replace them). A relay stands where a daemon says that it is reached; it knows who connects by the entry that begins each link.

`peer_listen_address` lets a daemon listen behind it. The background load no longer repeats its prompts from one scenario to the next: the checker took a run of an earlier scenario for one of a refused request.

Requests are refused as `not_run` for about a second on a side that probed no group before.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
@@ -23,7 +23,7 @@
     feed = ConfigurationFeed(state)
     groups = GroupService(state)
     reports = OwnReports(state, groups.own_readiness)
-    with listening_on(state.settings.peer_address):
+    with listening_on(state.settings.listens_to_peers_at):
         PeerService(state, feed, cells, reports).start()
     groups.start()
     Heartbeats(state, feed, links).start(reports)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
@@ -60,7 +60,7 @@
             If the address is taken.
         """
         server = PeerServer(
-            self._state.settings.peer_address,
+            self._state.settings.listens_to_peers_at,
             self._receive,
             self._state.traffic,
         )
--- a/libs/settings/src/cowslipstep/settings/_daemon.py
+++ b/libs/settings/src/cowslipstep/settings/_daemon.py
@@ -42,6 +42,9 @@
         Where other daemons connect.
     platform_address
         Address of the platform's object API.
+    peer_listen_address
+        Where to listen for other daemons, if not at ``peer_address``, for
+        example behind address translation.
     peers
         The other daemons known at the start.
     max_body_bytes
@@ -67,6 +70,7 @@
     http_address: Address
     peer_address: Address
     platform_address: Address
+    peer_listen_address: Address | None = None
     peers: tuple[PeerSettings, ...] = ()
     max_body_bytes: int = field(
         default=_DEFAULT_MAX_BODY_BYTES,
@@ -95,6 +99,11 @@
         validator=validators.in_(_LOG_LEVELS),
     )
 
+    @property
+    def listens_to_peers_at(self) -> Address:
+        """Where this daemon listens for other daemons."""
+        return self.peer_listen_address or self.peer_address
+
 
 def parse_daemon_settings(text: str | bytes) -> DaemonSettings:
     """Read the settings of a daemon from JSON text.
--- a/standins/src/cowslipstep_standins/_background.py
+++ b/standins/src/cowslipstep_standins/_background.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import threading
+import uuid
 from collections.abc import Iterator, Sequence
 
 from cowslipstep_standins._caller import Caller
@@ -27,6 +28,7 @@
         self._addresses = itertools.cycle(addresses)
         self._tokens = tokens
         self._numbers = itertools.count()
+        self._load_id = uuid.uuid4().hex
         self._ended = threading.Event()
         self._outcomes: list[Outcome] = []
 
@@ -45,7 +47,7 @@
         while not self._ended.is_set():
             number = next(self._numbers)
             call = Call(
-                f'background {number}',
+                f'background {number} of {self._load_id}',
                 'grid-a',
                 tokens=self._tokens,
                 stream=bool(number % 2),
--- a/standins/src/cowslipstep_standins/_documents.py
+++ b/standins/src/cowslipstep_standins/_documents.py
@@ -19,17 +19,20 @@
 
 def daemon_settings(plan: FleetPlan, daemon: DaemonPlan) -> dict[str, Any]:
     """Return the settings document of one daemon."""
-    return {
+    settings = {
         _NAME: daemon.name,
         'failure_domain': daemon.failure_domain,
         'http_address': daemon.http,
         'peer_address': daemon.peer,
-        'platform_address': plan.platform,
+        'platform_address': daemon.platform or plan.platform,
         'unready_delay_s': 0.5,
         'status_period_s': 1,
         'platform_calls_per_s': _PLATFORM_CALLS_PER_S // len(plan.daemons),
         'peers': [_peer(peer) for peer in plan.daemons if peer != daemon],
     }
+    if daemon.listen:
+        settings['peer_listen_address'] = daemon.listen
+    return settings
 
 
 def fleet_configuration(plan: FleetPlan) -> dict[str, Any]:
--- a/standins/src/cowslipstep_standins/_launcher.py
+++ b/standins/src/cowslipstep_standins/_launcher.py
@@ -93,10 +93,21 @@
     )
     if plan.hosts:
         processes.start(f'{package}.engine', _engine_arguments(plan), 'engine')
+    if plan.relay:
+        processes.start(f'{package}.relay', _relay_arguments(plan), 'relay')
     for address in plan.services:
         processes.start(f'{package}.service', ['--address', address], 'service')
 
 
+def _relay_arguments(plan: FleetPlan) -> list[str]:
+    routes = [f'--control={plan.relay}']
+    for daemon in plan.daemons:
+        routes.append(f':{daemon.name}={daemon.peer}={daemon.listen}')
+        platform = f'{daemon.platform}={plan.platform}'
+        routes.append(f'{daemon.name}:platform={platform}')
+    return routes
+
+
 def _engine_arguments(plan: FleetPlan) -> list[str]:
     shape = plan.shape
     return [
--- a/standins/src/cowslipstep_standins/_plan.py
+++ b/standins/src/cowslipstep_standins/_plan.py
@@ -33,6 +33,8 @@
         Whether engines refuse old fencing numbers.
     http_port
         Port of the first daemon; zero for any.
+    relayed
+        Whether relays stand between daemons, and before the platform.
     """
 
     daemons: int = 1
@@ -46,16 +48,35 @@
     workspaces: tuple[str, ...] = ('grid-a', 'grid-b')
     fencing: bool = True
     http_port: int = 0
+    relayed: bool = False
 
 
 @frozen
 class DaemonPlan:
-    """Name, failure domain and addresses of one daemon."""
+    """Name, failure domain and addresses of one daemon.
+
+    Parameters
+    ----------
+    name
+        Name of the daemon.
+    failure_domain
+        Its failure domain.
+    http
+        Where callers connect.
+    peer
+        Where other daemons connect.
+    listen
+        Where it listens for them, if behind a relay.
+    platform
+        Where it reaches the platform, if through a relay.
+    """
 
     name: str
     failure_domain: str
     http: str
     peer: str
+    listen: str = ''
+    platform: str = ''
 
 
 @frozen
@@ -69,13 +90,17 @@
 
 @frozen
 class FleetPlan:
-    """Addresses of all processes of a local fleet."""
+    """Addresses of all processes of a local fleet.
+
+    ``relay`` is where the relays are controlled, if there are any.
+    """
 
     shape: FleetShape
     platform: str
     daemons: tuple[DaemonPlan, ...]
     hosts: tuple[HostPlan, ...]
     services: tuple[str, ...] = field(default=())
+    relay: str = ''
 
     @property
     def groups(self) -> int:
--- a/standins/src/cowslipstep_standins/_planning.py
+++ b/standins/src/cowslipstep_standins/_planning.py
@@ -5,6 +5,8 @@
 import itertools
 from collections.abc import Iterator
 
+from attrs import evolve
+
 from cowslipstep_standins._plan import (
     DaemonPlan,
     FleetPlan,
@@ -14,6 +16,7 @@
 from cowslipstep_standins._processes import free_ports
 
 _PORTS_PER_DAEMON = 2
+_RELAYS_PER_DAEMON = 2
 _IP = '127.0.0.1'
 
 
@@ -23,12 +26,17 @@
     platform = next(addresses)
     daemons = tuple(_plan_daemons(shape, addresses))
     hosts = tuple(_plan_hosts(shape, addresses))
-    return FleetPlan(shape, platform, daemons, hosts, tuple(addresses))
+    relay = next(addresses) if shape.relayed else ''
+    return FleetPlan(shape, platform, daemons, hosts, tuple(addresses), relay)
 
 
 def _port_count(shape: FleetShape) -> int:
     hosts = shape.hosts_per_domain * len(shape.failure_domains)
-    return 1 + _PORTS_PER_DAEMON * shape.daemons + hosts + shape.services
+    relays = 0
+    if shape.relayed:
+        relays = 1 + _RELAYS_PER_DAEMON * shape.daemons
+    daemons = _PORTS_PER_DAEMON * shape.daemons
+    return 1 + daemons + hosts + shape.services + relays
 
 
 def _plan_daemons(
@@ -40,7 +48,14 @@
         http = next(addresses)
         if index == 0 and shape.http_port:
             http = f'{_IP}:{shape.http_port}'
-        yield DaemonPlan(f'd{index}', domain, http, next(addresses))
+        planned = DaemonPlan(f'd{index}', domain, http, next(addresses))
+        if shape.relayed:
+            planned = evolve(
+                planned,
+                listen=next(addresses),
+                platform=next(addresses),
+            )
+        yield planned
 
 
 def _plan_hosts(
