Run the tests on three workers, each with ports of its own

Change: pytest-xdist, one file to a worker at a time.

Ruled out: shorter waits, which would make the features depend on the speed of the machine.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/python -m cowslipstep_standins.demo --serve
 
 test: setup
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n 3 --dist loadfile
 
 lint: setup
 	$(BIN)/ruff format --check -q $(SOURCES)
--- a/standins/src/cowslipstep_standins/_processes.py
+++ b/standins/src/cowslipstep_standins/_processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import os
 import pathlib
 import random
 import signal
@@ -16,9 +17,8 @@
 _END_TIMEOUT_S = 10
 _POLL_S = 0.02
 _LOOPBACK = '127.0.0.1'
-_FIRST_PORT = 10240
-_LAST_PORT = 32000
-_LISTENING_PORTS = range(_FIRST_PORT, _LAST_PORT)
+PORTS_VARIABLE = 'COWSLIPSTEP_PORTS'
+_ALL_PORTS = '10240-32000'
 
 
 class FleetError(Exception):
@@ -102,9 +102,13 @@
     """Return ports on loopback that nothing listens on.
 
     They lie below the range that the system gives to outgoing connections,
-    so that none is taken between this call and its use.
+    so that none is taken between this call and its use. Fleets that run at
+    the same time are given ranges of their own by the environment variable
+    ``COWSLIPSTEP_PORTS``, such as ``10240-20000``.
     """
-    candidates = random.SystemRandom().sample(_LISTENING_PORTS, count * 2)
+    first, _, last = os.environ.get(PORTS_VARIABLE, _ALL_PORTS).partition('-')
+    listening = range(int(first), int(last))
+    candidates = random.SystemRandom().sample(listening, count * 2)
     return list(itertools.islice(filter(_is_free, candidates), count))
 
 
