--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_parts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_parts.py
@@ -2,11 +2,25 @@
 
 from __future__ import annotations
 
+import enum
+
 from attrs import field, frozen
 
+from cowslipstep.cli._evening._drawings import Chart, Plot
+
 Row = tuple[str, ...]
 
 
+class Place(enum.IntEnum):
+    """What matters most, first."""
+
+    urgent = 0
+    orders = 1
+    small = 2
+    ranks = 3
+    fleet = 4
+
+
 @frozen
 class Measure:
     """One measure of the day against its target.
@@ -21,12 +35,15 @@
         What it is compared with.
     reached
         Whether the target was reached; ``None`` if nothing was measured.
+    place
+        Where it stands among others: the smallest first.
     """
 
     name: str
     figure: str
     target: str
     reached: bool | None
+    place: Place = Place.fleet
 
 
 @frozen
@@ -38,39 +55,6 @@
     rows: tuple[Row, ...]
 
 
-@frozen
-class ShareBar:
-    """One bar of a chart, with an optional mark for the target."""
-
-    label: str
-    share: float
-    target: float = 0
-
-
-@frozen
-class Chart:
-    """Shares as bars."""
-
-    title: str
-    bars: tuple[ShareBar, ...]
-
-
-@frozen
-class Curve:
-    """Figures in the slots of a day."""
-
-    label: str
-    figures: tuple[float, ...]
-
-
-@frozen
-class Plot:
-    """Curves over the slots of a day."""
-
-    title: str
-    curves: tuple[Curve, ...]
-
-
 @frozen
 class Section:
     """Measures of one subject with what they rest on."""
