--- a/apps/cowslipstep/src/cowslipstep/cli/_fleet.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_fleet.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
+from collections.abc import Iterator
 
 from cowslipstep.cli._readable import decode_each
 from cowslipstep.groups import DomainLedger
@@ -13,7 +15,12 @@
     decode_status,
 )
 from cowslipstep.model import Group
-from cowslipstep.platform import PlatformClient
+from cowslipstep.platform import (
+    ObjectKey,
+    ObjectMissing,
+    PlatformClient,
+    StoredObject,
+)
 from cowslipstep.settings import parse_json, structure
 
 _STATUS_KIND = 'status'
@@ -21,10 +28,26 @@
 _LEDGER_KIND = 'ledger'
 
 
-def read_statuses(platform: PlatformClient) -> tuple[Status, ...]:
-    """Read all statuses."""
-    listed = platform.read_all(_STATUS_KIND)
-    return tuple(decode_each(listed, decode_status))
+def read_statuses(
+    platform: PlatformClient,
+    day: str = '',
+) -> tuple[Status, ...]:
+    """Read the statuses of a day, by default those of all days."""
+    return tuple(decode_each(_named_statuses(platform, day), decode_status))
+
+
+def _named_statuses(
+    platform: PlatformClient,
+    day: str,
+) -> Iterator[StoredObject]:
+    """Read one status after the other, which all in one answer are large."""
+    indexes = decode_each(platform.read_all(_INDEX_KIND), decode_index)
+    names = {name for index in indexes for name in index.statuses}
+    for name in sorted(names):
+        if name.endswith(day):
+            # A name is noted before its object is created.
+            with contextlib.suppress(ObjectMissing):
+                yield platform.read(ObjectKey(_STATUS_KIND, name))
 
 
 def read_live(platform: PlatformClient) -> tuple[DaemonIdentity, ...]:
--- a/apps/cowslipstep/src/cowslipstep/cli/_options.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_options.py
@@ -9,10 +9,17 @@
 
 from cowslipstep.cli._exits import WrongUse
 from cowslipstep.model import Address
-from cowslipstep.platform import PlatformClient
+from cowslipstep.platform import BudgetLimits, PlatformClient, PlatformLimits
 
 PLATFORM_VARIABLE = 'COWSLIPSTEP_PLATFORM'
 DEFAULT_PLATFORM = '127.0.0.1:9000'
+_READS_PER_S = 1000
+_WRITES_PER_S = 20
+# A report reads a status of each daemon.
+_LIMITS = PlatformLimits(
+    BudgetLimits(_READS_PER_S),
+    BudgetLimits(_WRITES_PER_S),
+)
 
 PlatformOption = Annotated[
     str,
@@ -46,6 +53,6 @@
         If the address is not an IP number and a port.
     """
     try:
-        return PlatformClient(Address.parse(platform))
+        return PlatformClient(Address.parse(platform), limits=_LIMITS)
     except ValueError as error:
         raise WrongUse(f'--platform: {error}') from None
--- a/apps/cowslipstep/src/cowslipstep/cli/_report.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_report.py
@@ -72,7 +72,7 @@
     PlatformUnavailable
         If the platform does not answer.
     """
-    merged = merge_day(day, read_statuses(platform))
+    merged = merge_day(day, read_statuses(platform, day))
     return build_page(merged, require_configuration(platform))
 
 
--- a/apps/cowslipstep/tests/test_fleet.py
+++ b/apps/cowslipstep/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from attrs import evolve
 
 from cowslipstep.cli._drains import read_drains
 from cowslipstep.cli._endings import ending_of
@@ -22,6 +23,9 @@
 from cowslipstep.platform import ObjectKey, ObjectMissing, StoredObject
 
 _DAEMON = DaemonIdentity('d0', 1, 'ebene', '127.0.0.1:80')
+_YESTERDAY = '2026-12-03'
+_TODAY = '2026-12-04'
+_BAD_NAME = f'bad-1-{_TODAY}'
 _BROKEN = ('garbage', '[1]', '{}', '{"of_a_newer_version": 1}')
 
 
@@ -38,7 +42,7 @@
         )
 
 
-_STATUS = Status(_DAEMON, '2026-12-04', 0, 1, 60)
+_STATUS = Status(_DAEMON, _TODAY, 0, 1, 60)
 _DRAIN = '{"target": "h1", "kind": "host"}'
 _LEDGER = '{"fabric_domain": "ebene"}'
 
@@ -47,7 +51,6 @@
     ('read', 'good', 'found'),
     [
         (read_live, encode_index(StatusIndex(_DAEMON, time.time(), 60)), 1),
-        (read_statuses, encode_status(_STATUS), 1),
         (read_drains, _DRAIN, 1),
         (read_groups, _LEDGER, 0),
     ],
@@ -66,6 +69,38 @@
         assert f'/o{number} is left out: ' in line
 
 
+class _Fleet:
+    """Holds one index, and statuses of two days by their names."""
+
+    def __init__(self) -> None:
+        days = [evolve(_STATUS, day=day) for day in (_YESTERDAY, _TODAY)]
+        self._bodies = {day.object_name: encode_status(day) for day in days}
+        self._bodies[_BAD_NAME] = _BROKEN[0]
+
+    def read_all(self, kind: str) -> tuple[StoredObject, ...]:
+        names = (*self._bodies, f'missing-1-{_TODAY}')
+        index = StatusIndex(_DAEMON, 0, 60, statuses=names)
+        key = ObjectKey(kind, 'd0')
+        return (StoredObject(key, 1, encode_index(index)),)
+
+    def read(self, key: ObjectKey) -> StoredObject:
+        if key.name not in self._bodies:
+            raise ObjectMissing(str(key))
+        return StoredObject(key, 1, self._bodies[key.name])
+
+
+def test_the_statuses_of_a_day_are_read_by_name(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    fleet: Any = _Fleet()
+    assert [one.day for one in read_statuses(fleet, _TODAY)] == [_TODAY]
+    told = capsys.readouterr().err.splitlines()
+    assert len(told) == 1
+    assert f'status/{_BAD_NAME} is left out' in told[0]
+    days = [one.day for one in read_statuses(fleet)]
+    assert days == [_YESTERDAY, _TODAY]
+
+
 def test_a_broken_configuration_is_named() -> None:
     stored = StoredText(7, '{"ranks": []}')
     raised = pytest.raises(ExceptionGroup, lambda: stored.configuration)
