Let peers tell a fresh daemon the groups while the platform is down

Cause: a daemon that starts in an outage of the platform knows no ledgers, so no groups: it serves nothing, and neither do others whose cells it owns.

Ruled out: ledgers in each heartbeat (about 6 KB for 29 groups, 18 times a second); believing such a copy for a change (a keeper reads the ledger at the platform first, as before).

A group that is heard of and unknown stays wanted until it is found.

Measured: `pytest tests/test_daemons.py -k fresh`: two of three daemons killed and started anew in an outage, all three serve idempotent requests; no engine gets an order; a keyed order is answered `not_run`.

Conclusion: idempotent work goes on through fresh daemons; nothing is formed.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
@@ -7,9 +7,11 @@
 from cowslipstep.daemon._configuration import ConfigurationFeed
 from cowslipstep.daemon._groups import GroupService
 from cowslipstep.daemon._heartbeats import Heartbeats
+from cowslipstep.daemon._ledger_copies import LedgerCopies
+from cowslipstep.daemon._ledger_feed import LedgerFeed
 from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._listening import listening_on
-from cowslipstep.daemon._peers import PeerService
+from cowslipstep.daemon._peers import Feeds, PeerService
 from cowslipstep.daemon._reports import OwnReports
 from cowslipstep.daemon._state import DaemonState
 
@@ -21,10 +23,12 @@
 ) -> None:
     """Start the tasks for peers, configuration and groups."""
     feed = ConfigurationFeed(state)
-    groups = GroupService(state)
+    ledgers = LedgerFeed(state, LedgerCopies(state.membership, links))
+    groups = GroupService(state, ledgers)
     reports = OwnReports(state, groups.own_readiness)
     with listening_on(state.settings.listens_to_peers_at):
-        PeerService(state, feed, cells, reports).start()
+        service = PeerService(state, Feeds(feed, ledgers.known), cells, reports)
+        service.start()
     groups.start()
     Heartbeats(state, feed, links).start(reports)
     start_awareness(state, feed)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_groups.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_groups.py
@@ -32,9 +32,11 @@
     ----------
     state
         State of the daemon.
+    ledgers
+        Ledgers of all fabric domains.
     """
 
-    def __init__(self, state: DaemonState) -> None:
+    def __init__(self, state: DaemonState, ledgers: LedgerFeed) -> None:
         self._leaving = LeavingFeed(state)
         prober = Prober()
         self._tools = KeeperTools(
@@ -43,7 +45,7 @@
             prober,
             OrderSender(prober),
             DrainTracker(state, self._leaving),
-            LedgerFeed(state),
+            ledgers,
         )
         self._figures = GroupFigures(self._tools)
         self._keepers: dict[str, Any] = {}
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_feed.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_feed.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import eventlet
 from eventlet.queue import Queue
 from loguru import logger
 
+from cowslipstep.daemon._known_ledgers import KnownLedgers
+from cowslipstep.daemon._ledger_copies import LedgerCopies
 from cowslipstep.daemon._ledgers import LEDGER_KIND, decode_ledger
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import VersionedLedger, domain_of_group
@@ -18,57 +22,69 @@
 class LedgerFeed:
     """Reads all ledgers once, then one whenever an unknown group is heard of.
 
+    While the platform does not answer, other daemons are asked.
+
     Parameters
     ----------
     state
         State of the daemon.
+    copies
+        Ledgers that other daemons know.
     """
 
-    def __init__(self, state: DaemonState) -> None:
+    def __init__(self, state: DaemonState, copies: LedgerCopies) -> None:
         self._state = state
-        self._versions: dict[str, int] = {}
+        self._copies = copies
+        self._known = KnownLedgers(state.ledgers)
         self._wanted: Queue[str] = Queue()
         state.readiness.on_new_group(self._want_ledger_of)
 
+    @property
+    def known(self) -> KnownLedgers:
+        """The newest known ledgers."""
+        return self._known
+
     def run(self) -> None:
         """Read ledgers until the task ends."""
         while not self._read_all():
             eventlet.sleep(_RETRY_DELAY_S)
         while True:
-            domain = self._wanted.get()
-            if not self._read(domain):
-                self._wanted.put(domain)
+            group = self._wanted.get()
+            if not (self._known.has_group(group) or self._read(group)):
+                self._wanted.put(group)
                 eventlet.sleep(_RETRY_DELAY_S)
 
     def publish(self, found: VersionedLedger) -> None:
         """Put a ledger in use unless a newer one is known."""
-        domain = found.ledger.fabric_domain
-        if found.version > self._versions.get(domain, 0):
-            self._versions[domain] = found.version
-            self._state.ledgers[domain] = found.ledger
+        self._known.publish(found)
 
     def _want_ledger_of(self, group: str) -> None:
-        domain = domain_of_group(group)
-        ledger = self._state.ledgers.get(domain)
-        known = () if ledger is None else ledger.groups
-        if group not in {entry.name for entry in known}:
-            self._wanted.put(domain)
+        if not self._known.has_group(group):
+            self._wanted.put(group)
 
     def _read_all(self) -> bool:
         try:
             listed = self._state.platform.read_all(LEDGER_KIND)
         except CowslipstepError as error:
             logger.warning('ledgers not read: {}', error)
+            _take_over(self._copies.ask(), self._known)
             return False
         for stored in listed:
             self.publish(decode_ledger(stored))
         return True
 
-    def _read(self, domain: str) -> bool:
+    def _read(self, group: str) -> bool:
+        domain = domain_of_group(group)
         key = ObjectKey(LEDGER_KIND, domain)
         try:
             self.publish(decode_ledger(self._state.platform.read(key)))
         except CowslipstepError as error:
             logger.warning('ledger of {} not read: {}', domain, error)
-            return False
+            _take_over(self._copies.ask(domain), self._known)
+            return self._known.has_group(group)
         return True
+
+
+def _take_over(told: Iterable[VersionedLedger], known: KnownLedgers) -> None:
+    for found in told:
+        known.publish(found)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ledgers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledgers.py
@@ -12,6 +12,7 @@
     LedgerUnavailable,
     VersionedLedger,
 )
+from cowslipstep.model import GroupsDocument
 from cowslipstep.platform import (
     ObjectKey,
     ObjectMissing,
@@ -93,6 +94,23 @@
     return VersionedLedger(stored.version, ledger)
 
 
+def ledger_document(versioned: VersionedLedger) -> GroupsDocument:
+    """Return a ledger as a peer is told of it."""
+    return GroupsDocument(versioned.version, encode_ledger(versioned.ledger))
+
+
+def read_ledger_document(told: GroupsDocument) -> VersionedLedger:
+    """Read a ledger that a peer has told.
+
+    Raises
+    ------
+    ExceptionGroup
+        If the document does not parse.
+    """
+    ledger = structure(parse_json(told.document), DomainLedger)
+    return VersionedLedger(told.version, ledger)
+
+
 def encode_ledger(ledger: DomainLedger) -> str:
     """Return the JSON text of a ledger."""
     return json.dumps(unstructure(ledger))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
@@ -4,8 +4,11 @@
 
 import time
 
+from attrs import frozen
+
 from cowslipstep.daemon._cells import CellService
 from cowslipstep.daemon._configuration import ConfigurationFeed
+from cowslipstep.daemon._known_ledgers import KnownLedgers
 from cowslipstep.daemon._membership import hear_heartbeat
 from cowslipstep.daemon._reports import OwnReports
 from cowslipstep.daemon._state import DaemonState
@@ -15,6 +18,7 @@
     ConfigurationCopy,
     ConfigurationQuery,
     DaemonEntry,
+    GroupsQuery,
     Heartbeat,
     LedgerCall,
     Message,
@@ -24,6 +28,14 @@
 from cowslipstep.peers import PeerServer, Reply
 
 
+@frozen
+class Feeds:
+    """What this daemon knows and copies for others."""
+
+    configuration: ConfigurationFeed
+    ledgers: KnownLedgers
+
+
 class PeerService:
     """Handles what peers send.
 
@@ -31,8 +43,8 @@
     ----------
     state
         State of the daemon.
-    feed
-        Takes and gives configurations.
+    feeds
+        Take and give configurations and ledgers.
     cells
         Handles asks and grants.
     reports
@@ -42,12 +54,12 @@
     def __init__(
         self,
         state: DaemonState,
-        feed: ConfigurationFeed,
+        feeds: Feeds,
         cells: CellService,
         reports: OwnReports,
     ) -> None:
         self._state = state
-        self._feed = feed
+        self._feeds = feeds
         self._cells = cells
         self._reports = reports
 
@@ -85,16 +97,18 @@
                 self._cells.release(message)
             case LedgerCall():
                 self._state.ledger_calls(message, reply)
-            case ConfigurationQuery() | ConfigurationCopy():
-                self._configure(message, reply)
+            case ConfigurationQuery() | ConfigurationCopy() | GroupsQuery():
+                self._copy(message, reply)
 
-    def _configure(
+    def _copy(
         self,
-        message: ConfigurationQuery | ConfigurationCopy,
+        message: ConfigurationQuery | ConfigurationCopy | GroupsQuery,
         reply: Reply,
     ) -> None:
         match message:
             case ConfigurationQuery(known_version):
-                reply(self._feed.copy_for(known_version))
+                reply(self._feeds.configuration.copy_for(known_version))
             case ConfigurationCopy(version, document):
-                self._feed.apply(version, document)
+                self._feeds.configuration.apply(version, document)
+            case GroupsQuery():
+                reply(self._feeds.ledgers.copy_for(message))
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -27,6 +27,11 @@
     Release,
     Renewal,
 )
+from cowslipstep.model._group_copies import (
+    GroupsCopy,
+    GroupsDocument,
+    GroupsQuery,
+)
 from cowslipstep.model._membership import (
     Acknowledgement,
     ConfigurationCopy,
--- a/libs/model/src/cowslipstep/model/_membership.py
+++ b/libs/model/src/cowslipstep/model/_membership.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from cowslipstep.model._fleet import Address
+from cowslipstep.model._group_copies import GroupsCopy, GroupsQuery
 from cowslipstep.model._readiness import ReadinessReport
 
 
@@ -108,5 +109,7 @@
     | DaemonEntry
     | ConfigurationQuery
     | ConfigurationCopy
+    | GroupsQuery
+    | GroupsCopy
     | Acknowledgement
 )
--- a/libs/peers/src/cowslipstep/peers/_decode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_membership.py
@@ -12,6 +12,9 @@
     ConfigurationCopy,
     ConfigurationQuery,
     DaemonEntry,
+    GroupsCopy,
+    GroupsDocument,
+    GroupsQuery,
     MembershipMessage,
 )
 from cowslipstep.peers._decode_heartbeat import decode_heartbeat
@@ -43,6 +46,12 @@
     )
 
 
+def _groups(raw: Any) -> GroupsCopy:
+    return GroupsCopy(
+        tuple(GroupsDocument(entry.version, entry.document) for entry in raw),
+    )
+
+
 _READERS: Mapping[str, Callable[[Any], MembershipMessage]] = MappingProxyType(
     {
         'acknowledgement': _acknowledgement,
@@ -50,5 +59,7 @@
         'daemonEntry': _entry,
         'configurationQuery': ConfigurationQuery,
         'configurationCopy': _copy,
+        'groupsQuery': GroupsQuery,
+        'groupsCopy': _groups,
     }
 )
--- a/libs/peers/src/cowslipstep/peers/_encode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_membership.py
@@ -9,6 +9,9 @@
     ConfigurationCopy,
     ConfigurationQuery,
     DaemonEntry,
+    GroupsCopy,
+    GroupsDocument,
+    GroupsQuery,
     Heartbeat,
     MembershipMessage,
 )
@@ -30,6 +33,19 @@
             copy = frame.init('configurationCopy')
             copy.version = version
             copy.document = document
+        case GroupsQuery(fabric_domain):
+            frame.groupsQuery = fabric_domain
+        case GroupsCopy(ledgers):
+            _write_groups(frame.init('groupsCopy', len(ledgers)), ledgers)
+
+
+def _write_groups(
+    builder: Any,
+    ledgers: tuple[GroupsDocument, ...],
+) -> None:
+    for index, ledger in enumerate(ledgers):
+        builder[index].version = ledger.version
+        builder[index].document = ledger.document
 
 
 def _write_entry(builder: Any, entry: DaemonEntry) -> None:
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -19,6 +19,8 @@
     daemonEntry @11 :DaemonEntry;
     ledgerCall @12 :LedgerCall;
     ledgerReply @13 :LedgerReply;
+    groupsQuery @14 :Text;
+    groupsCopy @15 :List(GroupsDocument);
   }
 }
 
@@ -120,6 +122,11 @@
   document @1 :Text;
 }
 
+struct GroupsDocument {
+  version @0 :UInt64;
+  document @1 :Text;
+}
+
 struct LedgerAnswer {
   status @0 :UInt16;
   contentType @1 :Text;
--- a/libs/peers/tests/test_broken_frames.py
+++ b/libs/peers/tests/test_broken_frames.py
@@ -45,6 +45,7 @@
     model.Heartbeat('d0', 9, 9, True, 77, REPORT, NEWS),
     model.DaemonEntry('d0', model.Address('127.0.0.1', 80), 'ebene', 2**62),
     model.ConfigurationCopy(5, 'x' * 20000),
+    model.GroupsCopy((model.GroupsDocument(7, '{}'),) * 2),
     model.LedgerCall('s', next(iter(model.LedgerStep)), 'd', 'a', 'f', ANSWER),
     model.LedgerReply(next(iter(model.LedgerOutcome)), ANSWER),
 )
--- a/tests/features/daemons.feature
+++ b/tests/features/daemons.feature
@@ -19,6 +19,14 @@
     Then all requests were answered whole
     And no daemon called more often than its budget allows
 
+  Scenario: A fresh daemon serves while the platform is down
+    Given three daemons
+    When the platform is down and all daemons but one are killed and started anew
+    Then each serves idempotent requests within 20 seconds
+    And none of them gives an order or claims one
+    When all is well again
+    Then all daemons are ready within 20 seconds
+
   Scenario: A daemon is replaced by another at the same address
     Given three daemons
     When a daemon is replaced by one of another name at its address
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -20,6 +20,7 @@
 from cowslipstep_standins._balancer import CALLERS, Balancer
 from cowslipstep_standins._documents import daemon_settings
 from cowslipstep_standins._fleet import LocalFleet, local_fleet
+from cowslipstep_standins._outcomes import Call
 from cowslipstep_standins._plan import FleetShape
 from cowslipstep_standins._processes import wait_until
 
@@ -141,6 +142,47 @@
     assert max(calls.values()) <= BURST + BUDGET_PER_S * RECOVERY_S
 
 
+@when(
+    'the platform is down and all daemons but one are killed and started anew',
+    target_fixture='orders_before',
+)
+def restart_in_outage(balancer: Balancer) -> Any:
+    set_faults(balancer.fleet, outage=True)
+    for name in NAMES[1:]:
+        balancer.fleet.daemon(name).kill()
+        balancer.fleet.start_daemon(name)
+    return engine_orders(balancer)
+
+
+def engine_orders(balancer: Balancer) -> Any:
+    fleet = balancer.fleet
+    return [fleet.control(host.address)['orders'] for host in fleet.plan.hosts]
+
+
+@then(
+    parsers.parse('each serves idempotent requests within {seconds:d} seconds')
+)
+def check_fresh(balancer: Balancer, seconds: int) -> None:
+    call = Call('in an outage', 'grid-a', tokens=4)
+    for name in NAMES:
+        address = balancer.fleet.plan.daemon(name).http
+        served = answers(balancer, address, call)
+        wait_until(served, f'{name} serves', seconds)
+
+
+def answers(balancer: Balancer, address: str, call: Call) -> Any:
+    return lambda: balancer.caller.send(address, call).correct
+
+
+@then('none of them gives an order or claims one')
+def check_closed(balancer: Balancer, orders_before: Any) -> None:
+    assert engine_orders(balancer) == orders_before
+    call = Call('an order', 'grid-a', key='outage', tokens=4)
+    for name in NAMES:
+        address = balancer.fleet.plan.daemon(name).http
+        assert balancer.caller.send(address, call).verdict == 'not_run'
+
+
 @when('a daemon is replaced by one of another name at its address')
 def replace(balancer: Balancer) -> None:
     plan = balancer.fleet.plan
