--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_orders.py
@@ -8,10 +8,11 @@
     Facts,
 )
 from cowslipstep.cli._evening._numbers import (
+    count_text,
     ratio,
     share_text,
 )
-from cowslipstep.cli._evening._parts import Measure, Section, Table
+from cowslipstep.cli._evening._parts import Measure, Place, Section, Table
 from cowslipstep.cli._evening._refusals import (
     reason_table,
     request_table,
@@ -21,7 +22,7 @@
 _KINDS = (
     ('requests', 'completions'),
     ('service_calls', 'calls to plain services'),
-    ('orders', 'orders with a key'),
+    ('orders', 'orders'),
 )
 _COUNT_HEAD = ('', 'answered', 'refused', 'uncertain')
 
@@ -30,29 +31,41 @@
     """Return how requests and orders ended."""
     return Section(
         'Orders, refused and uncertain requests',
-        (_doubled(), _uncertain(facts)),
+        (
+            _doubled(facts),
+            *[_uncertain(facts, name, title) for name, title in _KINDS],
+        ),
         (_counts(facts), reason_table(facts), request_table(facts)),
     )
 
 
-def _doubled() -> Measure:
+def _doubled(facts: Facts) -> Measure:
+    total = facts.day.total
+    entered = count_text(total('order_entries', entry='entered'))
+    again = total('order_entries', entry='replayed')
+    in_use = total('order_entries', entry='in_use')
     return Measure(
         'orders run twice',
-        '0, by construction: an order runs only after its key was entered',
-        '0',
-        reached=True,
+        f'none known; {entered} keys were entered once each, '
+        f'{count_text(again + in_use)} sends of a key in use did not run',
+        'none; the order ledger rules it out',
+        None,
+        Place.orders,
     )
 
 
-def _uncertain(facts: Facts) -> Measure:
+def _uncertain(facts: Facts, name: str, title: str) -> Measure:
     limit = facts.configuration.targets.uncertain_share
-    gone = int(facts.day.total('hangups', verdict=MAY_HAVE_RUN))
-    share = ratio(facts.count(MAY_HAVE_RUN) - gone, facts.asked())
+    gone = facts.day.total('hangups', of=name, verdict=MAY_HAVE_RUN)
+    number = facts.day.total(name, verdict=MAY_HAVE_RUN) - gone
+    share = ratio(number, facts.day.total(name))
+    besides = f'{count_text(number)}, besides {count_text(gone)} hung up'
     return Measure(
-        'requests with an uncertain outcome',
-        share_text(share, f'(besides {gone} whose callers hung up)'),
+        f'{title} with uncertain outcome',
+        share_text(share, f'({besides})'),
         f'at most {share_text(limit)}',
         at_most(share, limit),
+        Place.orders,
     )
 
 
@@ -65,4 +78,4 @@
 
 
 def _total(facts: Facts, name: str, verdict: str) -> str:
-    return str(int(facts.day.total(name, verdict=verdict)))
+    return count_text(facts.day.total(name, verdict=verdict))
--- a/apps/cowslipstep/src/cowslipstep/cli/_top.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_top.py
@@ -9,7 +9,7 @@
 import typer
 
 from cowslipstep.cli._exits import Unreachable
-from cowslipstep.cli._fleet import live_statuses, read_statuses
+from cowslipstep.cli._fleet import read_live
 from cowslipstep.cli._options import (
     DEFAULT_PLATFORM,
     JsonOption,
@@ -59,12 +59,13 @@
 
 
 def _look(platform: PlatformClient) -> tuple[Load, ...]:
-    statuses = live_statuses(read_statuses(platform))
-    addresses = [status.daemon.http_address for status in statuses]
-    loads = read_loads(addresses)
-    if loads is None:
+    addresses = [daemon.http_address for daemon in read_live(platform)]
+    view = read_loads(addresses)
+    if not view.answered:
         raise Unreachable('no daemon answers')
-    return loads
+    for address in view.silent:
+        typer.echo(f'warning: no answer from {address}, not counted', err=True)
+    return view.loads
 
 
 def _lines(loads: tuple[Load, ...]) -> Iterator[str]:
--- a/apps/cowslipstep/tests/test_evening.py
+++ b/apps/cowslipstep/tests/test_evening.py
@@ -17,6 +17,7 @@
     Histograms,
     Series,
     SlotCount,
+    SlotDowntime,
     SlotKey,
     Status,
     merge_day,
@@ -26,6 +27,7 @@
     model,
     rank,
     runners,
+    targets,
     workspace,
 )
 
@@ -33,6 +35,8 @@
 _HOUR_S = 3600
 _LARGE = 'large-firm'
 _SMALL = 'small-firm'
+_WIDTHS = ('wide', 'narrow')
+_PLOTS_AND_CHARTS = 3
 _CONFIGURATION = build_configuration(
     ranks=[
         rank('urgent', target_first_token_s=1, floor_share=0.2),
@@ -80,6 +84,14 @@
         )
 
 
+def _text(figures: _Figures) -> str:
+    return '\n'.join(render_text(_page(figures.status())))
+
+
+def _missed(figures: _Figures) -> list[str]:
+    return [measure.name for measure in _page(figures.status()).missed]
+
+
 def _page(*statuses: Status) -> Page:
     return build_page(merge_day(_DAY, statuses), _CONFIGURATION)
 
@@ -107,25 +119,34 @@
 def test_slow_small_workspaces_are_seen(figures: _Figures) -> None:
     figures.answered(_SMALL, 4, first_token_s=2)
     page = _page(figures.status())
-    assert page.first_line.startswith('No: small workspaces: first token')
-    assert '71.43% (large ones: 100.00%)' in page.first_line
+    assert page.first_line.startswith('No: small workspaces: urgent answers')
+    assert '71.43% (large ones: 100%)' in page.first_line
+    assert 'Answers begun in time, by workspace' in render_html(page)
 
 
 def test_uncertain_outcomes_are_seen(figures: _Figures) -> None:
     figures.ended(_LARGE, 1, 'may_have_run')
-    page = _page(figures.status())
-    assert page.first_line.startswith('No: requests with an uncertain outcome')
+    assert _missed(figures) == ['completions with uncertain outcome']
 
 
 def test_group_downtime_is_seen(figures: _Figures) -> None:
     key = CounterKey('group_down_ms', (('model', 'drafting'),))
     figures.counters.add(key, 2 * _HOUR_S * 1000 // 10)
+    watched = CounterKey('group_watched_ms', key.labels)
+    figures.counters.add(watched, 2 * _HOUR_S * 1000)
     page = _page(figures.status())
     assert page.first_line.startswith(
-        'No: groups of drafting serving: 90.00% of the time, 720.0 s down',
+        'No: groups of drafting serving: 90% of the time, 12 min down',
     )
 
 
+def test_time_that_nobody_watched_is_told(figures: _Figures) -> None:
+    watched = CounterKey('group_watched_ms', (('model', 'drafting'),))
+    figures.counters.add(watched, _HOUR_S * 1000)
+    text = _text(figures)
+    assert '100% of the time, 0 ms down, 60 min not watched' in text
+
+
 @pytest.mark.parametrize(('kept', 'well'), [(1, False), (40, True)])
 def test_floods_are_seen(figures: _Figures, kept: int, well: bool) -> None:
     timeline = (
@@ -137,10 +158,103 @@
     page = _page(evolve(figures.status(), timeline=timeline))
     assert page.well == well
     text = '\n'.join(render_text(page))
-    assert '01:00 urgent (flood)' in text
+    assert 'floods: 01:00 to 01:05 urgent' in text
+    assert '01:00 to 01:05 urgent  background' in text
     assert ('background at 01:00' in page.first_line) != well
 
 
+def test_a_single_refusal_is_no_floor_missed(figures: _Figures) -> None:
+    timeline = (
+        _slot('urgent', 'completed', 100),
+        _slot('urgent', 'not_run', 900),
+        _slot('background', 'completed', 20),
+        _slot('background', 'not_run', 1),
+    )
+    page = _page(evolve(figures.status(), timeline=timeline))
+    assert page.well
+
+
+def test_slots_in_a_row_are_one_flood(figures: _Figures) -> None:
+    timeline = tuple(
+        SlotCount(SlotKey(slot, 'urgent', verdict), 50)
+        for slot in (12, 13, 14, 20)
+        for verdict in ('completed', 'not_run')
+    )
+    page = _page(evolve(figures.status(), timeline=timeline))
+    assert 'floods: 01:00 to 01:15 urgent, 01:40 to 01:45 urgent' in (
+        page.summary
+    )
+
+
+def test_refused_small_workspaces_are_seen(figures: _Figures) -> None:
+    figures.ended(_SMALL, 5, 'not_run')
+    page = _page(figures.status())
+    assert page.missed[-1].name == 'small workspaces: urgent requests answered'
+    assert page.missed[-1].figure == '66.67% (large ones: 100%)'
+
+
+@pytest.mark.parametrize('name', ['requests', 'service_calls', 'orders'])
+def test_callers_that_hung_up_are_told_apart(
+    figures: _Figures,
+    name: str,
+) -> None:
+    verdict = ('verdict', 'may_have_run')
+    for counted in ('requests', 'service_calls', 'orders'):
+        figures.counters.add(CounterKey(counted, (verdict,)))
+        if counted != name:
+            labels = (('of', counted), verdict)
+            figures.counters.add(CounterKey('hangups', labels))
+    page = _page(figures.status())
+    counted = [one.figure for one in page.missed if 'uncertain' in one.name]
+    assert len(counted) == 1
+    assert counted[0].endswith('(1, besides 0 hung up)')
+
+
+def test_what_matters_most_comes_first(figures: _Figures) -> None:
+    figures.ended(_SMALL, 20, 'not_run')
+    for name in ('orders', 'requests'):
+        labels = (('verdict', 'may_have_run'),)
+        figures.counters.add(CounterKey(name, labels))
+    down = (('model', 'drafting'),)
+    for key in ('group_down_ms', 'group_watched_ms'):
+        figures.counters.add(CounterKey(key, down), 1000)
+    assert _missed(figures) == [
+        'urgent requests answered',
+        'completions with uncertain outcome',
+        'orders with uncertain outcome',
+        'small workspaces: urgent requests answered',
+        'groups of drafting serving',
+    ]
+
+
+def test_ranks_of_small_workspaces_are_told_apart(figures: _Figures) -> None:
+    flood = (('workspace', _LARGE), ('rank', 'background'))
+    verdict = ('verdict', 'not_run')
+    figures.counters.add(CounterKey('requests', (*flood, verdict)), 900)
+    figures.ended(_SMALL, 1, 'not_run')
+    assert _missed(figures) == ['small workspaces: urgent requests answered']
+
+
+def test_targets_are_configured(figures: _Figures) -> None:
+    figures.ended(_LARGE, 2, 'not_run')
+    strict = evolve(
+        _CONFIGURATION,
+        targets=targets(urgent_answered_share=0.99),
+    )
+    day = merge_day(_DAY, [figures.status()])
+    assert build_page(day, _CONFIGURATION).well
+    assert not build_page(day, strict).well
+
+
+def test_downtime_is_drawn_in_its_slot(figures: _Figures) -> None:
+    downtime = (SlotDowntime(12, 'drafting', 300000),)
+    page = _page(evolve(figures.status(), downtime=downtime))
+    plots = [plot for section in page.sections for plot in section.plots]
+    curve = plots[-1].curves[0].figures
+    assert curve[12] == 1
+    assert sum(curve) == 1
+
+
 def _slot(rank_name: str, verdict: str, count: int) -> SlotCount:
     return SlotCount(SlotKey(12, rank_name, verdict), count)
 
@@ -163,8 +277,9 @@
     page = _page(evolve(figures.status(), events=events))
     html = render_html(page)
     assert '&lt;lapsed&gt;' in html
+    assert 'Answers begun in time, by workspace' not in html
     drawings = re.findall('<svg.*?</svg>', html, re.DOTALL)
-    assert len(drawings) == 2
+    assert len(drawings) == len(_WIDTHS) * _PLOTS_AND_CHARTS
     for drawing in drawings:
         assert minidom.parseString(drawing).documentElement
     assert 'src=' not in html and 'href=' not in html
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_status.py
@@ -2,28 +2,25 @@
 
 from __future__ import annotations
 
+import collections
 import time
-from collections.abc import Iterator
 
 import eventlet
-from attrs import evolve
+from eventlet.semaphore import Semaphore
 from loguru import logger
 
+from cowslipstep.daemon._day_figures import DayFigures, snapshot
 from cowslipstep.daemon._sampling import Sampler
 from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._status_index import IndexObject
 from cowslipstep.daemon._status_object import StatusObject
-from cowslipstep.metrics import (
-    DaemonIdentity,
-    EncodedSeries,
-    Histograms,
-    Status,
-    day_of,
-    encode_bounded,
-)
-from cowslipstep.platform import PlatformUnavailable
+from cowslipstep.daemon._status_pace import index_period_s, status_period_s
+from cowslipstep.metrics import Histograms, StatusIndex, day_of
+from cowslipstep.model import CowslipstepError
 
 _MAX_SAMPLE_PERIOD_S = 5
-_MAX_FLEET_WRITES_PER_S = 6
+# Older days are not kept.
+_MAX_UNWRITTEN_DAYS = 1
 
 
 class StatusWriter:
@@ -39,89 +36,78 @@
         self._state = state
         self._sampler = Sampler(state)
         self._object = StatusObject(state.platform)
+        self._index = IndexObject(state.platform)
         self._since_unix_s = time.time()
         self._next_write_s = time.monotonic()
-
-    @property
-    def period_s(self) -> float:
-        """Time between writes, which grows with a large fleet, seconds."""
-        paced_s = len(self._state.live_daemons) / _MAX_FLEET_WRITES_PER_S
-        return max(self._state.settings.status_period_s, paced_s)
+        self._ended: collections.deque[DayFigures] = collections.deque(
+            maxlen=_MAX_UNWRITTEN_DAYS,
+        )
+        # The last write of a planned stop must not be replaced by an older.
+        self._writing = Semaphore()
 
     def run(self) -> None:
         """Sample and write until the task ends."""
         while True:
             self.step()
-            eventlet.sleep(min(_MAX_SAMPLE_PERIOD_S, self.period_s))
+            eventlet.sleep(
+                min(_MAX_SAMPLE_PERIOD_S, status_period_s(self._state))
+            )
 
     def step(self) -> None:
-        """Sample, and write when a day has ended or the time has come."""
+        """Sample, and write when the time has come."""
         self._sampler.sample()
         if day_of(time.time()) != day_of(self._since_unix_s):
             self._end_day()
         if time.monotonic() >= self._next_write_s:
-            self._next_write_s = time.monotonic() + self.period_s
+            period_s = status_period_s(self._state)
+            self._next_write_s = time.monotonic() + period_s
             self.write()
 
     def write(self) -> None:
         """Write the figures so far; what fails is written next time."""
-        self._sampler.sample()
-        status = self._status()
-        try:
-            self._object.write(status.object_name, encode_bounded(status))
-        except PlatformUnavailable as error:
-            logger.warning('status not written: {}', error)
+        with self._writing:
+            self._sampler.sample()
+            today = self._figures(self._state.histograms)
+            try:
+                self._write_all((*self._ended, today))
+            except (CowslipstepError, ExceptionGroup) as error:
+                logger.warning('status not written: {}', error)
+            else:
+                self._ended.clear()
+
+    def _write_all(self, days: tuple[DayFigures, ...]) -> None:
+        """Write days; the index names an object before it exists."""
+        names = tuple(figures.object_name for figures in days)
+        self._index.note(
+            StatusIndex(
+                days[-1].status.daemon,
+                time.time(),
+                index_period_s(self._state),
+                self._state.stopping,
+                names,
+            ),
+        )
+        for figures in days:
+            self._object.write(figures.object_name, figures.encode())
 
     def _end_day(self) -> None:
-        """Write the last figures of a day and begin with empty ones."""
-        self.write()
-        self._sampler.clear()
+        """Set the figures of a day aside and begin with empty ones.
+
+        They are written with the next status, so that daemons do not all
+        write at midnight.
+        """
         state = self._state
-        for figures in (state.counters, state.histograms, state.requests):
+        self._ended.append(self._figures(state.histograms.take()))
+        self._sampler.clear()
+        for figures in (state.counters, state.requests, state.events):
             figures.clear()
-        state.events.clear()
         self._since_unix_s = time.time()
-        self._next_write_s = time.monotonic()
 
-    def _status(self) -> Status:
-        status = Status(
-            _identity(self._state),
-            day_of(self._since_unix_s),
+    def _figures(self, histograms: Histograms) -> DayFigures:
+        status = snapshot(
+            self._state,
+            self._sampler,
             self._since_unix_s,
-            time.time(),
-            self.period_s,
-            timeline=self._sampler.timeline,
-        )
-        return evolve(
-            _filled(status, self._state),
-            histograms=tuple(_encode_slowly(self._state.histograms)),
+            status_period_s(self._state),
         )
-
-
-def _identity(state: DaemonState) -> DaemonIdentity:
-    settings = state.settings
-    return DaemonIdentity(
-        settings.name,
-        state.incarnation,
-        settings.failure_domain,
-        str(settings.http_address),
-    )
-
-
-def _encode_slowly(histograms: Histograms) -> Iterator[EncodedSeries]:
-    for encoded in histograms.encode_each():
-        yield encoded
-        # Encoding all series at once would hold up streams.
-        eventlet.sleep(0)
-
-
-def _filled(status: Status, state: DaemonState) -> Status:
-    return evolve(
-        status,
-        configuration_version=state.version,
-        stopping=state.stopping,
-        counters=state.counters.samples,
-        gauges=state.gauges.samples,
-        events=state.events.events,
-        requests=state.requests.records,
-    )
+        return DayFigures(status, histograms)
--- a/libs/routing/src/cowslipstep/replay/_attempts.py
+++ b/libs/routing/src/cowslipstep/replay/_attempts.py
@@ -4,13 +4,35 @@
 
 from collections.abc import Iterator
 
-from attrs import define
+from attrs import define, evolve, field, frozen
 
-from cowslipstep.model import Cell, Request
+from cowslipstep.model import Ask, Cell, Request
+from cowslipstep.replay._fleet import FleetModel
 from cowslipstep.replay._outcomes import Outcome
-from cowslipstep.routing import CellChoice, CellTry
+from cowslipstep.replay._owners import AnyDispatcher, CellOwners
+from cowslipstep.routing import (
+    CellChoice,
+    CellTry,
+    Clock,
+    OwnerHistory,
+    SeenUses,
+)
 
-MODEL = 'drafting'
+
+@frozen
+class Entry:
+    """What an entry daemon knows of the cells."""
+
+    number: int
+    choice: CellChoice
+    uses: SeenUses
+    history: OwnerHistory[AnyDispatcher]
+
+    def owner(self, cell: Cell, owners: CellOwners) -> AnyDispatcher:
+        """Return the owner that it asks now."""
+        present = owners.present(self.number)
+        self.history.note(cell, present)
+        return present
 
 
 @define
@@ -20,7 +42,7 @@
     request: Request
     outcome: Outcome
     tries: Iterator[CellTry]
-    entry: CellChoice
+    entry: Entry
 
     @property
     def arrival_s(self) -> float:
@@ -32,15 +54,35 @@
         """When its first token must have come."""
         return self.arrival_s + self.outcome.arrival.timeout_s
 
+    def ask(self, cell: Cell, left_s: float, *, immediate: bool = False) -> Ask:
+        """Return the ask to a cell, with what other cells told."""
+        request = evolve(self.request, timeout_s=left_s)
+        uses = self.entry.uses.known(request.workspace, cell)
+        return Ask(cell, request, immediate=immediate, uses=uses)
+
 
 @define
 class AskedCells:
-    """Cells that were asked at once and have not answered."""
+    """Owners of cells that were asked at once and have not answered."""
 
-    open: set[Cell]
+    open: dict[Cell, AnyDispatcher] = field(factory=dict)
     granted: bool = False
 
 
+def open_entries(clock: Clock, fleet: FleetModel) -> list[Entry]:
+    """Return the entry daemons of a fleet."""
+    domains = fleet.failure_domains
+    return [
+        Entry(
+            index,
+            CellChoice(clock, domains[index % len(domains)]),
+            SeenUses(clock),
+            OwnerHistory(clock),
+        )
+        for index in range(fleet.daemons)
+    ]
+
+
 def make_request(request_id: str, outcome: Outcome) -> Request:
     """Return the request of an arrival."""
     arrival = outcome.arrival
@@ -48,7 +90,7 @@
         request_id,
         arrival.workspace,
         arrival.rank,
-        MODEL,
+        arrival.model,
         arrival.prompt_tokens,
         arrival.output_tokens,
         arrival.timeout_s,
