Drain a slow host's group only where a spare can replace the host

Cause: a group with a straggler was dissolved even if its domain had no usable host left. Its model then had one group less for at least 60 s, and a group that serves slowly became none; seen in test_a_deadline_covers_the_queue, where one of two groups stayed away for more than 30 s.

Ruled out: never draining for slowness (a replaced straggler gives the full speed back); waiting for the bar's end (the group is away all the while).

Change: replaceable() says which slow hosts the spares can replace, group by group; only these make a group drain. Slow hosts stay out of new groups in any case. The view of a domain is built in one place.

Conclusion: slowness costs a group only where it can be formed anew at once.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
@@ -8,12 +8,14 @@
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import (
     DomainLedger,
+    DomainView,
     Records,
     StragglerWatch,
     count_running,
     domain_of_group,
     draining_groups,
     is_at_work,
+    replaceable,
 )
 from cowslipstep.model import Group
 
@@ -42,23 +44,24 @@
 
     @property
     def barred(self) -> frozenset[str]:
-        """Hosts and groups that take no new work."""
+        """Hosts and groups that are not used for new groups."""
         return self._feed.names | self._stragglers.barred
 
     def is_draining(self, group: str) -> bool:
         """Whether a group takes no new work."""
         return group in self._since_s
 
-    def update(self, ledger: DomainLedger, records: Records) -> None:
-        """Note which groups of a ledger drain now."""
-        now = time.monotonic()
-        self._stragglers.observe(records)
-        draining = draining_groups(ledger, self.barred, records)
+    def update(self, view: DomainView) -> None:
+        """Note which groups of a fabric domain drain now."""
+        self._stragglers.observe(view.records)
+        slow = replaceable(self._stragglers.barred, view)
+        leaving = self._feed.names | slow
+        draining = draining_groups(view.ledger, leaving, view.records)
         for started in draining - self._since_s.keys():
             self._state.events.add('drain_started', started, _CAUSE)
-            self._since_s[started] = now
+            self._since_s[started] = view.now_s
         for name in tuple(self._since_s):
-            if _is_of(name, ledger) and name not in draining:
+            if _is_of(name, view.ledger) and name not in draining:
                 self._since_s.pop(name)
 
     def finished(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_group_figures.py
@@ -6,9 +6,9 @@
 import time
 from collections.abc import Iterator
 
-from cowslipstep.daemon._keeper import KeeperTools
+from cowslipstep.daemon._keeper import KeeperTools, domain_view
 from cowslipstep.daemon._scopes import DomainScope
-from cowslipstep.groups import DomainView, stranded_accelerators
+from cowslipstep.groups import stranded_accelerators
 from cowslipstep.metrics import CounterKey
 from cowslipstep.model import Model
 
@@ -87,13 +87,7 @@
         ledger = self._tools.state.ledgers.get(scope.domain)
         if ledger is None:
             return 0
-        view = DomainView(
-            ledger,
-            scope.runners,
-            self._tools.prober.records,
-            time.monotonic(),
-            leaving=self._tools.drains.barred,
-        )
+        view = domain_view(self._tools, scope, ledger)
         return stranded_accelerators(view, scope.models)
 
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_groups.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_groups.py
@@ -10,7 +10,11 @@
 
 from cowslipstep.daemon._drains import DrainTracker
 from cowslipstep.daemon._group_figures import GroupFigures
-from cowslipstep.daemon._keeper import DomainKeeper, KeeperTools
+from cowslipstep.daemon._keeper import (
+    DomainKeeper,
+    KeeperTools,
+    domain_view,
+)
 from cowslipstep.daemon._leaving import LeavingFeed
 from cowslipstep.daemon._ledger_feed import LedgerFeed
 from cowslipstep.daemon._orders import OrderSender
@@ -81,7 +85,7 @@
             self._keepers[scope.domain] = eventlet.spawn(run)
         ledger = tools.state.ledgers.get(scope.domain)
         if ledger is not None:
-            tools.drains.update(ledger, tools.prober.records)
+            tools.drains.update(domain_view(tools, scope, ledger))
 
     def _read_leaving(self) -> None:
         if self._tools.scopes.owned:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -7,7 +7,7 @@
 import uuid
 
 import eventlet
-from attrs import frozen
+from attrs import evolve, frozen
 from loguru import logger
 
 from cowslipstep.daemon._drains import DrainTracker
@@ -21,6 +21,7 @@
 from cowslipstep.groups import (
     Author,
     DomainLease,
+    DomainLedger,
     DomainView,
     LeaseTiming,
     LedgerUnavailable,
@@ -50,6 +51,21 @@
     ledgers: LedgerFeed
 
 
+def domain_view(
+    tools: KeeperTools,
+    scope: DomainScope,
+    ledger: DomainLedger,
+) -> DomainView:
+    """Return what is known of a fabric domain now."""
+    return DomainView(
+        ledger,
+        scope.runners,
+        tools.prober.records,
+        time.monotonic(),
+        leaving=tools.drains.barred,
+    )
+
+
 class DomainKeeper:
     """Holds the lease of a fabric domain, keeps its ledger, gives orders.
 
@@ -111,16 +127,9 @@
 
     def _view(self, scope: DomainScope) -> DomainView:
         ledger = self._lease.state.seen.ledger
-        drains = self._tools.drains
-        records = self._tools.prober.records
-        return DomainView(
-            ledger,
-            scope.runners,
-            records,
-            time.monotonic(),
-            leaving=drains.barred,
-            finished=drains.finished(ledger, records),
-        )
+        view = domain_view(self._tools, scope, ledger)
+        finished = self._tools.drains.finished(ledger, view.records)
+        return evolve(view, finished=finished)
 
     def _give_orders(self, scope: DomainScope) -> None:
         if not self._lease.may_order:
--- a/libs/groups/src/cowslipstep/groups/__init__.py
+++ b/libs/groups/src/cowslipstep/groups/__init__.py
@@ -48,7 +48,11 @@
     group_readiness,
 )
 from cowslipstep.groups._shares import domain_shares
-from cowslipstep.groups._stragglers import StragglerWatch, stragglers
+from cowslipstep.groups._stragglers import (
+    StragglerWatch,
+    replaceable,
+    stragglers,
+)
 from cowslipstep.groups._store import (
     LedgerConflict,
     LedgerStore,
--- a/libs/groups/src/cowslipstep/groups/_stragglers.py
+++ b/libs/groups/src/cowslipstep/groups/_stragglers.py
@@ -6,7 +6,10 @@
 import statistics
 from collections.abc import Callable, Iterator, Mapping
 
+from attrs import evolve
+
 from cowslipstep.groups._hosts import HostRecord, HostReport, HostState
+from cowslipstep.groups._packing import DomainView, free_runners
 
 _STRAGGLER_FACTOR = 4
 _MIN_TO_COMPARE = 3
@@ -67,6 +70,29 @@
     return frozenset(slow)
 
 
+def replaceable(slow: frozenset[str], view: DomainView) -> frozenset[str]:
+    """Return the slow hosts that belong to no group or that spares replace.
+
+    Without a spare the group of a slow host could not be formed anew, and a
+    slow group serves more than none.
+
+    Parameters
+    ----------
+    slow
+        Names of slow hosts.
+    view
+        The fabric domain.
+    """
+    replaced = slow - view.ledger.taken_hosts
+    spares = len(free_runners(evolve(view, leaving=view.leaving | slow)))
+    for group in view.ledger.groups:
+        members = slow.intersection(group.members)
+        if len(members) <= spares:
+            spares -= len(members)
+            replaced |= members
+    return replaced
+
+
 def _slow_hosts(reports: list[HostReport]) -> Iterator[str]:
     if len(reports) < _MIN_TO_COMPARE:
         return
--- a/libs/groups/tests/test_stragglers.py
+++ b/libs/groups/tests/test_stragglers.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import pytest
+
 from cowslipstep.groups import (
+    DomainLedger,
+    DomainView,
     HostRecord,
     HostReport,
     HostState,
     StragglerWatch,
     note_report,
+    replaceable,
     stragglers,
 )
+from cowslipstep.model import Address, Group, Runner
+
+_ADDRESS = Address('127.0.0.1', 80)
 
 
 class Clock:
@@ -61,3 +69,30 @@
     _watch(watch, clock, 0.05, 0.05, 0.05)
     watch.observe(_records(0.05, 0.01, 0.01))
     assert not watch.barred
+
+
+@pytest.mark.parametrize(
+    ('slow', 'spares', 'replaced'),
+    [
+        ({'h0'}, 0, set()),
+        ({'h0'}, 1, {'h0'}),
+        ({'h0', 'h1'}, 1, set()),
+        ({'h0', 'h2'}, 1, {'h0'}),
+        ({'h0', 'h4'}, 1, {'h4'}),
+    ],
+)
+def test_only_spares_replace_slow_members(slow, spares, replaced) -> None:
+    hosts = [f'h{number}' for number in range(4 + spares)]
+    idle = [HostReport(host, '', HostState.idle, 100) for host in hosts]
+    records = [note_report(HostRecord(), report) for report in idle]
+    groups = (
+        Group('fab-1', 'drafting', 'fd', ('h0', 'h1')),
+        Group('fab-2', 'drafting', 'fd', ('h2', 'h3')),
+    )
+    view = DomainView(
+        DomainLedger('fab', groups),
+        tuple(Runner(host, _ADDRESS, 'fd', 'fab') for host in hosts),
+        dict(zip(hosts, records, strict=True)),
+        now_s=101,
+    )
+    assert replaceable(frozenset(slow), view) == replaced
