Expire directory entries of daemons that are gone

Cause: a daemon that crashed and was not replaced stayed in the platform's directory, and in the membership of all others, for ever: heartbeats to it, and a smaller share of the platform's rate for each living one.

Ruled out: each daemon renewing its own entry (340 writes a minute); any daemon dropping what it does not hear (all race for one page).

Change: the soft owner of a page drops what it has not heard for 600 s, in one conditional change for each refresh (once a minute); others forget such entries once no page holds them. Entries from settings stay. The entries moved from `Membership` to `KnownDaemons`.

Measured: `pytest apps/cowslipstepd/tests/test_directory.py`: 5 passed. With the expiry off 3 fail; with the own entry not left out 1 fails (the owner would rewrite its page at each refresh). `pytest tests/test_daemons.py tests/test_configuration.py`: passed. Not tried with processes over 600 s.

Conclusion: the directory follows the fleet.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_directory.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_directory.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
+import time
 import uuid
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import eventlet
 from attrs import frozen
 from loguru import logger
 
+from cowslipstep.daemon._silent_daemons import SilentDaemons
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.model import CowslipstepError, DaemonEntry
-from cowslipstep.platform import ObjectKey, StoredObject
+from cowslipstep.platform import ObjectKey, PlatformClient, StoredObject
+from cowslipstep.routing import rank_owners
 from cowslipstep.settings import parse_json, structure, unstructure
 
 DIRECTORY_KIND = 'daemons'
@@ -31,17 +35,36 @@
     attempt: str = ''
 
 
+@frozen
+class StoredPage:
+    """A page as read; version zero for one that is yet to be created."""
+
+    key: ObjectKey
+    version: int = 0
+    entries: tuple[DaemonEntry, ...] = ()
+
+
 class Directory:
-    """Enters this daemon and learns the others.
+    """Enters this daemon, learns the others and drops those that are gone.
+
+    Each page has a soft owner, which drops the entries of daemons that were
+    not heard for long, in one change for each refresh.
 
     Parameters
     ----------
     state
         State of the daemon.
+    clock
+        Monotonic clock, seconds.
     """
 
-    def __init__(self, state: DaemonState) -> None:
+    def __init__(
+        self,
+        state: DaemonState,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._state = state
+        self._silent = SilentDaemons(state.membership.liveness, clock)
         domain = state.settings.failure_domain
         self._key = ObjectKey(DIRECTORY_KIND, domain)
 
@@ -50,7 +73,7 @@
         while True:
             delay_s = _REFRESH_S
             try:
-                self._refresh()
+                self.refresh()
             except (CowslipstepError, ExceptionGroup) as error:
                 logger.debug('directory not refreshed: {}', error)
                 delay_s = _RETRY_S
@@ -59,46 +82,99 @@
     def leave(self) -> None:
         """Take this daemon out, in a planned stop."""
         stored = self._state.platform.read(self._key)
-        entries = _decode(stored).daemons
+        entries = _decode(stored)
         own = self._state.membership.own
-        self._write(stored.version, _without(entries, own))
-
-    def _refresh(self) -> None:
-        version = 0
-        entries: tuple[DaemonEntry, ...] = ()
-        for stored in self._state.platform.read_all(DIRECTORY_KIND):
-            page = _decode(stored)
-            self._learn(page)
-            if stored.key == self._key:
-                version, entries = stored.version, page.daemons
+        kept = tuple(_without(entries, own))
+        self._write(StoredPage(self._key, stored.version, entries), kept)
+
+    def refresh(self) -> None:
+        """Read all pages once and change those that are to be changed.
+
+        Raises
+        ------
+        CowslipstepError
+            If the platform did not answer, or another daemon was first.
+        """
+        pages = _read_pages(self._state.platform, self._key)
+        silent = self._take_over(
+            frozenset(
+                itertools.chain.from_iterable(page.entries for page in pages),
+            ),
+        )
+        for page in pages:
+            self._write(page, self._revise(page, silent))
+
+    def _take_over(
+        self,
+        entered: frozenset[DaemonEntry],
+    ) -> frozenset[DaemonEntry]:
+        membership = self._state.membership
+        for entry in entered:
+            membership.known.learn(entry)
+        others = entered | frozenset(membership.others.values())
+        self._silent.look(others - {membership.own})
+        silent = frozenset(self._silent.find())
+        gone = silent - entered
+        membership.known.forget({other.name for other in gone})
+        return silent
+
+    def _revise(
+        self,
+        page: StoredPage,
+        silent: frozenset[DaemonEntry],
+    ) -> tuple[DaemonEntry, ...]:
+        kept = page.entries
+        if owns_page(self._state, page.key.name):
+            kept = tuple(entry for entry in kept if entry not in silent)
         own = self._state.membership.own
-        if own not in entries:
-            self._write(version, (*_without(entries, own), own))
-
-    def _learn(self, page: DirectoryPage) -> None:
-        for entry in page.daemons:
-            self._state.membership.learn(entry)
-
-    def _write(self, version: int, entries: tuple[DaemonEntry, ...]) -> None:
+        if page.key != self._key or own in kept:
+            return kept
+        return (*_without(kept, own), own)
+
+    def _write(
+        self,
+        page: StoredPage,
+        entries: tuple[DaemonEntry, ...],
+    ) -> None:
+        if entries == page.entries:
+            return
         attempt = uuid.uuid4().hex
         self._state.platform.update_with_proof(
-            self._key,
-            version,
+            page.key,
+            page.version,
             json.dumps(unstructure(DirectoryPage(entries, attempt))),
             attempt,
         )
 
 
+def _read_pages(
+    platform: PlatformClient,
+    own_key: ObjectKey,
+) -> list[StoredPage]:
+    pages = {
+        stored.key: StoredPage(stored.key, stored.version, _decode(stored))
+        for stored in platform.read_all(DIRECTORY_KIND)
+    }
+    pages.setdefault(own_key, StoredPage(own_key))
+    return list(pages.values())
+
+
+def owns_page(state: DaemonState, failure_domain: str) -> bool:
+    """Whether this daemon drops the entries of daemons that are gone."""
+    live = frozenset(state.live_daemons)
+    local = live & state.daemons_in(failure_domain)
+    role = f'{DIRECTORY_KIND}/{failure_domain}'
+    return rank_owners(role, local or live)[0] == state.settings.name
+
+
 def _without(
     entries: Iterable[DaemonEntry],
     own: DaemonEntry,
-) -> tuple[DaemonEntry, ...]:
-    return tuple(
-        entry
-        for entry in entries
-        if entry.name != own.name and entry.address != own.address
-    )
+) -> Iterator[DaemonEntry]:
+    for entry in entries:
+        if entry.name != own.name and entry.address != own.address:
+            yield entry
 
 
-def _decode(stored: StoredObject) -> DirectoryPage:
-    return structure(parse_json(stored.body), DirectoryPage)
+def _decode(stored: StoredObject) -> tuple[DaemonEntry, ...]:
+    return structure(parse_json(stored.body), DirectoryPage).daemons
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_membership.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 
+from cowslipstep.daemon._known_daemons import KnownDaemons
 from cowslipstep.model import DaemonEntry, DaemonNews, Heartbeat
 from cowslipstep.peers import LivenessTable, Neighbourhood, choose_partners
 from cowslipstep.routing import rank_owners
@@ -32,22 +33,30 @@
             settings.failure_domain,
             incarnation,
         )
-        self._others = {
-            peer.name: DaemonEntry(peer.name, peer.address, peer.failure_domain)
-            for peer in settings.peers
-        }
+        self._known = KnownDaemons(
+            settings.name,
+            [
+                DaemonEntry(peer.name, peer.address, peer.failure_domain)
+                for peer in settings.peers
+            ],
+        )
         self._liveness = LivenessTable(time.monotonic)
-        self._partners: frozenset[str] = frozenset(self._others)
+        self._partners: frozenset[str] = frozenset(self._known.entries)
 
     @property
     def own(self) -> DaemonEntry:
         """Entry of this daemon."""
         return self._own
 
+    @property
+    def known(self) -> KnownDaemons:
+        """Entries of the other daemons."""
+        return self._known
+
     @property
     def others(self) -> Mapping[str, DaemonEntry]:
         """The other known daemons by name."""
-        return self._others
+        return self._known.entries
 
     @property
     def liveness(self) -> LivenessTable:
@@ -59,23 +68,10 @@
         """Names of the peers chosen last to exchange heartbeats with."""
         return self._partners
 
-    def learn(self, entry: DaemonEntry) -> None:
-        """Take over an entry unless a newer one is known.
-
-        A daemon that has taken another's address replaces it.
-        """
-        rivals = tuple(_rivals(entry, self._others))
-        newest = max((rival.incarnation for rival in rivals), default=0)
-        if entry.name == self._own.name or newest > entry.incarnation:
-            return
-        for rival in rivals:
-            self._others.pop(rival.name)
-        self._others[entry.name] = entry
-
     def choose_partners(self) -> frozenset[str]:
         """Choose the peers to exchange heartbeats with, and return them."""
         alive = frozenset(self._liveness.alive(RELAYED_ALIVE_S))
-        seen = Neighbourhood(self._own, self._others, alive)
+        seen = Neighbourhood(self._own, self._known.entries, alive)
         self._partners = choose_partners(seen, rank_owners)
         return self._partners
 
@@ -95,12 +91,3 @@
     for news in (own, *heartbeat.news):
         if news.daemon != membership.own.name:
             membership.liveness.hear(news, sent_at_s)
-
-
-def _rivals(
-    entry: DaemonEntry,
-    others: Mapping[str, DaemonEntry],
-) -> Iterator[DaemonEntry]:
-    for other in others.values():
-        if other.name == entry.name or other.address == entry.address:
-            yield other
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
@@ -88,7 +88,7 @@
                 )
                 reply(self._reports.reply(message))
             case DaemonEntry():
-                self._state.membership.learn(message)
+                self._state.membership.known.learn(message)
             case Ask():
                 self._cells.submit(message, reply)
             case Renewal():
