Wait for the answers of orders to be kept before a planned stop ends

Cause: test_a_daemon_that_writes_for_the_others_stops_as_planned failed once in a full run on a busy machine: an order that was answered during the stop got may_have_run when it was sent again. The daemon writes an order's answer to the ledger in the background after the caller has it, and exited before that.

Ruled out: keeping the answer before the caller gets it (each order would wait for one more write); a run of the order that was lost (it ran once and was answered).

Conclusion: a re-sent order gets its answer also after a planned stop.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_planned_stop.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_planned_stop.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
 from eventlet import Timeout, sleep, spawn
 from loguru import logger
@@ -21,16 +22,21 @@
     """
     state.stopping = True
     logger.info('planned stop begins')
-    hooks = [spawn(_run_hook, hook) for hook in state.stop_hooks]
+    hooks = _start_hooks(state.stop_hooks)
     sleep(state.settings.unready_delay_s)
     state.intake_closed = True
     server.close()
     finished = server.wait_finished(state.settings.stop_grace_s)
+    hooks.extend(_start_hooks(state.end_hooks))
     for hook in hooks:
         hook.wait()
     logger.bind(finished=finished).info('planned stop ends')
 
 
+def _start_hooks(hooks: Iterable[Callable[[], None]]) -> list[Any]:
+    return [spawn(_run_hook, hook) for hook in hooks]
+
+
 def _run_hook(hook: Callable[[], None]) -> None:
     try:
         with Timeout(_HOOK_TIMEOUT_S):
