Let a new owner of a cell read the engines' past cache events

Cause: after a change of owners the new one knew no prefixes, so that affinity began anew.

Change: a new dispatcher reads the past cache events of its cell's leading runners once, one after the other, as hints beside its own grants. The replay models caches, events a second late with one in eight missing. What a daemon knows of cells moved to a module of its own.

Not shown over processes.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
@@ -2,31 +2,20 @@
 
 from __future__ import annotations
 
-import collections
 import time
-from collections.abc import Iterable, Iterator
 
 import eventlet
 
+from cowslipstep.daemon._cell_views import cell_policy, group_slots
+from cowslipstep.daemon._past_prefixes import read_past_prefixes
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.metrics import CounterKey
-from cowslipstep.model import (
-    Address,
-    Ask,
-    Cell,
-    Configuration,
-    Group,
-    Release,
-    Renewal,
-)
+from cowslipstep.model import Ask, Cell, Release, Renewal
 from cowslipstep.routing import (
-    CellPolicy,
-    CellSlots,
     Dispatcher,
     DispatcherLoad,
-    GroupSlots,
+    PrefixMap,
     ReplyToAsk,
-    read_limits,
 )
 
 _UPDATE_PERIOD_S = 0.1
@@ -72,8 +61,15 @@
     def _dispatcher(self, cell: Cell) -> Dispatcher:
         if cell not in self._dispatchers:
             learning_s = _LEARNING_S if len(self._state.live_daemons) > 1 else 0
-            self._dispatchers[cell] = Dispatcher(time.monotonic, learning_s)
+            prefixes = PrefixMap()
+            self._dispatchers[cell] = Dispatcher(
+                time.monotonic,
+                learning_s,
+                prefixes,
+            )
             self._update(cell)
+            if not self._local:
+                eventlet.spawn_n(_learn_prefixes, cell, self._state, prefixes)
         return self._dispatchers[cell]
 
     def _update(self, cell: Cell) -> None:
@@ -82,65 +78,23 @@
             return
         sharing = len(self._state.live_daemons) if self._local else 1
         self._dispatchers[cell].update(
-            _policy(cell, self._state, configuration, sharing),
-            _group_slots(cell, self._state, configuration, sharing),
+            cell_policy(cell, self._state, configuration, sharing),
+            group_slots(cell, self._state, configuration, sharing),
         )
 
 
-def known_cells(state: DaemonState) -> tuple[Cell, ...]:
-    """Return the cells that have groups."""
-    return tuple(
-        {Cell(group.model, group.failure_domain) for group in _groups(state)}
-    )
+def _learn_prefixes(
+    cell: Cell,
+    state: DaemonState,
+    prefixes: PrefixMap,
+) -> None:
+    configuration = state.configuration
+    if configuration is not None:
+        groups = group_slots(cell, state, configuration, sharing=1)
+        read_past_prefixes(tuple(groups), prefixes)
 
 
 def _show(cell: Cell, load: DispatcherLoad, state: DaemonState) -> None:
     labels = (('cell', str(cell)),)
     state.gauges.set(CounterKey('queued', labels), load.queued)
     state.gauges.set(CounterKey('outstanding', labels), load.outstanding)
-
-
-def _policy(
-    cell: Cell,
-    state: DaemonState,
-    configuration: Configuration,
-    sharing: int,
-) -> CellPolicy:
-    per_group = _slots_per_group(configuration)
-    slots: collections.Counter[Cell] = collections.Counter({cell: 0})
-    for group in _groups(state):
-        own = Cell(group.model, group.failure_domain)
-        slots[own] += per_group.get(group.model, 0)
-    limits = read_limits(configuration.workspaces, sharing)
-    return CellPolicy(configuration.ranks, limits, CellSlots(cell, slots))
-
-
-def _groups(state: DaemonState) -> Iterator[Group]:
-    for ledger in state.ledgers.values():
-        yield from ledger.groups
-
-
-def _slots_per_group(configuration: Configuration) -> dict[str, int]:
-    return {model.name: model.slots_per_group for model in configuration.models}
-
-
-def _group_slots(
-    cell: Cell,
-    state: DaemonState,
-    configuration: Configuration,
-    sharing: int,
-) -> Iterable[GroupSlots]:
-    slots = _slots_per_group(configuration)
-    addresses: dict[str, Address] = {
-        runner.host: runner.address for runner in configuration.runners
-    }
-    for group in _groups(state):
-        if Cell(group.model, group.failure_domain) != cell:
-            continue
-        if group.leader in addresses and group.model in slots:
-            yield GroupSlots(
-                group.name,
-                addresses[group.leader],
-                max(1, slots[group.model] // sharing),
-                state.readiness.ready_until_s(group.name),
-            )
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_search.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_search.py
@@ -7,7 +7,7 @@
 from attrs import evolve, frozen
 
 from cowslipstep.daemon._asks import AskSender, Granted
-from cowslipstep.daemon._cells import known_cells
+from cowslipstep.daemon._cell_views import known_cells
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.metrics import CounterKey
 from cowslipstep.model import Ask, NotRun, Reason, Request
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_past_prefixes.py
@@ -0,0 +1,25 @@
+"""Tests of the reading of cache events."""
+
+from __future__ import annotations
+
+import pytest
+
+from cowslipstep.daemon._completions import _prefix_hash
+from cowslipstep.daemon._past_prefixes import parse_prefixes
+from cowslipstep_standins._lagging import CacheEvents
+
+
+def test_hashes_are_those_of_requests() -> None:
+    events = CacheEvents()
+    older, newer = 'defect notes ' * 9, 'span summary'
+    events.note(older, 0)
+    events.note(newer, 0)
+    stored = [{'prefix': event.prefix} for event in events.published(0, 2)]
+    hashes = list(parse_prefixes({'stored': stored}))
+    assert hashes == [_prefix_hash(newer), _prefix_hash(older)]
+
+
+@pytest.mark.parametrize('stored', [None, 3, [{}], [{'prefix': 'x'}]])
+def test_other_documents_are_refused(stored) -> None:
+    with pytest.raises(ValueError):
+        list(parse_prefixes({'stored': stored}))
--- a/bench/bench_dispatch.py
+++ b/bench/bench_dispatch.py
@@ -10,6 +10,7 @@
 import pathlib
 from collections.abc import Iterator
 
+from _affinity_figures import affinity_figures
 from _dispatch_costs import cost_figures
 from _figures import Figure
 from _limit_figures import limit_figures
@@ -29,11 +30,12 @@
 
 
 def figures() -> Iterator[Figure]:
-    """Yield the figures of traces, limits, owners and operations."""
+    """Yield the figures of traces, limits, owners, prefixes and operations."""
     for path in sorted(_TRACES.glob('*.json')):
         yield from _trace_figures(path.stem, read_spec(path))
     yield from limit_figures()
     yield from owner_figures()
+    yield from affinity_figures()
     yield from cost_figures()
 
 
--- a/libs/routing/src/cowslipstep/replay/_attempts.py
+++ b/libs/routing/src/cowslipstep/replay/_attempts.py
@@ -94,4 +94,5 @@
         arrival.prompt_tokens,
         arrival.output_tokens,
         arrival.timeout_s,
+        prefix_hash=arrival.prefix_hash,
     )
--- a/libs/routing/src/cowslipstep/replay/_baselines.py
+++ b/libs/routing/src/cowslipstep/replay/_baselines.py
@@ -7,7 +7,13 @@
 from collections.abc import Iterable
 
 from cowslipstep.model import Ask, Grant, NotRun, Reason, Refusal, Release
-from cowslipstep.routing import CellPolicy, Clock, GroupSlots, ReplyToAsk
+from cowslipstep.routing import (
+    CellPolicy,
+    Clock,
+    GroupSlots,
+    PrefixMap,
+    ReplyToAsk,
+)
 from cowslipstep.routing._grant_table import (
     GRANT_VALID_S,
     GrantedWork,
@@ -28,7 +34,12 @@
         Clock of the replay.
     """
 
-    def __init__(self, clock: Clock, _learning_s: float = 0) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        _learning_s: float = 0,
+        _prefixes: PrefixMap | None = None,
+    ) -> None:
         self._clock = clock
         self._groups: tuple[GroupSlots, ...] = ()
         self._queue: collections.deque[QueuedAsk] = collections.deque()
--- a/libs/routing/src/cowslipstep/replay/_engines.py
+++ b/libs/routing/src/cowslipstep/replay/_engines.py
@@ -9,8 +9,11 @@
 
 from cowslipstep.replay._fleet import FleetModel
 from cowslipstep.replay._outcomes import Outcome
+from cowslipstep.replay._prefix_cache import PrefixCache
 from cowslipstep.replay._timeline import Timeline
 
+_HIT_FACTOR = 0.2
+
 Finished = Callable[[Outcome], None]
 
 
@@ -25,6 +28,11 @@
         Slots and speeds.
     slow_factor
         Multiplies the time of each request.
+
+    Attributes
+    ----------
+    cache
+        Its cache of prompt heads.
     """
 
     def __init__(
@@ -37,6 +45,7 @@
         self._fleet = fleet
         self._slow_factor = slow_factor
         self._running = 0
+        self.cache = PrefixCache(fleet.cached_prefixes)
         self._order = itertools.count()
         self._waiting: list[tuple[int, int, Outcome, Finished]] = []
 
@@ -76,11 +85,10 @@
     def _run(self, outcome: Outcome, finished: Finished) -> None:
         arrival = outcome.arrival
         now = self._timeline.clock()
-        prefill_s = self._fleet.first_token_s(arrival.prompt_tokens)
-        held_s = self._fleet.held_s(
-            arrival.prompt_tokens,
-            arrival.output_tokens,
-        )
+        outcome.hit = self.cache.use(arrival.prefix_hash, now)
+        unread_tokens = _unread_tokens(outcome)
+        prefill_s = self._fleet.first_token_s(unread_tokens)
+        held_s = self._fleet.held_s(unread_tokens, arrival.output_tokens)
         outcome.started_s = now
         outcome.first_token_s = now + prefill_s * self._slow_factor
         outcome.ended_s = now + held_s * self._slow_factor
@@ -95,3 +103,8 @@
         outcome.code = 'completed'
         finished(outcome)
         self._fill()
+
+
+def _unread_tokens(outcome: Outcome) -> float:
+    tokens = outcome.arrival.prompt_tokens
+    return tokens * _HIT_FACTOR if outcome.hit else tokens
--- a/libs/routing/src/cowslipstep/replay/_fleet.py
+++ b/libs/routing/src/cowslipstep/replay/_fleet.py
@@ -30,6 +30,11 @@
         Models; each has its cells, with as many groups.
     dark_domains
         Failure domains whose groups are not ready.
+    cached_prefixes
+        Prompt heads that an engine keeps; a cached prompt is read in a fifth
+        of the time.
+    reads_events
+        Whether a new owner reads the past cache events.
     engine_priorities
         Whether engines are told the rank of a request.
     passes_uses
@@ -45,6 +50,8 @@
     entry_weights: tuple[float, ...] = ()
     models: tuple[str, ...] = ('drafting',)
     dark_domains: tuple[str, ...] = ()
+    cached_prefixes: int = 0
+    reads_events: bool = True
     engine_priorities: bool = False
     passes_uses: bool = True
 
--- a/libs/routing/src/cowslipstep/replay/_outcomes.py
+++ b/libs/routing/src/cowslipstep/replay/_outcomes.py
@@ -22,6 +22,8 @@
         ``completed``, or why it was not run.
     granted_s
         When it was granted a slot; zero without dispatchers.
+    hit
+        Whether the head of its prompt was cached.
     started_s
         When an engine began with it.
     first_token_s
@@ -33,6 +35,7 @@
     arrival: Arrival
     code: str = 'open'
     granted_s: float = 0
+    hit: bool = False
     started_s: float = 0
     first_token_s: float = 0
     ended_s: float = 0
--- a/libs/routing/src/cowslipstep/replay/_owners.py
+++ b/libs/routing/src/cowslipstep/replay/_owners.py
@@ -8,13 +8,14 @@
 from attrs import frozen
 
 from cowslipstep.replay._baselines import FifoDispatcher
-from cowslipstep.routing import Clock, Dispatcher
+from cowslipstep.routing import Clock, Dispatcher, PrefixMap
 
 LEARNING_S = 1.5
 _PARTS = 2
 
 AnyDispatcher = Dispatcher | FifoDispatcher
-MakeDispatcher = Callable[[float], AnyDispatcher]
+MakeDispatcher = Callable[[float, PrefixMap], AnyDispatcher]
+LearnPrefixes = Callable[[PrefixMap], None]
 
 
 @frozen
@@ -39,6 +40,11 @@
         Makes a dispatcher that learns for as many seconds.
     split
         When there are two; ``None`` for never.
+
+    Attributes
+    ----------
+    learn_prefixes
+        Tells a second owner what engines have cached.
     """
 
     def __init__(
@@ -50,7 +56,8 @@
         self._clock = clock
         self._make = make
         self._split = split
-        self._owners = [make(0)]
+        self._owners = [make(0, PrefixMap())]
+        self.learn_prefixes: LearnPrefixes = _learn_nothing
 
     @property
     def all(self) -> Sequence[AnyDispatcher]:
@@ -62,7 +69,9 @@
         if not self._sees_second(entry):
             return self._owners[0]
         if len(self._owners) == 1:
-            self._owners.append(self._make(LEARNING_S))
+            prefixes = PrefixMap()
+            self.learn_prefixes(prefixes)
+            self._owners.append(self._make(LEARNING_S, prefixes))
         return self._owners[1]
 
     def next_change_s(self) -> float:
@@ -78,3 +87,7 @@
         if split is None or now < split.start_s:
             return False
         return now >= split.end_s or entry % _PARTS == 1
+
+
+def _learn_nothing(prefixes: PrefixMap) -> None:
+    """Know nothing of what engines have cached."""
--- a/libs/routing/src/cowslipstep/replay/_running.py
+++ b/libs/routing/src/cowslipstep/replay/_running.py
@@ -11,6 +11,7 @@
 from cowslipstep.replay._fleet import FleetModel
 from cowslipstep.replay._held_grants import HeldGrant, release, renew
 from cowslipstep.replay._timeline import Timeline
+from cowslipstep.routing import PrefixMap
 
 CHECK_PERIOD_S = 0.25
 _RENEWAL_PERIOD_S = 2
@@ -47,6 +48,12 @@
             for cell in cells.values()
             for group in cell.groups
         }
+        if fleet.reads_events:
+            for cell in cells.values():
+                cell.owners.learn_prefixes = functools.partial(
+                    self._learn_prefixes,
+                    cell,
+                )
 
     def begin(self, held: HeldGrant) -> None:
         """Run a request that was granted a slot, and renew its grant."""
@@ -73,3 +80,10 @@
             owners.next_change_s() + CHECK_PERIOD_S,
         )
         self._timeline.at(next_s, functools.partial(self._renew, held))
+
+    def _learn_prefixes(self, cell: CellModel, prefixes: PrefixMap) -> None:
+        now = self._timeline.clock()
+        for group in cell.groups:
+            cache = self._engines[group.group].cache
+            for prefix_hash in cache.published(now):
+                prefixes.hint(prefix_hash, group.group)
--- a/libs/routing/src/cowslipstep/replay/_spec.py
+++ b/libs/routing/src/cowslipstep/replay/_spec.py
@@ -46,6 +46,8 @@
         When the stream runs, and how much work it brings.
     model
         Model that is asked for.
+    prefixes
+        Number of prompt heads of each workspace; zero for none in common.
     """
 
     rank: str
@@ -55,6 +57,7 @@
     timeout_s: float
     phases: list[Phase]
     model: str = 'drafting'
+    prefixes: int = 0
 
 
 @frozen
--- a/libs/routing/src/cowslipstep/replay/_trace.py
+++ b/libs/routing/src/cowslipstep/replay/_trace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Iterator
 
 from attrs import frozen
@@ -25,6 +26,7 @@
     output_tokens: int
     timeout_s: float
     model: str = 'drafting'
+    prefix_hash: int = 0
 
 
 def expand(spec: TraceSpec, fleet: FleetModel) -> list[Arrival]:
@@ -83,8 +85,17 @@
         _size(stream.output_tokens, rng),
         stream.timeout_s,
         stream.model,
+        _prefix_hash(workspace, stream.prefixes, rng),
     )
 
 
 def _size(mean: int, rng: random.Random) -> int:
     return max(1, int(mean * rng.uniform(_LEAST_SIZE, _LARGEST_SIZE)))
+
+
+def _prefix_hash(workspace: str, prefixes: int, rng: random.Random) -> int:
+    """Return a head that few requests have or many; zero for none."""
+    if not prefixes:
+        return 0
+    head = min(int(rng.paretovariate(1)), prefixes)
+    return zlib.crc32(f'{workspace}/{head}'.encode()) + 1
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -4,6 +4,7 @@
 passed in.
 """
 
+from cowslipstep.routing._affinity import PrefixMap
 from cowslipstep.routing._cell_slots import CellSlots
 from cowslipstep.routing._cells import CellChoice, CellTry, order_cells
 from cowslipstep.routing._dispatcher import Dispatcher
--- a/libs/routing/src/cowslipstep/routing/_affinity.py
+++ b/libs/routing/src/cowslipstep/routing/_affinity.py
@@ -32,6 +32,11 @@
         if len(self._groups) > _MAX_PREFIXES:
             self._groups.popitem(last=False)
 
+    def hint(self, prefix_hash: int, group: str) -> None:
+        """Note what a group said of itself, unless something is known."""
+        if prefix_hash not in self._groups:
+            self.note(prefix_hash, group)
+
     def find(self, prefix_hash: int) -> str:
         """Return the group that probably holds a prefix, or nothing."""
         return self._groups.get(prefix_hash, '')
--- a/libs/routing/src/cowslipstep/routing/_choice.py
+++ b/libs/routing/src/cowslipstep/routing/_choice.py
@@ -46,6 +46,8 @@
         Grants in use.
     outliers
         Weights of the groups.
+    prefixes
+        Which group probably holds a prompt's head.
     """
 
     def __init__(
@@ -53,11 +55,12 @@
         clock: Clock,
         grants: GrantTable,
         outliers: OutlierDetector,
+        prefixes: PrefixMap,
     ) -> None:
         self._clock = clock
         self._grants = grants
         self._outliers = outliers
-        self._prefixes = PrefixMap()
+        self._prefixes = prefixes
         self._groups: tuple[GroupSlots, ...] = ()
         self._slot_share: float = 1
 
--- a/libs/routing/src/cowslipstep/routing/_dispatcher.py
+++ b/libs/routing/src/cowslipstep/routing/_dispatcher.py
@@ -6,6 +6,7 @@
 
 from cowslipstep.model import Ask, NotRun, Reason, Refusal, Release, Renewal
 from cowslipstep.routing._accounts import Accounts, open_books
+from cowslipstep.routing._affinity import PrefixMap
 from cowslipstep.routing._choice import GroupChoice
 from cowslipstep.routing._granting import Granter
 from cowslipstep.routing._intake import Intake
@@ -37,9 +38,16 @@
     learning_s
         How long a new dispatcher, or one that was paused, uses only a part
         of the slots, since grants of another one may be in use.
+    prefixes
+        Which group probably holds a prompt's head, as far as is known.
     """
 
-    def __init__(self, clock: Clock, learning_s: float = 0) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        learning_s: float = 0,
+        prefixes: PrefixMap | None = None,
+    ) -> None:
         self._learning = Learning(clock, learning_s)
         self._queue = RankedQueue(clock)
         self._books = open_books(clock)
@@ -49,6 +57,7 @@
             clock,
             self._books.grants,
             self._books.outliers,
+            PrefixMap() if prefixes is None else prefixes,
         )
         self._intake = Intake(
             clock,
--- a/libs/routing/tests/test_dispatcher.py
+++ b/libs/routing/tests/test_dispatcher.py
@@ -24,6 +24,7 @@
     CellPolicy,
     Dispatcher,
     GroupSlots,
+    PrefixMap,
     WorkspaceShare,
 )
 
@@ -49,10 +50,15 @@
     answers: dict[str, Grant | Refusal] = field(factory=dict)
     order: list[str] = field(factory=list)
     numbers: itertools.count[int] = field(factory=itertools.count)
+    prefixes: PrefixMap = field(factory=PrefixMap)
     dispatcher: Dispatcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.dispatcher = Dispatcher(lambda: self.now_s, self.learning_s)
+        self.dispatcher = Dispatcher(
+            lambda: self.now_s,
+            self.learning_s,
+            self.prefixes,
+        )
         self.update()
 
     def update(self) -> None:
@@ -357,3 +363,15 @@
     groups = [grant_of(bench, name).group for name in names]
     assert len(set(groups[:3])) == 1
     assert groups.count(groups[0]) < 6
+
+
+def test_a_hint_is_followed_and_bounded() -> None:
+    bench = Bench(slots=8, groups=('g1', 'g2'))
+    bench.prefixes.hint(7, 'g2')
+    bench.prefixes.hint(7, 'g1')
+    bench.prefixes.hint(8, 'gone')
+    assert grant_of(bench, bench.ask(prefix_hash=8)).group == 'g1'
+    names = [bench.ask(prefix_hash=7) for _ in range(6)]
+    groups = [grant_of(bench, name).group for name in names]
+    assert set(groups[:3]) == {'g2'}
+    assert groups.count('g2') < 6
