Show over processes that a new owner uses the engines' cache events

Cause: the reading of past cache events by a new owner had unit tests only.

Ruled out: to wait for a fixed time before the requests; the engine stand-in counts the reads of its events instead.

Change: a scenario in features/dispatch.feature: two groups, each holds one of two prompts, the owner is killed, and both prompts run on their groups again.

Measured: `pytest tests/test_dispatch.py`: 4 passed. With events read and not used the second prompt runs on the other group: failed.

--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -59,7 +59,8 @@
             self._host.faults = EngineFaults(**request.document)
         runs = [attrs.asdict(run) for run in self._host.runs]
         orders = [attrs.asdict(order) for order in self._host.orders]
-        return ok({'runs': runs, 'orders': orders})
+        reads = self._host.cache_reads
+        return ok({'runs': runs, 'orders': orders, 'cache_reads': reads})
 
     def _answer(self, request: HttpRequest) -> HttpAnswer:
         match request.segments:
@@ -79,6 +80,7 @@
         return HttpAnswer('409 Conflict', {'fence': self._host.fence})
 
     def _cache_events(self, request: HttpRequest) -> HttpAnswer:
+        self._host.cache_reads += 1
         after = int(request.query.get('after', 0))
         events = self._host.cache_events.published(after, time.monotonic())
         return ok({'stored': [attrs.asdict(event) for event in events]})
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -102,6 +102,7 @@
     runs: list[Run] = field(factory=list)
     orders: list[AppliedOrder] = field(factory=list)
     cache_events: CacheEvents = field(factory=CacheEvents)
+    cache_reads: int = 0
     load: LaggedLoad = field(factory=LaggedLoad)
 
     @property
--- a/tests/features/dispatch.feature
+++ b/tests/features/dispatch.feature
@@ -16,3 +16,9 @@
       | fault  |
       | frozen |
       | killed |
+
+  Scenario: A new owner prefers the groups that hold a prompt's head
+    Given a fleet of three daemons and two groups
+    And each of two prompts is cached on a group of its own
+    When the cell's owner is killed and the next one has read the cache events
+    Then each of the two prompts runs on its group again
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+import urllib3
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from cowslipstep.model import Cell
@@ -23,6 +25,8 @@
 
 CONCURRENCY = 32
 SENDERS = 40
+HEAD_CHARS = 64
+HEADS = ('span summary ' * 9, 'defect notes ' * 9)
 URGENT_PROMPT = 'a crew waits at a pole'
 
 
@@ -135,3 +139,84 @@
 def _begun(fleet: LocalFleet) -> int:
     flood = {prompt_digest(f'weekly report {index}') for index in range(30)}
     return sum(run['digest'] in flood for run in engine_runs(fleet))
+
+
+@pytest.fixture
+def two_groups() -> Iterator[LocalFleet]:
+    shape = FleetShape(
+        daemons=3,
+        hosts_per_domain=4,
+        slots=4,
+        token_s=0.005,
+    )
+    with local_fleet(shape) as fleet:
+        yield fleet
+
+
+@given('a fleet of three daemons and two groups', target_fixture='fleet')
+def given_two_groups(two_groups: LocalFleet) -> LocalFleet:
+    return two_groups
+
+
+@given('each of two prompts is cached on a group of its own')
+def cache_prompts(fleet: LocalFleet) -> None:
+    address = fleet.plan.daemons[0].http
+    calls = [Call(head, 'grid-a', tokens=100) for head in HEADS]
+    sent = send_all(calls, take_turns([address]), len(HEADS))
+    assert all(outcome.correct for outcome in sent)
+    groups = [_groups_of(fleet, head) for head in HEADS]
+    assert groups[0] != groups[1]
+    wait_until(lambda: _is_published(fleet), 'cache events')
+
+
+@when("the cell's owner is killed and the next one has read the cache events")
+def replace_owner(fleet: LocalFleet, owner: str, caller: Caller) -> None:
+    before = _cache_reads(fleet)
+    fleet.daemon(owner).kill()
+    other = _other(fleet, owner)
+    warm_up = Call('after the fault', 'grid-b', tokens=1)
+    wait_until(lambda: caller.send(other, warm_up).correct, 'an owner')
+    wait_until(lambda: _cache_reads(fleet) >= before + len(HEADS), 'its reads')
+    assert caller.send(other, warm_up).correct
+
+
+@then('each of the two prompts runs on its group again')
+def check_groups(fleet: LocalFleet, owner: str, caller: Caller) -> None:
+    other = _other(fleet, owner)
+    for head in HEADS:
+        assert caller.send(other, Call(head, 'grid-a', tokens=1)).correct
+        assert len(set(_groups_of(fleet, head))) == 1
+
+
+def _other(fleet: LocalFleet, owner: str) -> str:
+    others = [
+        daemon.http for daemon in fleet.plan.daemons if daemon.name != owner
+    ]
+    return others[0]
+
+
+def _groups_of(fleet: LocalFleet, prompt: str) -> list[str]:
+    digest = prompt_digest(prompt)
+    return [
+        run['group'] for run in engine_runs(fleet) if run['digest'] == digest
+    ]
+
+
+def _cache_reads(fleet: LocalFleet) -> int:
+    return sum(
+        fleet.control(host.address)['cache_reads'] for host in fleet.plan.hosts
+    )
+
+
+def _is_published(fleet: LocalFleet) -> bool:
+    """Whether the engines have published that both prompts are cached."""
+    http = urllib3.PoolManager(retries=False)
+    published = ''
+    for host in fleet.plan.hosts:
+        url = f'http://{host.address}/cache-events?after=0'
+        published += http.request('GET', url).data.decode()
+    return all(_head_digest(head) in published for head in HEADS)
+
+
+def _head_digest(prompt: str) -> str:
+    return hashlib.sha256(prompt[:HEAD_CHARS].encode()).hexdigest()
