Let the two cached prompts overlap for 2 s on a busy machine

Cause: the scenario asks that two requests run on two groups, which holds only while they overlap; 0.5 s can pass between the starts of two threads on a busy machine.

Change: 400 tokens of 5 ms each in place of 100.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -161,7 +161,7 @@
 @given('each of two prompts is cached on a group of its own')
 def cache_prompts(fleet: LocalFleet) -> None:
     address = fleet.plan.daemons[0].http
-    calls = [Call(head, 'grid-a', tokens=100) for head in HEADS]
+    calls = [Call(head, 'grid-a', tokens=400) for head in HEADS]
     sent = send_all(calls, take_turns([address]), len(HEADS))
     assert all(outcome.correct for outcome in sent)
     groups = [_groups_of(fleet, head) for head in HEADS]
