Wait for all hosts of a fabric domain that goes dark or comes back

Cause: with all hosts of a domain unreachable for 12 s and then back, the old groups did not serve within 30 s: the first host that answered again made all others count as lost, and their groups were dissolved.

Change: DarkWatch. Nothing is written or ordered while more than half of the hosts miss probes for less than 2 s, or after darkness until all answer or 9 s have passed. Orders wait too, as loads of returned hosts would not be paced.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -20,12 +20,14 @@
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import (
     Author,
+    DarkWatch,
     DomainLease,
     DomainLedger,
     DomainView,
     LeaseTiming,
     LedgerUnavailable,
     LedgerWriter,
+    Records,
     due_orders,
     give_up_lease,
     keep_ledger,
@@ -80,6 +82,7 @@
     def __init__(self, tools: KeeperTools, scope: DomainScope) -> None:
         self._tools = tools
         self._domain = scope.domain
+        self._dark = DarkWatch(time.monotonic)
         self._store = PlatformLedger(tools.state.platform, scope.domain)
         self._lease = _new_lease(tools.state, self._store, scope)
 
@@ -121,15 +124,20 @@
         seen = self._lease.state.seen
         note_changes(self._tools.state, view, seen.ledger)
         self._tools.ledgers.publish(seen)
-        self._give_orders(scope)
+        if not view.unsettled:
+            # An order to load would not be paced.
+            self._give_orders(scope)
         self._tools.drains.report(seen.ledger, scope.hosts, view.records)
         return True
 
     def _view(self, scope: DomainScope) -> DomainView:
         ledger = self._lease.state.seen.ledger
         view = domain_view(self._tools, scope, ledger)
-        finished = self._tools.drains.finished(ledger, view.records)
-        return evolve(view, finished=finished)
+        return evolve(
+            view,
+            finished=self._tools.drains.finished(ledger, view.records),
+            unsettled=self._dark.is_unsettled(_only(view.records, scope)),
+        )
 
     def _give_orders(self, scope: DomainScope) -> None:
         if not self._lease.may_order:
@@ -148,6 +156,10 @@
         self._tools.state.events.add(kind, self._domain, cause)
 
 
+def _only(records: Records, scope: DomainScope) -> Records:
+    return {host: records[host] for host in scope.hosts if host in records}
+
+
 def _new_lease(
     state: DaemonState,
     store: PlatformLedger,
