--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keyed_service.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keyed_service.py
@@ -24,5 +24,5 @@
     ledger = OrderLedger(store)
     shared = SharedLedger(state, ledger, links)
     claims = OrderClaims(shared)
-    state.finish_hooks.append(claims.wait_settled)
+    state.end_hooks.append(claims.wait_settled)
     return KeyedRuns(claims, state.counters)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_order_claims.py
@@ -9,13 +9,9 @@
 
 from cowslipstep.daemon._keyed_orders import KeyedOrder
 from cowslipstep.daemon._ledger_calls import ChangeLedger
-from cowslipstep.daemon._order_settling import (
-    SettlingChanges,
-    Task,
-    change_order,
-)
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._segment_batches import LedgerUnavailable
+from cowslipstep.daemon._settlements import Settlements, Task, change_entry
 from cowslipstep.delivery import (
     AnswerOrder,
     EnterOrder,
@@ -51,7 +47,7 @@
     ) -> None:
         self._ledger = ledger
         self._look_again_s = look_again_s
-        self._settling = SettlingChanges(ledger)
+        self._settlements = Settlements(ledger)
 
     def enter(self, order: KeyedOrder) -> EntryResult:
         """Enter a claim and wait for the platform to confirm it.
@@ -95,21 +91,21 @@
 
     def answer(self, order: KeyedOrder, answer: OrderAnswer) -> None:
         """Begin to keep the answer of an order that ran."""
-        self._settling.start(order, AnswerOrder(order.claim, answer))
+        self._settlements.start(order, AnswerOrder(order.claim, answer))
 
     def wait_settled(self) -> None:
-        """Wait until the changes that have begun are kept or given up."""
-        self._settling.wait()
+        """Wait until no answer and no withdrawal is on its way."""
+        self._settlements.wait()
 
     def _withdraw(self, order: KeyedOrder) -> Task:
-        return self._settling.start(order, WithdrawOrder(order.claim))
+        return self._settlements.start(order, WithdrawOrder(order.claim))
 
     def _enter(self, order: KeyedOrder) -> EntryResult:
         change = EnterOrder(order.claim)
-        outcome = change_order(self._ledger, order, change)
+        outcome = change_entry(self._ledger, order, change)
         for delay_s in self._look_again_s:
             if outcome != InUse():
                 break
             eventlet.sleep(delay_s)
-            outcome = change_order(self._ledger, order, change)
+            outcome = change_entry(self._ledger, order, change)
         return outcome
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_order_settling.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_settlements.py
@@ -1,4 +1,4 @@
-"""Changes of orders that are kept in the background."""
+"""Changes of order entries that end a claim, applied in the background."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 Task = Any
 
 
-class SettlingChanges:
-    """Applies changes again and again through a short outage.
+class Settlements:
+    """Records answers and withdrawals, one task for each.
 
     Parameters
     ----------
@@ -38,14 +38,15 @@
         return task
 
     def wait(self) -> None:
-        """Wait until all changes that have begun are kept or given up."""
-        for task in tuple(self._tasks):
-            task.wait()
+        """Wait until all changes are applied or given up."""
+        while self._tasks:
+            next(iter(self._tasks)).wait()
 
     def _settle(self, order: KeyedOrder, change: OrderChange) -> None:
+        """Apply a change, again and again through a short outage."""
         for delay_s in _AGAIN_S:
             try:
-                change_order(self._ledger, order, change)
+                change_entry(self._ledger, order, change)
             except LedgerUnavailable as error:
                 logger.info('an order entry is still open: {}', error)
                 eventlet.sleep(delay_s)
@@ -55,11 +56,17 @@
         logger.warning('an order entry stays open')
 
 
-def change_order(
+def change_entry(
     ledger: ChangeLedger,
     order: KeyedOrder,
     change: OrderChange,
 ) -> EntryResult:
-    """Apply a change to the entry of an order."""
+    """Apply a change to the entry of an order.
+
+    Raises
+    ------
+    LedgerUnavailable
+        If the platform does not confirm it in time.
+    """
     placed = PlacedChange(order.place, change, order.retention_s)
     return ledger.apply(placed)
