Share the probes of a large fabric domain between daemons

Cause: the keeper of a domain probed all of its hosts, so that its cost grew with the domain, and all groups went unprobed when it ended.

Change: one daemon for each 30 hosts probes, the first by hash near the domain, the keeper among them; groups and spares fall to them by hash. The keeper asks the others for findings each 0.5 s (ProbeQuery, ProbeFindings), probes itself what nobody has reported for 1.25 s, and tells which groups drain. A daemon that has not probed a group lately says nothing of it.

Ruled out by measurement: sharing by all daemons of the failure domain.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_control.py
@@ -21,7 +21,7 @@
 ) -> None:
     """Start the tasks for peers, configuration and groups."""
     feed = ConfigurationFeed(state)
-    groups = GroupService(state)
+    groups = GroupService(state, links)
     reports = OwnReports(state, groups.own_readiness)
     with listening_on(state.settings.peer_address):
         PeerService(state, feed, cells, reports).start()
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_drains.py
@@ -52,9 +52,11 @@
         }
         return self._feed.names | slow
 
-    def is_draining(self, group: str) -> bool:
-        """Whether a group takes no new work."""
-        return group in self._since_s
+    def draining_in(self, domain: str) -> frozenset[str]:
+        """Return the groups of a fabric domain that take no new work."""
+        return frozenset(
+            group for group in self._since_s if domain_of_group(group) == domain
+        )
 
     def update(self, ledger: DomainLedger, records: Records) -> None:
         """Note which groups of a ledger drain now."""
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_groups.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_groups.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import Any
 
 import eventlet
 from loguru import logger
 
+from cowslipstep.daemon._draining_groups import DrainingGroups
 from cowslipstep.daemon._drains import DrainTracker
 from cowslipstep.daemon._group_figures import GroupFigures
+from cowslipstep.daemon._host_records import HostRecords
 from cowslipstep.daemon._keeper import DomainKeeper, KeeperTools
 from cowslipstep.daemon._leaving import LeavingFeed
 from cowslipstep.daemon._ledger_feed import LedgerFeed
+from cowslipstep.daemon._links import PeerLinks
 from cowslipstep.daemon._orders import OrderSender
 from cowslipstep.daemon._own_readiness import own_readiness
+from cowslipstep.daemon._probe_sharing import ProbeSharing
 from cowslipstep.daemon._prober import Prober
 from cowslipstep.daemon._scopes import DomainScope, DomainScopes
 from cowslipstep.daemon._state import DaemonState
@@ -32,19 +35,23 @@
     ----------
     state
         State of the daemon.
+    links
+        Links to the other daemons.
     """
 
-    def __init__(self, state: DaemonState) -> None:
+    def __init__(self, state: DaemonState, links: PeerLinks) -> None:
         self._leaving = LeavingFeed(state)
-        prober = Prober()
+        prober = Prober(HostRecords())
         self._tools = KeeperTools(
             state,
             DomainScopes(state),
             prober,
-            OrderSender(prober),
+            OrderSender(prober.book),
             DrainTracker(state, self._leaving),
             LedgerFeed(state),
+            DrainingGroups(self._leaving),
         )
+        self._probes = ProbeSharing(self._tools, links)
         self._figures = GroupFigures(self._tools)
         self._keepers: dict[str, Any] = {}
 
@@ -61,11 +68,8 @@
     def _step(self) -> None:
         tools = self._tools
         tools.scopes.update()
-        scopes = tools.scopes.owned.values()
-        tools.prober.cover(
-            itertools.chain.from_iterable(scope.runners for scope in scopes),
-        )
-        for scope in scopes:
+        self._probes.update()
+        for scope in tools.scopes.owned.values():
             self._keep(scope)
         for readiness in self.own_readiness():
             tools.state.readiness.learn(readiness)
@@ -80,6 +84,7 @@
         ledger = tools.state.ledgers.get(scope.domain)
         if ledger is not None:
             tools.drains.update(ledger, tools.prober.records)
+            tools.draining.follow(scope.domain, tools.drains)
 
     def _read_leaving(self) -> None:
         if self._tools.scopes.owned:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 from loguru import logger
 
+from cowslipstep.daemon._draining_groups import DrainingGroups
 from cowslipstep.daemon._drains import DrainTracker
 from cowslipstep.daemon._group_events import note_changes
 from cowslipstep.daemon._ledger_feed import LedgerFeed
@@ -48,6 +49,7 @@
     orders: OrderSender
     drains: DrainTracker
     ledgers: LedgerFeed
+    draining: DrainingGroups
 
 
 class DomainKeeper:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_leaving.py
@@ -74,6 +74,12 @@
         self._state = state
         self._hosts = HostList()
         self._drains: tuple[StoredDrain, ...] = ()
+        self._is_known = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the platform has answered once."""
+        return self._is_known
 
     @property
     def names(self) -> frozenset[str]:
@@ -118,6 +124,7 @@
         self._hosts = read_host_list(self._state.platform)
         listed = self._state.platform.read_all(_DRAIN_KIND)
         self._drains = tuple(_decode_all(listed))
+        self._is_known = True
 
 
 def _is_news(progress: Drain, last: Drain) -> bool:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_feed.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ledger_feed.py
@@ -28,6 +28,7 @@
         self._state = state
         self._versions: dict[str, int] = {}
         self._wanted: Queue[str] = Queue()
+        self._awaited: set[str] = set()
         state.readiness.on_new_group(self._want_ledger_of)
 
     def run(self) -> None:
@@ -36,10 +37,18 @@
             eventlet.sleep(_RETRY_DELAY_S)
         while True:
             domain = self._wanted.get()
+            # A change after this read was sent must be read again.
+            self._awaited.discard(domain)
             if not self._read(domain):
-                self._wanted.put(domain)
+                self.want(domain)
                 eventlet.sleep(_RETRY_DELAY_S)
 
+    def want(self, domain: str) -> None:
+        """Read the ledger of a domain soon; one read serves all who want it."""
+        if domain not in self._awaited:
+            self._awaited.add(domain)
+            self._wanted.put(domain)
+
     def publish(self, found: VersionedLedger) -> None:
         """Put a ledger in use unless a newer one is known."""
         domain = found.ledger.fabric_domain
@@ -52,7 +61,7 @@
         ledger = self._state.ledgers.get(domain)
         known = () if ledger is None else ledger.groups
         if group not in {entry.name for entry in known}:
-            self._wanted.put(domain)
+            self.want(domain)
 
     def _read_all(self) -> bool:
         try:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_orders.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_orders.py
@@ -14,8 +14,8 @@
 from loguru import logger
 from urllib3.connection import HTTPConnection
 
+from cowslipstep.daemon._host_records import HostRecords
 from cowslipstep.daemon._health_calls import read_health
-from cowslipstep.daemon._prober import Prober
 from cowslipstep.groups import AssignOrder, Order, ReleaseOrder
 
 _ORDER_TIMEOUT_S = 0.5
@@ -37,12 +37,12 @@
 
     Parameters
     ----------
-    prober
+    book
         Is told what hosts say in answer to orders.
     """
 
-    def __init__(self, prober: Prober) -> None:
-        self._prober = prober
+    def __init__(self, book: HostRecords) -> None:
+        self._book = book
         self._sent_at_s: dict[str, float] = {}
 
     def send_all(self, orders: list[Order], right: OrderRight) -> None:
@@ -64,7 +64,7 @@
             logger.bind(host=host).warning('order failed: {}', error)
             return
         if health is not None:
-            self._prober.note(read_health(health, sent_at_s))
+            self._book.note(read_health(health, sent_at_s))
 
 
 def _exchange(order: Order, right: OrderRight) -> dict[str, Any] | None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_own_readiness.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_own_readiness.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from cowslipstep.daemon._keeper import KeeperTools
-from cowslipstep.groups import group_readiness
+from cowslipstep.groups import domain_of_group, group_readiness, is_probed
 from cowslipstep.model import Group, GroupReadiness
 
 
@@ -14,14 +14,17 @@
     """Yield the readiness, at this moment, of each group that is probed."""
     now = time.monotonic()
     for group in _own_groups(tools):
-        if tools.drains.is_draining(group.name):
+        if group.name in tools.draining.of(domain_of_group(group.name)):
             yield GroupReadiness(group.name, 0)
-        else:
+        elif is_probed(group, tools.prober.records, now):
             yield group_readiness(group, tools.prober.records, now)
 
 
 def _own_groups(tools: KeeperTools) -> Iterator[Group]:
-    for domain in tools.scopes.owned:
+    hosts = tools.prober.hosts
+    for domain in tools.scopes.near.keys() | tools.scopes.owned.keys():
         ledger = tools.state.ledgers.get(domain)
         if ledger is not None:
-            yield from ledger.groups
+            for group in ledger.groups:
+                if hosts.issuperset(group.members):
+                    yield group
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_ownership.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_ownership.py
@@ -1,4 +1,4 @@
-"""Fabric domains whose lease this daemon should try to hold."""
+"""Daemons that keep and probe each fabric domain."""
 
 from __future__ import annotations
 
@@ -6,11 +6,14 @@
 
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.model import Configuration
-from cowslipstep.routing import rank_owners
+
+
+DaemonsOfDomain = tuple[str, frozenset[str]]
+DaemonsNear = dict[str, frozenset[str]]
 
 
 class DomainOwnership:
-    """Soft ownership of fabric domains, worked out anew after a change.
+    """Who may own what of fabric domains, worked out anew after a change.
 
     Daemons of the domain's own failure domain come first, since probes
     from there are not cut off with the other failure domains.
@@ -24,33 +27,31 @@
     def __init__(self, state: DaemonState) -> None:
         self._state = state
         self._basis: tuple[frozenset[str], int] = (frozenset(), 0)
-        self._owned: frozenset[str] = frozenset()
+        self._near: DaemonsNear = {}
 
-    def owned_domains(self) -> frozenset[str]:
-        """Names of the fabric domains that this daemon owns now."""
+    def daemons_near(self) -> DaemonsNear:
+        """Live daemons of each fabric domain's failure domain, else all."""
         configuration = self._state.configuration
         if configuration is None:
-            return frozenset()
+            return {}
         basis = (_candidates(self._state), self._state.version)
         if basis != self._basis:
             self._basis = basis
-            self._owned = frozenset(self._work_out(configuration, basis[0]))
-        return self._owned
+            self._near = dict(self._work_out(configuration, basis[0]))
+        return self._near
 
     def _work_out(
         self,
         configuration: Configuration,
         daemons: frozenset[str],
-    ) -> Iterator[str]:
+    ) -> Iterator[DaemonsOfDomain]:
         locations = {
             runner.fabric_domain: runner.failure_domain
             for runner in configuration.runners
         }
         for domain, home in locations.items():
             local = daemons & self._state.daemons_in(home)
-            owner = rank_owners(domain, local or daemons)[0]
-            if owner == self._state.settings.name:
-                yield domain
+            yield domain, local or daemons
 
 
 def _candidates(state: DaemonState) -> frozenset[str]:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_peers.py
@@ -18,6 +18,7 @@
     Heartbeat,
     LedgerCall,
     Message,
+    ProbeQuery,
     Release,
     Renewal,
 )
@@ -83,11 +84,22 @@
                 self._cells.renew(message)
             case Release():
                 self._cells.release(message)
-            case LedgerCall():
-                self._state.ledger_calls(message, reply)
+            case LedgerCall() | ProbeQuery():
+                self._share_work(message, reply)
             case ConfigurationQuery() | ConfigurationCopy():
                 self._configure(message, reply)
 
+    def _share_work(
+        self,
+        message: LedgerCall | ProbeQuery,
+        reply: Reply,
+    ) -> None:
+        match message:
+            case LedgerCall():
+                self._state.ledger_calls(message, reply)
+            case ProbeQuery():
+                self._state.probe_calls(message, reply)
+
     def _configure(
         self,
         message: ConfigurationQuery | ConfigurationCopy,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
@@ -15,14 +15,13 @@
 from urllib3.connection import HTTPConnection
 
 from cowslipstep.daemon._health_calls import ask_health, read_health
+from cowslipstep.daemon._host_records import HostRecords
 from cowslipstep.daemon._tasks import start_task
 from cowslipstep.groups import (
     HostRecord,
     HostReport,
     HostState,
     align_delay_s,
-    note_miss,
-    note_report,
     probe_delay_s,
 )
 from cowslipstep.model import Runner
@@ -42,35 +41,53 @@
 
 
 class Prober:
-    """Asks hosts for their health and remembers what they said."""
+    """Asks hosts for their health, one task for each.
 
-    def __init__(self) -> None:
-        self._records: dict[str, HostRecord] = {}
+    Parameters
+    ----------
+    book
+        Takes what hosts say.
+    """
+
+    def __init__(self, book: HostRecords) -> None:
+        self._book = book
         self._tasks: dict[Runner, Any] = {}
+        self._hosts: frozenset[str] = frozenset()
 
     @property
-    def records(self) -> Mapping[str, HostRecord]:
-        """What is known of each host that is probed."""
-        return self._records
+    def hosts(self) -> frozenset[str]:
+        """Names of the hosts that are probed."""
+        return self._hosts
+
+    @property
+    def book(self) -> HostRecords:
+        """Takes what is learned of hosts otherwise."""
+        return self._book
 
-    def cover(self, runners: Iterable[Runner]) -> None:
-        """Probe these runners from now on, and no others."""
+    @property
+    def records(self) -> Mapping[str, HostRecord]:
+        """What is known of each host that is probed or kept."""
+        return self._book.by_host
+
+    def cover(
+        self,
+        runners: Iterable[Runner],
+        kept: Iterable[Runner] = (),
+    ) -> None:
+        """Probe these runners from now on, and no others.
+
+        The records of the ``kept`` ones stay, for what others find.
+        """
         wanted = frozenset(runners)
-        for runner in self._tasks.keys() - wanted:
-            self._tasks.pop(runner).kill()
-            self._records.pop(runner.host, None)
+        for gone in self._tasks.keys() - wanted:
+            self._tasks.pop(gone).kill()
+        self._hosts = frozenset(runner.host for runner in wanted)
+        self._book.keep(self._hosts.union(runner.host for runner in kept))
         for added in wanted - self._tasks.keys():
-            self._records[added.host] = HostRecord()
             task = functools.partial(self._probe_forever, added)
             name = f'probes of {added.host}'
             self._tasks[added] = start_task(name, task)
 
-    def note(self, report: HostReport) -> None:
-        """Take over what a host said of itself."""
-        record = self._records.get(report.host)
-        if record is not None:
-            self._records[report.host] = note_report(record, report)
-
     def _probe_forever(self, runner: Runner) -> None:
         connection = HTTPConnection(
             runner.address.ip,
@@ -79,23 +96,19 @@
         )
         with contextlib.closing(connection):
             while True:
-                self._probe(runner, connection)
-                eventlet.sleep(_delay_s(self._records[runner.host]))
+                self._probe(runner.host, connection)
+                eventlet.sleep(_delay_s(self.records[runner.host]))
 
-    def _probe(self, runner: Runner, connection: HTTPConnection) -> None:
+    def _probe(self, host: str, connection: HTTPConnection) -> None:
         sent_at_s = time.monotonic()
         try:
             report = _ask_health(connection, sent_at_s)
         except (TimeoutError, urllib3.exceptions.TimeoutError):
-            self._miss(runner, refused=False)
+            self._book.miss(host, refused=False)
         except _NO_ANSWER:
-            self._miss(runner, refused=True)
+            self._book.miss(host, refused=True)
         else:
-            self.note(report)
-
-    def _miss(self, runner: Runner, *, refused: bool) -> None:
-        record = self._records[runner.host]
-        self._records[runner.host] = note_miss(record, refused=refused)
+            self._book.note(report)
 
 
 def _ask_health(connection: HTTPConnection, sent_at_s: float) -> HostReport:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_scopes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_scopes.py
@@ -4,10 +4,11 @@
 
 from attrs import frozen
 
-from cowslipstep.daemon._ownership import DomainOwnership
+from cowslipstep.daemon._ownership import DaemonsNear, DomainOwnership
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.groups import domain_shares
+from cowslipstep.groups import count_probers, domain_shares
 from cowslipstep.model import Configuration, Model, Runner
+from cowslipstep.routing import rank_owners
 
 
 @frozen
@@ -40,12 +41,27 @@
         self._version = 0
         self._all: dict[str, DomainScope] = {}
         self._owned: dict[str, DomainScope] = {}
+        self._near: dict[str, DomainScope] = {}
+        self._daemons: DaemonsNear = {}
+        self._probers: dict[str, tuple[str, ...]] = {}
 
     @property
     def owned(self) -> dict[str, DomainScope]:
         """Scopes of the domains owned now, by name."""
         return self._owned
 
+    @property
+    def near(self) -> dict[str, DomainScope]:
+        """Scopes of the domains whose probes this daemon shares, by name."""
+        return self._near
+
+    def probers(self, domain: str) -> tuple[str, ...]:
+        """Return the daemons that share the probes of a domain.
+
+        The first one keeps it as well.
+        """
+        return self._probers.get(domain, ())
+
     def update(self) -> None:
         """Work out the scopes for the configuration and peers of now."""
         configuration = self._state.configuration
@@ -54,8 +70,29 @@
         if self._state.version != self._version:
             self._version = self._state.version
             self._all = _scopes(configuration)
-        owned = self._ownership.owned_domains()
-        self._owned = {name: self._all[name] for name in sorted(owned)}
+        daemons = self._ownership.daemons_near()
+        if daemons is not self._daemons:
+            self._daemons = daemons
+            self._choose_probers()
+
+    def _choose_probers(self) -> None:
+        own = self._state.settings.name
+        self._probers = {
+            domain: rank_owners(domain, self._daemons[domain])[
+                : count_probers(len(self._all[domain].runners))
+            ]
+            for domain in sorted(self._daemons)
+        }
+        self._near = {
+            domain: self._all[domain]
+            for domain, probers in self._probers.items()
+            if own in probers
+        }
+        self._owned = {
+            domain: scope
+            for domain, scope in self._near.items()
+            if self._probers[domain][0] == own
+        }
 
 
 def _scopes(configuration: Configuration) -> dict[str, DomainScope]:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -14,6 +14,7 @@
 from cowslipstep.daemon._live import LiveDaemons, daemons_in
 from cowslipstep.daemon._logs import log_event
 from cowslipstep.daemon._membership import Membership
+from cowslipstep.daemon._probe_calls import ProbeHandler, know_nothing
 from cowslipstep.groups import DomainLedger, ReadinessTable
 from cowslipstep.metrics import (
     Counters,
@@ -58,6 +59,8 @@
         Whether a planned stop no longer takes requests.
     ledger_calls
         Handles changes of the order ledger that other daemons ask for.
+    probe_calls
+        Answers keepers that ask what probes have found.
     stop_hooks
         Called when a planned stop begins.
     confirmed
@@ -97,6 +100,7 @@
     intake_closed: bool = False
     stop_hooks: list[Callable[[], None]] = field(factory=list)
     ledger_calls: LedgerHandler = refuse_ledger_call
+    probe_calls: ProbeHandler = know_nothing
     confirmed: bool = False
     isolated: bool = False
 
--- a/bench/_keeper_cost.py
+++ b/bench/_keeper_cost.py
@@ -10,6 +10,7 @@
 
 from _domain_plans import repack
 from _domain_view import domain_view, full_model
+from _group_faults import read_ledger
 from attrs import evolve
 
 from cowslipstep.daemon._ledgers import encode_ledger, decode_ledger
@@ -41,12 +42,12 @@
     return calls / _MEASURE_S / len(domains)
 
 
-def core_share(hosts: int) -> float:
-    """Share of a core that a lone daemon uses that keeps so many hosts."""
-    shape = FleetShape(hosts_per_domain=hosts)
+def core_share(hosts: int, daemons: int = 1) -> float:
+    """Share of a core that the keeper of so many hosts uses."""
+    shape = FleetShape(daemons=daemons, hosts_per_domain=hosts)
     with local_fleet(shape) as fleet:
         time.sleep(_SETTLE_S)
-        pid = fleet.daemon(fleet.plan.daemons[0].name).pid
+        pid = fleet.daemon(read_ledger(fleet)['lease']['holder']).pid
         before_s = _processor_s(pid)
         time.sleep(_MEASURE_S)
         return (_processor_s(pid) - before_s) / _MEASURE_S
--- a/bench/bench_groups.py
+++ b/bench/bench_groups.py
@@ -25,6 +25,7 @@
 _FUTURE_DOMAINS = 23
 _FUTURE = FleetSize(_FUTURE_HOSTS, _FUTURE_DOMAINS)
 _KEPT_HOSTS = (4, 20, 36, 117)
+_SHARING_DAEMONS = 9
 _MS_PER_S = 1000
 
 
@@ -77,6 +78,8 @@
     for hosts in _KEPT_HOSTS:
         name = f'groups.keeper_core_share_{hosts}_hosts'
         yield Figure(name, shares[hosts], 'cores')
+    shared = core_share(max(_KEPT_HOSTS), _SHARING_DAEMONS)
+    yield Figure('groups.keeper_core_share_9_daemons', shared, 'cores')
     slope = _slope(shares)
     yield Figure('groups.core_share_for_each_host', slope, 'cores')
 
--- a/libs/groups/src/cowslipstep/groups/__init__.py
+++ b/libs/groups/src/cowslipstep/groups/__init__.py
@@ -4,6 +4,7 @@
 the store of ledgers are passed in.
 """
 
+from cowslipstep.groups._findings import note_finding, finding_of
 from cowslipstep.groups._health import (
     Records,
     count_running,
@@ -42,10 +43,16 @@
     stranded_accelerators,
 )
 from cowslipstep.groups._probe_times import align_delay_s, probe_delay_s
+from cowslipstep.groups._probing import (
+    count_probers,
+    groups_table,
+    hosts_to_probe,
+)
 from cowslipstep.groups._readiness import (
     READINESS_BOUND_S,
     ReadinessTable,
     group_readiness,
+    is_probed,
 )
 from cowslipstep.groups._shares import domain_shares
 from cowslipstep.groups._stragglers import stragglers
--- a/libs/groups/src/cowslipstep/groups/_readiness.py
+++ b/libs/groups/src/cowslipstep/groups/_readiness.py
@@ -76,6 +76,29 @@
     return GroupReadiness(group.name, max(0, remaining_s))
 
 
+def is_probed(
+    group: Group,
+    records: Mapping[str, HostRecord],
+    now_s: float,
+) -> bool:
+    """Whether all members were probed lately, with or without an answer.
+
+    A daemon that has not probed a group, as after a pause, knows nothing
+    of it and must not speak against one that has.
+    """
+    return all(
+        _is_probed(records.get(member), now_s) for member in group.members
+    )
+
+
+def _is_probed(record: HostRecord | None, now_s: float) -> bool:
+    if record is None:
+        return False
+    if record.misses or record.report is None:
+        return record.misses > 0
+    return now_s < record.report.heard_at_s + READINESS_BOUND_S
+
+
 def _heard_at_s(group: Group, record: HostRecord | None) -> float:
     if record is None or record.report is None:
         return float('-inf')
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -46,6 +46,12 @@
     LedgerStep,
     OrderMessage,
 )
+from cowslipstep.model._probing import (
+    HostFinding,
+    ProbeFindings,
+    ProbeMessage,
+    ProbeQuery,
+)
 from cowslipstep.model._requests import Request
 from cowslipstep.model._verdicts import (
     Completed,
--- a/libs/peers/src/cowslipstep/peers/_decode.py
+++ b/libs/peers/src/cowslipstep/peers/_decode.py
@@ -11,6 +11,7 @@
 from cowslipstep.peers._decode_grants import decode_grant_message
 from cowslipstep.peers._decode_membership import decode_membership_message
 from cowslipstep.peers._decode_orders import decode_order_message
+from cowslipstep.peers._decode_probes import decode_probe_message
 from cowslipstep.peers._frames import Frame, FrameError
 from cowslipstep.peers._schema import SCHEMA
 
@@ -18,6 +19,7 @@
     decode_grant_message,
     decode_membership_message,
     decode_order_message,
+    decode_probe_message,
 )
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode.py
+++ b/libs/peers/src/cowslipstep/peers/_encode.py
@@ -9,10 +9,11 @@
 
 from typing import Any
 
-from cowslipstep.model import GrantMessage, Message, OrderMessage
+from cowslipstep.model import GrantMessage, Message, OrderMessage, ProbeMessage
 from cowslipstep.peers._encode_grants import write_grant_message
 from cowslipstep.peers._encode_membership import write_membership_message
 from cowslipstep.peers._encode_orders import write_order_message
+from cowslipstep.peers._encode_probes import write_probe_message
 from cowslipstep.peers._frames import Frame
 from cowslipstep.peers._schema import SCHEMA
 
@@ -33,4 +34,7 @@
     if isinstance(message, OrderMessage):
         write_order_message(builder, message)
         return
+    if isinstance(message, ProbeMessage):
+        write_probe_message(builder, message)
+        return
     write_membership_message(builder, message)
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -19,6 +19,8 @@
     daemonEntry @11 :DaemonEntry;
     ledgerCall @12 :LedgerCall;
     ledgerReply @13 :LedgerReply;
+    probeQuery @14 :ProbeQuery;
+    probeFindings @15 :ProbeFindings;
   }
 }
 
@@ -140,3 +142,28 @@
   outcome @0 :Text;
   answer @1 :LedgerAnswer;
 }
+
+struct ProbeQuery {
+  domain @0 :Text;
+  groupsTable @1 :UInt32;
+  draining @2 :List(Text);
+  drainsKnown @3 :Bool;
+}
+
+struct HostFinding {
+  host @0 :Text;
+  misses @1 :UInt32;
+  answered @2 :Bool;
+  group @3 :Text;
+  state @4 :Text;
+  ageMs @5 :UInt32;
+  model @6 :Text;
+  running @7 :UInt32;
+  fence @8 :UInt64;
+  tokenUs @9 :UInt32;
+}
+
+struct ProbeFindings {
+  domain @0 :Text;
+  hosts @1 :List(HostFinding);
+}
--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -46,6 +46,9 @@
         request = read_request(environ)
         if request.segments[0] == 'standin':
             return send_json(start_response, self._control(request))
+        if request.segments[0] == 'health':
+            # Also those that get no answer; the port tells who asked.
+            self._host.probes.append(environ['REMOTE_PORT'])
         wait_while_frozen(self._host)
         if self._host.faults.dead:
             sever(environ)
@@ -59,7 +62,8 @@
             self._host.faults = EngineFaults(**request.document)
         runs = [attrs.asdict(run) for run in self._host.runs]
         orders = [attrs.asdict(order) for order in self._host.orders]
-        return ok({'runs': runs, 'orders': orders})
+        probes = self._host.probes
+        return ok({'runs': runs, 'orders': orders, 'probes': probes})
 
     def _answer(self, request: HttpRequest) -> HttpAnswer:
         match request.segments:
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -101,6 +101,7 @@
     faults: EngineFaults = field(factory=EngineFaults)
     runs: list[Run] = field(factory=list)
     orders: list[AppliedOrder] = field(factory=list)
+    probes: list[str] = field(factory=list)
     cache_events: CacheEvents = field(factory=CacheEvents)
     load: LaggedLoad = field(factory=LaggedLoad)
 
