--- a/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_evening/_ranks.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
+from cowslipstep.cli._evening._drawings import Chart, ShareBar
 from cowslipstep.cli._evening._facts import COMPLETED, VERDICTS, Facts
 from cowslipstep.cli._evening._numbers import (
+    count_text,
     duration_text,
     quantile_text,
     ratio,
     share_text,
 )
-from cowslipstep.cli._evening._parts import (
-    Chart,
-    Measure,
-    Section,
-    ShareBar,
-    Table,
-)
+from cowslipstep.cli._evening._parts import Measure, Place, Section, Table
 from cowslipstep.cli._evening._targets import at_least
 from cowslipstep.model import Rank
 
@@ -31,8 +27,8 @@
     return Section(
         'Service by rank',
         (
-            *[_in_time(facts, rank) for rank in ranks],
             _urgent_answered(facts, ranks[0]),
+            *[_in_time(facts, rank) for rank in ranks],
         ),
         (
             Table(
@@ -57,22 +53,24 @@
     share = share_in_time(facts, rank)
     bound = duration_text(rank.target_first_token_s)
     return Measure(
-        f'{rank.name}: first token within {bound}',
+        f'{rank.name} answers begun within {bound}',
         share_text(share),
-        f'at least {share_text(target)} of the answers',
+        f'at least {share_text(target)}',
         at_least(share, target),
+        Place.urgent if rank == facts.configuration.ranks[0] else Place.ranks,
     )
 
 
 def _urgent_answered(facts: Facts, rank: Rank) -> Measure:
-    target = facts.configuration.targets.within_target_share
+    target = facts.configuration.targets.urgent_answered_share
     asked = facts.asked(rank=rank.name)
     share = ratio(facts.count(COMPLETED, rank=rank.name), asked)
     return Measure(
-        f'{rank.name}: requests answered',
+        f'{rank.name} requests answered',
         share_text(share),
         f'at least {share_text(target)}',
         at_least(share, target),
+        Place.urgent,
     )
 
 
@@ -84,7 +82,7 @@
         quantile_text(durations, _MOST),
     )
     counts = [facts.count(verdict, rank=rank.name) for verdict in VERDICTS]
-    return (rank.name, *times, *map(str, counts))
+    return (rank.name, *times, *map(count_text, counts))
 
 
 def _chart(facts: Facts) -> Chart:
@@ -94,9 +92,10 @@
         for rank in facts.configuration.ranks
     ]
     return Chart(
-        'Share of first tokens in time, with the target',
+        'Answers begun in time, by rank; the line is the target',
+        'share of the answers',
         tuple(
-            ShareBar(name, share, target)
+            ShareBar(name, share, target, reached=share >= target)
             for name, share in measured
             if share is not None
         ),
--- a/apps/cowslipstepd/tests/test_status.py
+++ b/apps/cowslipstepd/tests/test_status.py
@@ -4,17 +4,30 @@
 
 import functools
 import time
+from collections.abc import Callable
 from typing import Any
 
+import eventlet
 import pytest
+from attrs import evolve
 
 from cowslipstep.daemon._retention import delete_old_statuses
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._status import StatusWriter
-from cowslipstep.metrics import CounterKey, Status, decode_status, merge_day
-from cowslipstep.model import Address, MayHaveRun, Reason
+from cowslipstep.daemon._status_index import INDEX_KIND
+from cowslipstep.metrics import (
+    CounterKey,
+    Day,
+    Series,
+    Status,
+    decode_index,
+    decode_status,
+    merge_day,
+)
+from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.platform import (
     ObjectKey,
+    ObjectMissing,
     PlatformUnavailable,
     StoredObject,
     VersionConflict,
@@ -24,6 +37,7 @@
 _ANYWHERE = Address('127.0.0.1', 0)
 _DAY_S = 86400
 _NOON_UNIX_S = 1796385600
+_MIDNIGHT_UNIX_S = _NOON_UNIX_S + _DAY_S // 2
 _REQUESTS = CounterKey('requests')
 
 
@@ -33,20 +47,32 @@
     def __init__(self) -> None:
         self.stored: dict[ObjectKey, StoredObject] = {}
         self.lose_answers = False
+        self.down = False
+        self.before_create: list[Callable[[], None]] = []
+        self.at_next_write: list[Callable[[], None]] = []
 
     def create(self, key: ObjectKey, body: str) -> int:
+        while self.before_create:
+            self.before_create.pop()()
+        if self.down:
+            verdict = NotRun(Reason.platform_down)
+            raise PlatformUnavailable(verdict, 'down')
         if key in self.stored:
             raise VersionConflict(str(key))
         return self._put(key, 1, body)
 
     def read(self, key: ObjectKey) -> StoredObject:
+        if key not in self.stored:
+            raise ObjectMissing(str(key))
         return self.stored[key]
 
     def read_all(self, kind: str) -> tuple[StoredObject, ...]:
-        return tuple(self.stored.values())
+        return tuple(
+            one for one in self.stored.values() if one.key.kind == kind
+        )
 
     def update(self, key: ObjectKey, version: int, body: str) -> int:
-        if self.stored[key].version != version:
+        if self.read(key).version != version:
             raise VersionConflict(str(key))
         return self._put(key, version + 1, body)
 
@@ -55,6 +81,8 @@
 
     def _put(self, key: ObjectKey, version: int, body: str) -> int:
         self.stored[key] = StoredObject(key, version, body)
+        while self.at_next_write:
+            self.at_next_write.pop()()
         if self.lose_answers:
             verdict = MayHaveRun(Reason.platform_down)
             raise PlatformUnavailable(verdict, 'lost')
@@ -72,8 +100,13 @@
     return DaemonState(settings, store)
 
 
+@pytest.fixture(name='writer')
+def writer_fixture(state: DaemonState) -> StatusWriter:
+    return StatusWriter(state)
+
+
 def _statuses(store: _Store) -> list[Status]:
-    return [decode_status(entry.body) for entry in store.stored.values()]
+    return [decode_status(entry.body) for entry in store.read_all('status')]
 
 
 def test_a_new_day_begins_with_empty_figures(
@@ -98,15 +131,14 @@
 def test_a_write_whose_answer_is_lost_is_replaced(
     store: _Store,
     state: DaemonState,
+    writer: StatusWriter,
 ) -> None:
-    writer = StatusWriter(state)
     store.lose_answers = True
     writer.write()
     store.lose_answers = False
     state.counters.add(_REQUESTS, 4)
     writer.write()
-    assert len(store.stored) == 1
-    assert _statuses(store)[0].counters[0].amount == 4
+    assert [one.counters[0].amount for one in _statuses(store)] == [4]
 
 
 def test_statuses_before_yesterday_are_deleted(
@@ -122,3 +154,148 @@
     monkeypatch.undo()
     delete_old_statuses(state)
     assert len(_statuses(store)) == 2
+
+
+def test_old_statuses_of_lost_daemons_are_deleted(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = time.time()
+    _at(monkeypatch, now_s - 2 * _DAY_S)
+    lost = evolve(state, settings=evolve(state.settings, name='lost'))
+    StatusWriter(lost).write()
+    _at(monkeypatch, now_s - _DAY_S)
+    StatusWriter(state).write()
+    delete_old_statuses(state)
+    assert len(_statuses(store)) == 2
+    _at(monkeypatch, now_s)
+    delete_old_statuses(state)
+    assert [status.daemon.name for status in _statuses(store)] == ['d0']
+    assert [key.name for key in store.stored if key.kind == INDEX_KIND] == [
+        'd0',
+    ]
+
+
+def test_a_replaced_daemon_is_still_named(
+    store: _Store,
+    state: DaemonState,
+    writer: StatusWriter,
+) -> None:
+    writer.write()
+    StatusWriter(evolve(state, incarnation=2)).write()
+    index = decode_index(store.read_all(INDEX_KIND)[0].body)
+    names = {stored.key.name for stored in store.read_all('status')}
+    assert len(names) == 2
+    assert set(index.statuses) == names
+    assert index.daemon.incarnation == 2
+
+
+def test_the_index_is_written_less_often(
+    store: _Store,
+    state: DaemonState,
+    writer: StatusWriter,
+) -> None:
+    for _ in range(3):
+        writer.write()
+    assert store.read_all('status')[0].version == 3
+    assert store.read_all(INDEX_KIND)[0].version == 1
+    state.stopping = True
+    writer.write()
+    assert decode_index(store.read_all(INDEX_KIND)[0].body).stopping
+
+
+def _days(store: _Store) -> list[Day]:
+    statuses = _statuses(store)
+    names = sorted(status.day for status in statuses)
+    return [merge_day(name, statuses) for name in names]
+
+
+def _at(monkeypatch: pytest.MonkeyPatch, unix_s: float) -> None:
+    monkeypatch.setattr(time, 'time', lambda: unix_s)
+
+
+def test_a_day_ends_in_its_last_slot(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    key = CounterKey(
+        'requests',
+        (('rank', 'urgent'), ('verdict', 'completed')),
+    )
+    _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
+    writer = StatusWriter(state)
+    state.counters.add(key)
+    _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
+    writer.step()
+    timeline = _days(store)[0].timeline
+    assert [entry.key.slot for entry in timeline] == [287]
+
+
+def test_a_request_during_a_write_counts_once(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    series = Series('total', 'firm', 'urgent')
+    _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
+    writer = StatusWriter(state)
+    state.counters.add(_REQUESTS, 3)
+    state.histograms.record(series, 1)
+    _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
+    store.at_next_write = [
+        lambda: state.counters.add(_REQUESTS),
+        lambda: state.histograms.record(series, 1),
+    ]
+    writer.step()
+    writer.write()
+    days = _days(store)
+    assert [day.total('requests') for day in days] == [3, 1]
+    assert [day.histograms[series].count for day in days] == [1, 1]
+
+
+def test_a_day_that_ends_in_an_outage(
+    store: _Store,
+    state: DaemonState,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _at(monkeypatch, _MIDNIGHT_UNIX_S - 3)
+    writer = StatusWriter(state)
+    state.counters.add(_REQUESTS, 3)
+    store.down = True
+    _at(monkeypatch, _MIDNIGHT_UNIX_S + 2)
+    writer.step()
+    state.counters.add(_REQUESTS, 1)
+    store.down = False
+    writer.write()
+    days = _days(store)
+    assert [day.total('requests') for day in days] == [3, 1]
+
+
+def test_an_older_write_never_comes_last(
+    store: _Store,
+    state: DaemonState,
+    writer: StatusWriter,
+) -> None:
+    store.before_create = [lambda: eventlet.sleep(0.05)]
+    older = eventlet.spawn(writer.write)
+    eventlet.sleep(0)
+    state.counters.add(_REQUESTS, 4)
+    writer.write()
+    older.wait()
+    assert [one.counters[0].amount for one in _statuses(store)] == [4]
+
+
+def test_an_index_that_was_deleted_is_made_anew(
+    store: _Store,
+    writer: StatusWriter,
+    state: DaemonState,
+) -> None:
+    writer.write()
+    store.stored.clear()
+    state.stopping = True
+    for _ in range(3):
+        writer.write()
+    assert len(store.read_all(INDEX_KIND)) == 1
+    assert len(store.read_all('status')) == 1
--- a/libs/groups/src/cowslipstep/groups/__init__.py
+++ b/libs/groups/src/cowslipstep/groups/__init__.py
@@ -55,7 +55,7 @@
     is_probed,
 )
 from cowslipstep.groups._shares import domain_shares
-from cowslipstep.groups._stragglers import stragglers
+from cowslipstep.groups._stragglers import StragglerWatch, stragglers
 from cowslipstep.groups._store import (
     LedgerConflict,
     LedgerStore,
