Wait for all hosts of a fabric domain that goes dark or comes back

Cause: with all hosts of a domain unreachable for 12 s and then back, the old groups did not serve within 30 s: the first host that answered again made all others count as lost, and their groups were dissolved.

Change: DarkWatch. Nothing is written or ordered while more than half of the hosts miss probes for less than 2 s, or after darkness until all answer or 9 s have passed. Orders wait too, as loads of returned hosts would not be paced. Engines of the stand-in can lose what they held (fault restarted).

Proof: pytest tests/test_dark.py, 2 passed in each of the last two runs, alone on loopback; 5 passed with libs/groups/tests/test_dark.py. Mechanisms off: without the wait the old groups do not serve within 30 s; without backoff a host gets 18 probes in 16 s (at most 12 allowed); without pacing 8 hosts load at once (4 allowed).

tests/test_groups.py -k 'dead or frozen or thaw or keeper': 4 passed with DarkWatch.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -21,11 +21,13 @@
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.groups import (
     Author,
+    DarkWatch,
     DomainLease,
     DomainView,
     LeaseTiming,
     LedgerUnavailable,
     LedgerWriter,
+    Records,
     due_orders,
     give_up_lease,
     keep_ledger,
@@ -66,6 +68,7 @@
     def __init__(self, tools: KeeperTools, scope: DomainScope) -> None:
         self._tools = tools
         self._domain = scope.domain
+        self._dark = DarkWatch(time.monotonic)
         self._store = PlatformLedger(tools.state.platform, scope.domain)
         self._lease = _new_lease(tools.state, self._store, scope)
 
@@ -107,7 +110,9 @@
         seen = self._lease.state.seen
         note_changes(self._tools.state, view, seen.ledger)
         self._tools.ledgers.publish(seen)
-        self._give_orders(scope)
+        if not view.unsettled:
+            # An order to load would not be paced.
+            self._give_orders(scope)
         self._tools.drains.report(seen.ledger, scope.hosts, view.records)
         return True
 
@@ -122,6 +127,7 @@
             time.monotonic(),
             leaving=drains.barred,
             finished=drains.finished(ledger, records),
+            unsettled=self._dark.is_unsettled(_only(records, scope)),
         )
 
     def _give_orders(self, scope: DomainScope) -> None:
@@ -141,6 +147,10 @@
         self._tools.state.events.add(kind, self._domain, cause)
 
 
+def _only(records: Records, scope: DomainScope) -> Records:
+    return {host: records[host] for host in scope.hosts if host in records}
+
+
 def _new_lease(
     state: DaemonState,
     store: PlatformLedger,
--- a/libs/groups/src/cowslipstep/groups/__init__.py
+++ b/libs/groups/src/cowslipstep/groups/__init__.py
@@ -4,6 +4,7 @@
 the store of ledgers are passed in.
 """
 
+from cowslipstep.groups._dark import DarkWatch
 from cowslipstep.groups._findings import note_finding, finding_of
 from cowslipstep.groups._health import (
     Records,
--- a/libs/groups/src/cowslipstep/groups/_packing.py
+++ b/libs/groups/src/cowslipstep/groups/_packing.py
@@ -32,6 +32,8 @@
         Hosts that must not join a group.
     finished
         Draining groups whose work has ended.
+    unsettled
+        Whether the domain goes dark or comes back just now.
     now_s
         Clock reading.
     """
@@ -42,6 +44,7 @@
     now_s: float
     leaving: frozenset[str] = field(factory=frozenset)
     finished: frozenset[str] = field(factory=frozenset)
+    unsettled: bool = False
 
 
 def plan_domain(
@@ -56,6 +59,8 @@
     share of its groups goes first. A group is formed while some host loads
     weights only if no more than ``loads_at_once`` hosts load then.
     """
+    if view.unsettled:
+        return view.ledger
     gone = broken_groups(view.ledger, view.records) | view.finished
     wanted = tuple(models)
     planned = evolve(view, ledger=drop_groups(view.ledger, gone))
--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -59,11 +59,17 @@
 
     def _control(self, request: HttpRequest) -> HttpAnswer:
         if request.method == 'PUT':
-            self._host.faults = EngineFaults(**request.document)
+            self._host.strike(EngineFaults(**request.document))
         runs = [attrs.asdict(run) for run in self._host.runs]
         orders = [attrs.asdict(order) for order in self._host.orders]
-        probes = self._host.probes
-        return ok({'runs': runs, 'orders': orders, 'probes': probes})
+        return ok(
+            {
+                **self._host.health(),
+                'runs': runs,
+                'orders': orders,
+                'probes': self._host.probes,
+            },
+        )
 
     def _answer(self, request: HttpRequest) -> HttpAnswer:
         match request.segments:
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -29,6 +29,8 @@
         A stream is cut after so many tokens; negative for never.
     refuse_status
         HTTP status line of each new request; empty for none.
+    restarted
+        The host has forgotten its group, weights and fencing number.
     """
 
     dead: bool = False
@@ -37,6 +39,7 @@
     slow_factor: float = 1
     cut_after_tokens: int = -1
     refuse_status: str = ''
+    restarted: bool = False
 
 
 @define
@@ -129,6 +132,13 @@
             'token_s': self.settings.token_s * self.faults.slow_factor,
         }
 
+    def strike(self, faults: EngineFaults) -> None:
+        """Let these things go wrong from now on."""
+        self.faults = faults
+        if faults.restarted:
+            self.fence = 0
+            self._release()
+
     def apply_order(self, order: Any) -> bool:
         """Carry out an order; return false if its fence is too old."""
         fence = int(order['fence'])
@@ -139,12 +149,15 @@
             case 'assign':
                 self._assign(order)
             case 'release':
-                self.group = ''
-                self.model = ''
-                self.members = []
+                self._release()
         self._note(order['order'], fence)
         return True
 
+    def _release(self) -> None:
+        self.group = ''
+        self.model = ''
+        self.members = []
+
     def _assign(self, order: Any) -> None:
         group = order['group']
         if group == self.group:
