Let an ejected group serve an ask that avoids all others

Change: where no trusted group is left for an ask, an ejected one that is ready may serve it. Free slots are found in a module of their own.

Conclusion: an ejection is a preference, not a refusal.

--- a/libs/routing/src/cowslipstep/routing/_choice.py
+++ b/libs/routing/src/cowslipstep/routing/_choice.py
@@ -4,37 +4,17 @@
 
 from collections.abc import Iterable
 
-from attrs import frozen
-
 from cowslipstep.model import Ask
 from cowslipstep.routing._affinity import PrefixMap
 from cowslipstep.routing._grant_table import GrantTable
 from cowslipstep.routing._outliers import OutlierDetector
+from cowslipstep.routing._rooms import Room, RoomFinder
 from cowslipstep.routing._views import Clock, GroupSlots
 
 _MAX_IMBALANCE = 0.25
 _READY_GAP_S = 1
 
 
-@frozen
-class _Room:
-    """A group that may take a request, and how full it is."""
-
-    group: GroupSlots
-    slots: int
-    in_use: int
-
-    @property
-    def free(self) -> int:
-        """Slots that are not in use."""
-        return self.slots - self.in_use
-
-    @property
-    def load(self) -> float:
-        """Share of the slots that is in use."""
-        return self.in_use / self.slots
-
-
 class GroupChoice:
     """Chooses among the groups of a cell at the moment of a grant.
 
@@ -58,11 +38,10 @@
         prefixes: PrefixMap,
     ) -> None:
         self._clock = clock
-        self._grants = grants
         self._outliers = outliers
+        self._rooms = RoomFinder(clock, grants, outliers)
         self._prefixes = prefixes
         self._groups: tuple[GroupSlots, ...] = ()
-        self._slot_share: float = 1
 
     def use_groups(
         self,
@@ -74,16 +53,15 @@
         Returns whether any of them is ready.
         """
         self._groups = tuple(groups)
-        self._slot_share = slot_share
+        self._rooms.use_share(slot_share)
         self._outliers.watch_groups(group.group for group in self._groups)
         now = self._clock()
         return any(group.ready_until_s > now for group in self._groups)
 
     def free_slots(self) -> int:
         """Return how many requests the groups may take now."""
-        now = self._clock()
-        rooms = [self._room(group, now) for group in self._groups]
-        return sum(room.free for room in rooms if room is not None)
+        rooms = self._rooms.find(self._rooms.trusted(self._groups))
+        return sum(room.free for room in rooms)
 
     def choose(self, ask: Ask) -> GroupSlots | None:
         """Return the group for an ask, or nothing if none has room.
@@ -91,12 +69,11 @@
         The group that probably holds the prompt's head is preferred while
         it is not much fuller than the emptiest one.
         """
-        now = self._clock()
         allowed = [
             group for group in self._groups if group.group not in ask.avoid
         ]
-        seen = [self._room(group, now) for group in allowed]
-        rooms = [room for room in seen if room is not None]
+        # An ask that avoids all others is better served by an ejected group.
+        rooms = self._rooms.find(self._rooms.trusted(allowed) or allowed)
         if not rooms:
             return None
         chosen = self._preferred(rooms, ask.request.prefix_hash)
@@ -111,7 +88,7 @@
             for group in self._groups
         )
 
-    def _preferred(self, rooms: list[_Room], prefix_hash: int) -> GroupSlots:
+    def _preferred(self, rooms: list[Room], prefix_hash: int) -> GroupSlots:
         emptiest = min(rooms, key=lambda room: room.load)
         holder = self._prefixes.find(prefix_hash)
         for room in rooms:
@@ -119,13 +96,3 @@
             if room.group.group == holder and near:
                 return room.group
         return emptiest.group
-
-    def _room(self, group: GroupSlots, now_s: float) -> _Room | None:
-        if not self._slot_share or group.ready_until_s <= now_s:
-            return None
-        if self._outliers.ejected(group.group):
-            return None
-        share = self._slot_share * self._outliers.weight(group.group)
-        slots = max(1, int(group.slots * share))
-        in_use = self._grants.uses.of_group(group.group)
-        return _Room(group, slots, in_use) if in_use < slots else None
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_rooms.py
@@ -0,0 +1,83 @@
+"""Free slots of groups, by their readiness, weights and grants."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from cowslipstep.routing._grant_table import GrantTable
+from cowslipstep.routing._outliers import OutlierDetector
+from cowslipstep.routing._views import Clock, GroupSlots
+
+
+@frozen
+class Room:
+    """A group that may take a request, and how full it is."""
+
+    group: GroupSlots
+    slots: int
+    in_use: int
+
+    @property
+    def free(self) -> int:
+        """Slots that are not in use."""
+        return self.slots - self.in_use
+
+    @property
+    def load(self) -> float:
+        """Share of the slots that is in use."""
+        return self.in_use / self.slots
+
+
+class RoomFinder:
+    """Finds groups with free slots.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+    grants
+        Grants in use.
+    outliers
+        Weights of the groups.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        grants: GrantTable,
+        outliers: OutlierDetector,
+    ) -> None:
+        self._clock = clock
+        self._grants = grants
+        self._outliers = outliers
+        self._slot_share: float = 1
+
+    def use_share(self, slot_share: float) -> None:
+        """Set the share of all slots to use from now on."""
+        self._slot_share = slot_share
+
+    def trusted(self, groups: Iterable[GroupSlots]) -> list[GroupSlots]:
+        """Return the groups that are ready and not ejected."""
+        now = self._clock()
+        return [
+            group
+            for group in groups
+            if group.ready_until_s > now
+            and not self._outliers.ejected(group.group)
+        ]
+
+    def find(self, groups: Iterable[GroupSlots]) -> list[Room]:
+        """Return those of the groups that are ready and have free slots."""
+        if not self._slot_share:
+            return []
+        now = self._clock()
+        ready = [group for group in groups if group.ready_until_s > now]
+        rooms = [self._room(group) for group in ready]
+        return [room for room in rooms if room.free > 0]
+
+    def _room(self, group: GroupSlots) -> Room:
+        share = self._slot_share * self._outliers.weight(group.group)
+        slots = max(1, int(group.slots * share))
+        return Room(group, slots, self._grants.uses.of_group(group.group))
--- a/libs/routing/tests/test_dispatcher.py
+++ b/libs/routing/tests/test_dispatcher.py
@@ -343,6 +343,17 @@
     assert groups.count('g3') > 20
 
 
+def test_an_ejected_group_serves_as_a_last_choice() -> None:
+    bench = Bench(slots=100, groups=('g1', 'g2'))
+    for _ in range(6):
+        name = bench.ask()
+        bench.end(name, 10, grant_of(bench, name).group == 'g1')
+    groups = {grant_of(bench, bench.ask()).group for _ in range(10)}
+    assert groups == {'g2'}
+    last = bench.ask(avoid=('g2',))
+    assert grant_of(bench, last).group == 'g1'
+
+
 def test_a_slow_group_gets_less() -> None:
     bench = Bench(slots=10, groups=('g1', 'g2', 'g3'))
     for _ in range(30):
