Let a domain go dark beside others, with three daemons or one

Cause: the feature on a dark domain has two domains and only unreachable hosts; a daemon that owns several domains, frozen hosts, and the answers of callers were not covered.

Not tried: a domain that dies host by host.

--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -8,7 +8,8 @@
 import attrs
 
 from cowslipstep_standins._completions import Completions
-from cowslipstep_standins._engine_host import EngineFaults, EngineHost
+from cowslipstep_standins._engine_host import EngineHost
+from cowslipstep_standins._host_faults import note_call, set_faults
 from cowslipstep_standins._members import wait_while_frozen
 from cowslipstep_standins._http import (
     Environ,
@@ -35,6 +36,7 @@
 
     def __init__(self, host: EngineHost, hosts: dict[str, EngineHost]) -> None:
         self._host = host
+        self._hosts = hosts
         self._completions = Completions(host, hosts)
 
     def __call__(
@@ -49,6 +51,7 @@
         if request.segments[0] == 'health':
             # Also those that get no answer; the port tells who asked.
             self._host.probes.append(environ['REMOTE_PORT'])
+        note_call(self._host, request.path)
         wait_while_frozen(self._host)
         if self._host.faults.dead:
             sever(environ)
@@ -59,14 +62,16 @@
 
     def _control(self, request: HttpRequest) -> HttpAnswer:
         if request.method == 'PUT':
-            self._host.strike(EngineFaults(**request.document))
+            set_faults(self._hosts, self._host.name, **request.document)
         runs = [attrs.asdict(run) for run in self._host.runs]
         orders = [attrs.asdict(order) for order in self._host.orders]
+        unanswered = [attrs.asdict(call) for call in self._host.unanswered]
         return ok(
             {
                 **self._host.health(),
                 'runs': runs,
                 'orders': orders,
+                'unanswered': unanswered,
                 'probes': self._host.probes,
                 'cache_reads': self._host.cache_reads,
             },
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -67,6 +67,14 @@
     at_s: float
 
 
+@frozen
+class UnansweredCall:
+    """A call that came while the host was dead or frozen."""
+
+    path: str
+    at_s: float
+
+
 @frozen
 class HostSettings:
     """Settings of a host.
@@ -105,6 +113,7 @@
     runs: list[Run] = field(factory=list)
     orders: list[AppliedOrder] = field(factory=list)
     probes: list[str] = field(factory=list)
+    unanswered: list[UnansweredCall] = field(factory=list)
     cache_events: CacheEvents = field(factory=CacheEvents)
     cache_reads: int = 0
     load: LaggedLoad = field(factory=LaggedLoad)
