Keep the groups of a fabric domain that goes dark as a whole

Cause: a domain of which no host answers keeps its ledger, but the rule missed three cases, found by a new feature over real processes. 1. At the start, a host probed just before still counted as answering when the first members had three misses: their group was dissolved. 2. On the return, the first host that answered made all hosts that had not been probed again yet count as lost: their groups were dissolved. 3. A daemon that owns several domains took answers of other domains for answers of the dark one: both groups were dissolved.

Ruled out: a fault of the stand-ins that strikes hosts one by one. The hosts of a domain now get a fault at one moment; cases 2 and 3 were seen with that, case 1 before it.

Change: a host that fails is lost only if another host of its domain answered a probe sent after its first miss, and answered before its last missed probe was sent. The keeper judges by the hosts of its domain only. The engine stand-in records calls that came while a host was dead or frozen; the platform stand-in counts changes of each object.

Conclusion: a domain that goes dark at one moment and comes back keeps its groups, and the others serve on. Not proved over processes: a domain that dies host by host, or of which some hosts stay dark on the return.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_keeper.py
@@ -112,7 +112,12 @@
     def _view(self, scope: DomainScope) -> DomainView:
         ledger = self._lease.state.seen.ledger
         drains = self._tools.drains
-        records = self._tools.prober.records
+        # Hosts of other domains must not count as hosts that answer.
+        records = {
+            host: record
+            for host, record in self._tools.prober.records.items()
+            if host in scope.hosts
+        }
         return DomainView(
             ledger,
             scope.runners,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
@@ -69,7 +69,11 @@
         """Take over what a host said of itself."""
         record = self._records.get(report.host)
         if record is not None:
-            self._records[report.host] = note_report(record, report)
+            self._records[report.host] = note_report(
+                record,
+                report,
+                time.monotonic(),
+            )
 
     def _probe_forever(self, runner: Runner) -> None:
         connection = HTTPConnection(
@@ -87,15 +91,26 @@
         try:
             report = _ask_health(connection, sent_at_s)
         except (TimeoutError, urllib3.exceptions.TimeoutError):
-            self._miss(runner, refused=False)
+            self._miss(runner, sent_at_s, refused=False)
         except _NO_ANSWER:
-            self._miss(runner, refused=True)
+            self._miss(runner, sent_at_s, refused=True)
         else:
             self.note(report)
 
-    def _miss(self, runner: Runner, *, refused: bool) -> None:
+    def _miss(
+        self,
+        runner: Runner,
+        sent_at_s: float,
+        *,
+        refused: bool,
+    ) -> None:
         record = self._records[runner.host]
-        self._records[runner.host] = note_miss(record, refused=refused)
+        self._records[runner.host] = note_miss(
+            record,
+            refused=refused,
+            sent_at_s=sent_at_s,
+            noted_at_s=time.monotonic(),
+        )
 
 
 def _ask_health(connection: HTTPConnection, sent_at_s: float) -> HostReport:
--- a/libs/groups/src/cowslipstep/groups/_health.py
+++ b/libs/groups/src/cowslipstep/groups/_health.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection, Mapping
 
-from cowslipstep.groups._hosts import HostRecord, HostState
+from cowslipstep.groups._hosts import HostRecord, HostState, is_lost
 from cowslipstep.groups._ledger import DomainLedger
 from cowslipstep.model import Group
 
@@ -16,12 +16,13 @@
 def lost_member(group: Group, records: Records) -> str:
     """Return a member that the group has lost, empty for none.
 
-    Lost is a host that does not answer, or that was ready in the group
-    and says that it belongs to it no longer, as after a restart.
+    Lost is a host that does not answer while others do, or that was ready
+    in the group and says that it belongs to it no longer, as after a
+    restart.
     """
     for member in group.members:
         record = records.get(member, _UNKNOWN)
-        if record.failed or _has_left(group, record):
+        if _has_left(group, record) or is_lost(record, records.values()):
             return member
     return ''
 
--- a/standins/src/cowslipstep_standins/_engine_api.py
+++ b/standins/src/cowslipstep_standins/_engine_api.py
@@ -8,7 +8,7 @@
 import attrs
 
 from cowslipstep_standins._completions import Completions
-from cowslipstep_standins._engine_host import EngineFaults, EngineHost
+from cowslipstep_standins._engine_host import EngineHost, set_faults
 from cowslipstep_standins._members import wait_while_frozen
 from cowslipstep_standins._http import (
     Environ,
@@ -35,6 +35,7 @@
 
     def __init__(self, host: EngineHost, hosts: dict[str, EngineHost]) -> None:
         self._host = host
+        self._hosts = hosts
         self._completions = Completions(host, hosts)
 
     def __call__(
@@ -46,6 +47,7 @@
         request = read_request(environ)
         if request.segments[0] == 'standin':
             return send_json(start_response, self._control(request))
+        self._host.note_call(request.path)
         wait_while_frozen(self._host)
         if self._host.faults.dead:
             sever(environ)
@@ -56,10 +58,11 @@
 
     def _control(self, request: HttpRequest) -> HttpAnswer:
         if request.method == 'PUT':
-            self._host.faults = EngineFaults(**request.document)
+            set_faults(self._hosts, self._host.name, **request.document)
         runs = [attrs.asdict(run) for run in self._host.runs]
         orders = [attrs.asdict(order) for order in self._host.orders]
-        return ok({'runs': runs, 'orders': orders})
+        unanswered = [attrs.asdict(call) for call in self._host.unanswered]
+        return ok({'runs': runs, 'orders': orders, 'unanswered': unanswered})
 
     def _answer(self, request: HttpRequest) -> HttpAnswer:
         match request.segments:
--- a/standins/src/cowslipstep_standins/_engine_host.py
+++ b/standins/src/cowslipstep_standins/_engine_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -64,6 +65,14 @@
     at_s: float
 
 
+@frozen
+class UnansweredCall:
+    """A call that came while the host was dead or frozen."""
+
+    path: str
+    at_s: float
+
+
 @frozen
 class HostSettings:
     """Settings of a host.
@@ -101,6 +110,7 @@
     faults: EngineFaults = field(factory=EngineFaults)
     runs: list[Run] = field(factory=list)
     orders: list[AppliedOrder] = field(factory=list)
+    unanswered: list[UnansweredCall] = field(factory=list)
     cache_events: CacheEvents = field(factory=CacheEvents)
     load: LaggedLoad = field(factory=LaggedLoad)
 
@@ -128,6 +138,11 @@
             'token_s': self.settings.token_s * self.faults.slow_factor,
         }
 
+    def note_call(self, path: str) -> None:
+        """Record a call if the host is dead or frozen."""
+        if self.faults.dead or self.faults.frozen:
+            self.unanswered.append(UnansweredCall(path, time.monotonic()))
+
     def apply_order(self, order: Any) -> bool:
         """Carry out an order; return false if its fence is too old."""
         fence = int(order['fence'])
@@ -157,3 +172,14 @@
     def _note(self, order: str, fence: int) -> None:
         applied = AppliedOrder(order, self.group, fence, time.monotonic())
         self.orders.append(applied)
+
+
+def set_faults(
+    known: dict[str, EngineHost],
+    host: str,
+    hosts: Iterable[str] = (),
+    **faults: Any,
+) -> None:
+    """Set faults of the named ``hosts`` at one moment, else of ``host``."""
+    for name in hosts or (host,):
+        known[name].faults = EngineFaults(**faults)
--- a/standins/src/cowslipstep_standins/_platform_api.py
+++ b/standins/src/cowslipstep_standins/_platform_api.py
@@ -70,6 +70,7 @@
         self._faults = Faults()
         self._counts: collections.Counter[str] = collections.Counter()
         self._senders: collections.Counter[str] = collections.Counter()
+        self._changes: collections.Counter[str] = collections.Counter()
         self._first_answers: dict[str, HttpAnswer] = {}
         self._hosts: Any = {'live': [], 'leaving': []}
 
@@ -88,12 +89,17 @@
     def _control(self, request: HttpRequest) -> HttpAnswer:
         if request.method == 'PUT':
             self._faults = Faults(**request.document)
-        counted = {'counts': self._counts, 'senders': self._senders}
+        counted = {
+            'counts': self._counts,
+            'senders': self._senders,
+            'changes': self._changes,
+        }
         return ok(counted)
 
     def _answer(self, request: HttpRequest) -> HttpAnswer:
         self._counts[_count_name(request)] += 1
         self._senders[_sender_name(request)] += 1
+        self._changes[request.path] += request.method in _CHANGES
         if self._faults.delay_s:
             eventlet.sleep(self._faults.delay_s)
         if self._faults.fails(request):
