--- a/conftest.py
+++ b/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cowslipstep_standins._processes import PORTS_VARIABLE
+from cowslipstep_standins._processes import ALL_PORTS, PORTS_VARIABLE
 
 with warnings.catch_warnings():
     warnings.simplefilter('ignore')
@@ -20,7 +20,6 @@
 _KNOWN_RED = pathlib.Path(__file__).with_name('KNOWN-RED.txt')
 _ENTRY = 'test: '
 _WORKER = 'PYTEST_XDIST_WORKER'
-_FIRST_PORT = 10240
 _WORKER_PORTS = 5000
 
 
@@ -28,7 +27,8 @@
     """Give each worker a range of ports, so that fleets do not collide."""
     worker = os.environ.get(_WORKER, '')
     if worker:
-        first = _FIRST_PORT + _WORKER_PORTS * int(worker.removeprefix('gw'))
+        base = os.environ.get(PORTS_VARIABLE, ALL_PORTS).partition('-')[0]
+        first = int(base) + _WORKER_PORTS * int(worker.removeprefix('gw'))
         last = first + _WORKER_PORTS
         os.environ[PORTS_VARIABLE] = f'{first}-{last}'
 
--- a/standins/src/cowslipstep_standins/_processes.py
+++ b/standins/src/cowslipstep_standins/_processes.py
@@ -18,7 +18,7 @@
 _POLL_S = 0.02
 _LOOPBACK = '127.0.0.1'
 PORTS_VARIABLE = 'COWSLIPSTEP_PORTS'
-_ALL_PORTS = '10240-32000'
+ALL_PORTS = '10240-32000'
 
 
 class FleetError(Exception):
@@ -106,7 +106,7 @@
     the same time are given ranges of their own by the environment variable
     ``COWSLIPSTEP_PORTS``, such as ``10240-20000``.
     """
-    first, _, last = os.environ.get(PORTS_VARIABLE, _ALL_PORTS).partition('-')
+    first, _, last = os.environ.get(PORTS_VARIABLE, ALL_PORTS).partition('-')
     listening = range(int(first), int(last))
     candidates = random.SystemRandom().sample(listening, count * 2)
     return list(itertools.islice(filter(_is_free, candidates), count))
