Serve routes over discovered upstreams, with an adapter in platform/

Cause: the daemon serves its own interface on listed runners; the users' platform has routes, runners that register themselves and groups formed by orders. Change: types, a store dialect, load reports between daemons, a keeper of groups and a serving path, thin but end to end.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -32,7 +32,7 @@
     stop = stop_event()
     state = open_state(settings)
     listener = listen_http(settings.http_address)
-    server = CallerServer(listener, _start(state), state)
+    server = CallerServer(listener, _start(state), lambda: state.stopping)
     server.start()
     with status_kept(state):
         stop.wait()
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
@@ -3,21 +3,21 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from eventlet import GreenPool, Timeout, spawn, wsgi
 from eventlet.event import Event
 from loguru import logger
 
-from cowslipstep.daemon._entry import EntryApplication
 from cowslipstep.daemon._http import Environ, StartResponse
 from cowslipstep.daemon._in_progress import InProgress
-from cowslipstep.daemon._state import DaemonState
 
 _MAX_CONNECTIONS = 10000
 _KEEP_ALIVE_S = 60
 
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
 
 def stop_event() -> Event:
     """Return an event that SIGTERM and SIGINT send."""
@@ -41,19 +41,23 @@
         Listening socket.
     application
         Answers requests.
-    state
-        State of the daemon.
+    is_stopping
+        Says whether answers shall ask callers to connect elsewhere.
+    idle_timeout_s
+        Time after which an idle connection is closed.
     """
 
     def __init__(
         self,
         listener: Any,
-        application: EntryApplication,
-        state: DaemonState,
+        application: Application,
+        is_stopping: Callable[[], bool],
+        idle_timeout_s: float = _KEEP_ALIVE_S,
     ) -> None:
         self._listener = listener
         self._application = application
-        self._state = state
+        self._is_stopping = is_stopping
+        self._idle_timeout_s = idle_timeout_s
         self._in_progress = InProgress()
         self._pool = GreenPool(_MAX_CONNECTIONS)
         self._task: Any = None
@@ -67,11 +71,11 @@
             custom_pool=self._pool,
             log_output=False,
             minimum_chunk_size=1,
-            socket_timeout=_KEEP_ALIVE_S,
+            socket_timeout=self._idle_timeout_s,
             debug=False,
         )
-        address = str(self._state.settings.http_address)
-        logger.bind(address=address).info('daemon serves')
+        ip, port = self._listener.getsockname()[:2]
+        logger.bind(address=f'{ip}:{port}').info('daemon serves')
 
     def close(self) -> None:
         """Take no more connections and close those that are idle."""
@@ -90,7 +94,7 @@
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
-        if self._state.stopping:
+        if self._is_stopping():
             start_response = closing(start_response)
         return self._in_progress.track(
             lambda: self._application(environ, start_response),
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_streams.py
@@ -54,6 +54,11 @@
         self._note(whole)
         return whole
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether the bytes so far end within an event."""
+        return bool(self._rest)
+
     def drop_rest(self) -> None:
         """Forget the event that was cut, before the stream is resumed."""
         self._rest = b''
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
@@ -0,0 +1,91 @@
+"""The configuration in force; it never goes back to an older version."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from cowslipstep.model import DocumentError, ServingConfiguration
+from cowslipstep.platform import (
+    KindChanges,
+    ObjectKey,
+    ObjectPage,
+    StoredObject,
+)
+from cowslipstep.routing import RouteTable
+
+_NO_VERSION = 0
+
+
+class ConfigurationFeed:
+    """Follows the configuration.
+
+    Parameters
+    ----------
+    decode
+        Reads a document.
+    key
+        Where the document lies.
+    """
+
+    def __init__(
+        self,
+        decode: Callable[[str], ServingConfiguration],
+        key: ObjectKey,
+    ) -> None:
+        self._decode = decode
+        self._key = key
+        self._table: RouteTable | None = None
+        self._document = ''
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Routes of the version in force, if one is known."""
+        return self._table
+
+    @property
+    def version(self) -> int:
+        """Version in force; zero for none."""
+        if self._table is None:
+            return _NO_VERSION
+        return self._table.configuration.version
+
+    @property
+    def document(self) -> str:
+        """Text of the version in force, for peers that lag."""
+        return self._document
+
+    def replace(self, page: ObjectPage) -> None:
+        """Take all documents of the kind."""
+        for stored in page.objects:
+            self._take(stored)
+
+    def apply(self, changes: KindChanges) -> None:
+        """Take changed documents; one that was removed stays in force."""
+        for change in changes.changes:
+            if not change.removed:
+                self._take(change.stored)
+
+    def lose(self) -> None:
+        """Keep what is in force while the platform cannot be reached."""
+
+    def take_document(self, document: str) -> None:
+        """Take a document if it is newer than the one in force."""
+        try:
+            configuration = self._decode(document)
+        except DocumentError as error:
+            logger.warning('configuration not used: {}', error)
+            return
+        if configuration.version <= self.version:
+            return
+        self._table = RouteTable(configuration, random.Random())
+        self._document = document
+        logger.bind(version=configuration.version).info(
+            'configuration in force',
+        )
+
+    def _take(self, stored: StoredObject) -> None:
+        if stored.key == self._key:
+            self.take_document(stored.body)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
@@ -0,0 +1,60 @@
+"""Demand for models, over all daemons."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import Counter
+
+from cowslipstep.model import ModelDemand
+from cowslipstep.serving._state import ServingState
+
+# Demand is smoothed over this time, so that the layout of groups does not
+# follow chance.
+_SMOOTHING_S = 4
+
+
+class DemandWatch:
+    """Smoothed rate of own requests by model, and the sum over peers.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: ServingState) -> None:
+        self._state = state
+        self._rates: dict[str, float] = {}
+        self._counted: Counter[str] = Counter()
+        self._sampled_s = time.monotonic()
+
+    def own(self) -> tuple[ModelDemand, ...]:
+        """Return the requests a second of this daemon."""
+        self._sample()
+        return tuple(
+            ModelDemand(model, rate) for model, rate in self._rates.items()
+        )
+
+    def total(self) -> dict[str, float]:
+        """Return the requests a second of all daemons by model."""
+        total = dict(self._rates)
+        for report in self._state.loads.reports:
+            for demand in report.demands:
+                told = total.get(demand.model, 0) + demand.requests
+                total[demand.model] = told
+        return total
+
+    def _sample(self) -> None:
+        now_s = time.monotonic()
+        passed_s = now_s - self._sampled_s
+        counted = self._state.model_requests
+        if passed_s <= 0:
+            return
+        self._sampled_s = now_s
+        kept = math.exp(-passed_s / _SMOOTHING_S)
+        for model, count in counted.items():
+            rate = (count - self._counted[model]) / passed_s
+            before = self._rates.get(model, rate)
+            self._rates[model] = kept * before + (1 - kept) * rate
+        self._counted = Counter(counted)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_front.py
@@ -0,0 +1,174 @@
+"""WSGI applications for callers and for the balancer."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import time
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from loguru import logger
+
+from cowslipstep.daemon._hangup import CallerGone, raise_on_hangup
+from cowslipstep.daemon._http import (
+    Environ,
+    StartResponse,
+    error_document,
+    status_line,
+)
+from cowslipstep.daemon._intake import read_body
+from cowslipstep.model import (
+    AnswerHead,
+    CallerRequest,
+    Header,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    RequestError,
+)
+from cowslipstep.serving._delivery import RouteDelivery
+from cowslipstep.serving._state import ServingState
+
+_OK = 200
+_NOT_FOUND = 404
+_CLIENT_CLOSED = 499
+_INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
+_NOT_READY_RETRY_S = 0.5
+
+
+class ReadinessFront:
+    """Tells the balancer whether this daemon takes connections."""
+
+    def __init__(self, state: ServingState) -> None:
+        self._state = state
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one question."""
+        status = _OK if self._state.ready else _UNAVAILABLE
+        if environ['PATH_INFO'] != self._state.settings.readiness_path:
+            status = _NOT_FOUND
+        start_response(status_line(status), [('Content-Length', '0')])
+        return [b'']
+
+
+class CallerFront:
+    """Answers callers; each call of it handles one request.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: ServingState) -> None:
+        self._state = state
+        self._dialect = state.dialects.requests
+        self._delivery = RouteDelivery(state)
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        self._state.served = True
+        request_id = ''
+        try:
+            request = self._read(environ)
+            request_id = request.request_id
+            return self._answer(request, environ, start_response)
+        except RequestError as error:
+            failure = error
+        except CallerGone:
+            logger.bind(request_id=request_id).debug('caller is gone')
+            start_response(status_line(_CLIENT_CLOSED), [])
+            return [b'']
+        except Exception:
+            logger.bind(request_id=request_id).exception('request failed')
+            failure = RequestError(
+                MayHaveRun(Reason.internal),
+                'internal error',
+                _INTERNAL_ERROR,
+            )
+        return self._refuse(failure, request_id, start_response)
+
+    def _read(self, environ: Environ) -> CallerRequest:
+        arrived_s = time.monotonic()
+        table = self._state.configuration.table
+        if table is None or not self._state.directory.known:
+            raise RequestError(
+                NotRun(Reason.not_ready, _NOT_READY_RETRY_S),
+                'no configuration is known yet',
+                _UNAVAILABLE,
+            )
+        limits = table.configuration.limits
+        environ['cowslipstep.arrived_s'] = arrived_s
+        return self._dialect.read(
+            environ['REQUEST_METHOD'],
+            _target(environ),
+            environ['headers_raw'],
+            read_body(environ, limits.max_body_bytes),
+        )
+
+    def _answer(
+        self,
+        request: CallerRequest,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        pieces = self._delivery.deliver(
+            request,
+            environ['cowslipstep.arrived_s'],
+        )
+        with raise_on_hangup(environ):
+            head = next(pieces)
+        match head:
+            case AnswerHead():
+                start_response(status_line(head.status), list(head.headers))
+        return _body(pieces, environ)
+
+    def _refuse(
+        self,
+        error: RequestError,
+        request_id: str,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        headers: list[Header] = [('Content-Type', 'application/json')]
+        if request_id:
+            headers.extend(self._dialect.own_headers(request_id))
+        match error.verdict:
+            case NotRun(retry_after_s=delay_s) if delay_s > 0:
+                headers.append(('Retry-After', f'{delay_s:.3f}'))
+        logger.bind(
+            request_id=request_id,
+            verdict=error.verdict.code,
+            reason=error.verdict.reason.value,
+            status=error.status,
+        ).info('request not served: {}', error)
+        document = error_document(error.verdict, str(error), request_id)
+        payload = _encoded(document)
+        headers.append(('Content-Length', str(len(payload))))
+        start_response(status_line(error.status), headers)
+        return [payload]
+
+
+def _encoded(document: Any) -> bytes:
+    return json.dumps(document).encode()
+
+
+def _target(environ: Environ) -> str:
+    query = environ.get('QUERY_STRING', '')
+    path = environ['RAW_PATH_INFO']
+    return f'{path}?{query}' if query else path
+
+
+def _body(pieces: Any, environ: Environ) -> Iterator[bytes]:
+    with contextlib.closing(pieces), raise_on_hangup(environ):
+        yield from pieces
+
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
@@ -0,0 +1,42 @@
+"""Groups as the runners' entries tell them, for choosing among them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from cowslipstep.groups import serving_groups
+from cowslipstep.model import DiscoveredRunner, EngineProfile, ServingGroup
+
+
+class GroupsView:
+    """Keeps the serving groups of each service until an entry changes."""
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, tuple[ServingGroup, ...]] = {}
+
+    def forget(self) -> None:
+        """Work the groups out again when they are next asked for."""
+        self._by_service.clear()
+
+    def serving(
+        self,
+        service: str,
+        engine: EngineProfile,
+        runners: Callable[[], Mapping[str, DiscoveredRunner]],
+    ) -> tuple[ServingGroup, ...]:
+        """Return the groups of a service that serve requests."""
+        groups = self._by_service.get(service)
+        if groups is None:
+            groups = serving_groups(
+                _of_service(runners().values(), service),
+                engine,
+            )
+            self._by_service[service] = groups
+        return groups
+
+
+def _of_service(
+    runners: Iterable[DiscoveredRunner],
+    service: str,
+) -> list[DiscoveredRunner]:
+    return [runner for runner in runners if runner.service == service]
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -0,0 +1,158 @@
+"""Keeper of the fleet's groups: one task that holds a lease."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+import uuid
+
+import eventlet
+from loguru import logger
+
+from cowslipstep.daemon._ledgers import PlatformLedger
+from cowslipstep.groups import (
+    Author,
+    DomainLease,
+    DomainLedger,
+    FleetKeeper,
+    FleetView,
+    LeaseTiming,
+    LedgerUnavailable,
+    LedgerWriter,
+)
+from cowslipstep.model import CowslipstepError, ServedService
+from cowslipstep.serving._order_sender import OrderSender
+from cowslipstep.serving._peers import PeerReports
+from cowslipstep.serving._reachability import Reachability
+from cowslipstep.serving._state import ServingState
+
+_SCOPE = 'fleet'
+_STEP_S = 0.1
+_RETRY_DELAY_S = 0.3
+# Short, so that a keeper that died is replaced before much is broken.
+_LEASE_S = 2.1
+_TIMING = LeaseTiming(
+    duration_s=_LEASE_S,
+    stop_margin_s=0.4,
+    take_margin_s=0.2,
+)
+# Daemons that start together do not all ask at the same moment.
+_FIRST_LOOK_S = 0.3
+
+
+def boot_time_s() -> float:
+    """Return a clock reading that counts the time of a suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class GroupKeeper:
+    """Takes the lease when no other daemon has it, and keeps the groups.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    peers
+        Tells which daemon is the keeper.
+    """
+
+    def __init__(self, state: ServingState, peers: PeerReports) -> None:
+        self._state = state
+        self._peers = peers
+        store = PlatformLedger(state.platform, _SCOPE)
+        author = Author(
+            state.settings.name,
+            lambda: uuid.uuid4().hex,
+            boot_time_s,
+        )
+        writer = LedgerWriter(author, store)
+        self._lease = DomainLease(writer, boot_time_s, _TIMING)
+        self._reachability = Reachability(state)
+        self._orders = OrderSender(state, lambda: self._lease.may_order)
+        self._keepers: dict[str, FleetKeeper] = {}
+
+    def run(self) -> None:
+        """Keep the groups whenever the lease is held."""
+        eventlet.sleep(random.uniform(0, _FIRST_LOOK_S))
+        while not self._state.stopping:
+            try:
+                self._take_and_keep()
+            except LedgerUnavailable as error:
+                logger.info('no lease for groups: {}', error)
+            self._peers.is_keeper = False
+            eventlet.sleep(_RETRY_DELAY_S)
+        with contextlib.suppress(CowslipstepError):
+            if self._lease.state.held:
+                self._lease.give_up()
+        eventlet.Event().wait()
+
+    def _take_and_keep(self) -> None:
+        if self._is_kept() or self._state.configuration.table is None:
+            return
+        self._lease.look()
+        if self._lease.take_wait_s or not self._renew():
+            return
+        term = self._lease.state.term
+        logger.bind(term=term).info('lease for groups taken')
+        self._keepers.clear()
+        while not self._state.stopping:
+            if not self._keep(term):
+                logger.bind(term=term).warning('lease for groups lost')
+                return
+            eventlet.sleep(_STEP_S)
+
+    def _is_kept(self) -> bool:
+        return any(report.keeper for report in self._state.loads.reports)
+
+    def _renew(self) -> bool:
+        return self._lease.write(DomainLedger(_SCOPE), _LEASE_S)
+
+    def _keep(self, term: int) -> bool:
+        if boot_time_s() >= self._lease.state.renewal_at_s:
+            if not self._renew():
+                return False
+        self._peers.is_keeper = self._lease.may_order
+        table = self._state.configuration.table
+        if table is None or not self._lease.may_order:
+            return True
+        for service in table.configuration.services.values():
+            if service.engine is not None:
+                self._keep_service(service, term)
+        return True
+
+    def _keep_service(self, service: ServedService, term: int) -> None:
+        view = self._view(service)
+        if view is None:
+            return
+        keeper = self._keepers.get(service.name)
+        if keeper is None:
+            stall_s = self._state.settings.bounds.stall_s
+            keeper = FleetKeeper(term, stall_s)
+            self._keepers[service.name] = keeper
+        self._reachability.check(view)
+        for decision in keeper.decide(view):
+            self._orders.carry_out(decision, term)
+
+    def _view(self, service: ServedService) -> FleetView | None:
+        directory = self._state.directory
+        if service.engine is None or not directory.known or directory.lost:
+            return None
+        return FleetView(
+            runners={
+                name: runner
+                for name, runner in directory.runners.items()
+                if runner.service == service.name
+            },
+            engine=service.engine,
+            now_s=boot_time_s(),
+            demand=self._peers.demand.total(),
+            lost=self._reachability.lost,
+            paced=self._is_paced(),
+        )
+
+    def _is_paced(self) -> bool:
+        """Whether loads count: not before the first request of all."""
+        if not self._state.settings.first_start or self._state.served:
+            return True
+        return any(report.served for report in self._state.loads.reports)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -0,0 +1,96 @@
+"""One task that follows all objects of a kind."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import eventlet
+from loguru import logger
+
+from cowslipstep.platform import (
+    HistoryGone,
+    KindChanges,
+    ObjectPage,
+    PlatformClient,
+    PlatformUnavailable,
+)
+
+# Keep-alive probes find a silent connection, so that a watch may be long.
+_WATCH_S = 10
+_RETRY_S = 0.3
+
+
+class Follower(Protocol):
+    """Takes what a watch tells."""
+
+    def replace(self, page: ObjectPage) -> None:
+        """Take all objects of the kind."""
+
+    def apply(self, changes: KindChanges) -> None:
+        """Take changes of some of them."""
+
+    def lose(self) -> None:
+        """Note that the platform cannot be reached."""
+
+
+class KindWatch:
+    """Follows a kind of objects; lists it again when changes were missed.
+
+    Parameters
+    ----------
+    client
+        Client of the platform.
+    kind
+        Kind of objects.
+    follower
+        Is told of objects and changes.
+    pause_s
+        Wait between two watches, so that changes come several at once.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        kind: str,
+        follower: Follower,
+        pause_s: float,
+    ) -> None:
+        self._client = client
+        self._kind = kind
+        self._follower = follower
+        self._pause_s = pause_s
+        self._lost = False
+
+    def run(self) -> None:
+        """Follow until the task is ended."""
+        while True:
+            try:
+                self._follow()
+            except HistoryGone:
+                logger.info('history of {} is gone, listing again', self._kind)
+            except PlatformUnavailable as error:
+                self._lose(error)
+                eventlet.sleep(_RETRY_S)
+
+    def _follow(self) -> None:
+        page = self._client.list_kind(self._kind)
+        self._regain()
+        self._follower.replace(page)
+        revision = page.revision
+        while True:
+            eventlet.sleep(self._pause_s)
+            changes = self._client.watch_kind(self._kind, revision, _WATCH_S)
+            self._follower.apply(changes)
+            revision = changes.revision
+
+    def _lose(self, error: PlatformUnavailable) -> None:
+        if self._lost:
+            return
+        self._lost = True
+        self._follower.lose()
+        logger.warning('lost the platform for {}: {}', self._kind, error)
+
+    def _regain(self) -> None:
+        if self._lost:
+            self._lost = False
+            logger.info('regained the platform for {}', self._kind)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
@@ -0,0 +1,110 @@
+"""Carries out decisions of the keeper: orders to runners."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import eventlet
+from attrs import frozen
+from loguru import logger
+
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.groups import (
+    CloseGroup,
+    FleetDecision,
+    FormGroup,
+    LeaveGroup,
+    OpenGroup,
+    StageModel,
+)
+from cowslipstep.model import (
+    Closing,
+    DiscoveredRunner,
+    GroupOrder,
+    Joining,
+    Leaving,
+    Opening,
+    OrderOutcome,
+    Staging,
+)
+from cowslipstep.serving._exchange import Exchange, open_answer
+from cowslipstep.serving._state import ServingState
+
+# An order is repeated when its effect does not show in time.
+_ANSWER_TIMEOUT_S = 1
+
+
+@frozen
+class _Addressed:
+    """An order and the runner that it is for."""
+
+    runner: DiscoveredRunner
+    order: GroupOrder
+
+
+class OrderSender:
+    """Sends orders while the lease holds, each in a task of its own.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    may_order
+        Says whether an order may be sent at this very moment.
+    """
+
+    def __init__(
+        self,
+        state: ServingState,
+        may_order: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._may_order = may_order
+
+    def carry_out(self, decision: FleetDecision, fence: int) -> None:
+        """Send the orders that a decision is made of."""
+        for addressed in _orders(decision):
+            eventlet.spawn(self._send, addressed, fence)
+
+    def _send(self, addressed: _Addressed, fence: int) -> None:
+        if not self._may_order():
+            return
+        try:
+            outcome = self._exchange(addressed, fence)
+        except UpstreamFailure as failure:
+            outcome = OrderOutcome.unknown
+            logger.info('order without answer: {}', failure)
+        logger.bind(
+            runner=addressed.runner.name,
+            outcome=outcome.value,
+            term=fence,
+        ).info('order {}', addressed.order)
+
+    def _exchange(self, addressed: _Addressed, fence: int) -> OrderOutcome:
+        orders = self._state.dialects.orders
+        exchange = Exchange(
+            addressed.runner.address,
+            'POST',
+            orders.order_path,
+            orders.headers(addressed.runner),
+            orders.body(addressed.order, fence),
+            _ANSWER_TIMEOUT_S,
+        )
+        with open_answer(exchange) as answer:
+            return orders.outcome(answer.status)
+
+
+def _orders(decision: FleetDecision) -> Iterator[_Addressed]:
+    match decision:
+        case FormGroup(key, model, members):
+            names = tuple(member.name for member in members)
+            for member in members:
+                yield _Addressed(member, Joining(*key, model, names))
+        case OpenGroup(key, head):
+            yield _Addressed(head, Opening(*key))
+        case CloseGroup(key, head):
+            yield _Addressed(head, Closing(*key))
+        case LeaveGroup(key, head):
+            yield _Addressed(head, Leaving(*key))
+        case StageModel(runner, model):
+            yield _Addressed(runner, Staging(model))
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
@@ -0,0 +1,84 @@
+"""State of one request over its tries."""
+
+from __future__ import annotations
+
+import time
+
+from attrs import define, field
+
+from cowslipstep.daemon._streams import StreamProgress
+from cowslipstep.delivery import combine_tries
+from cowslipstep.model import MayHaveRun, NotRun, RequestKind
+from cowslipstep.routing import RoutedRequest
+
+
+@define
+class ServingRun:
+    """One request from its arrival to the end of its answer.
+
+    Attributes
+    ----------
+    routed
+        The request with its route.
+    arrived_s
+        Clock reading of its arrival.
+    deadline_s
+        Clock reading at which it has to be answered.
+    runs
+        Upstreams that may have run it.
+    avoided
+        Upstreams that failed it.
+    verdict
+        What is known over all tries; ``None`` before the first failure.
+    begun
+        Whether the caller was sent a part of the answer.
+    progress
+        What was passed on of a stream.
+    """
+
+    routed: RoutedRequest
+    arrived_s: float
+    deadline_s: float
+    runs: set[str] = field(factory=set)
+    avoided: set[str] = field(factory=set)
+    tries: int = 0
+    verdict: NotRun | MayHaveRun | None = None
+    begun: bool = False
+    progress: StreamProgress = field(factory=StreamProgress)
+
+    @property
+    def remaining_s(self) -> float:
+        """Time that is left."""
+        return self.deadline_s - time.monotonic()
+
+    @property
+    def overdue(self) -> bool:
+        """Whether no time is left."""
+        return self.remaining_s <= 0
+
+    @property
+    def streaming(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.routed.route.kind is RequestKind.streaming
+
+    @property
+    def last_event_id(self) -> str:
+        """Event after which the next try goes on."""
+        passed_on = self.progress.last_id.decode()
+        return passed_on or self.routed.request.last_event_id
+
+    def note_failure(self, name: str, verdict: NotRun | MayHaveRun) -> None:
+        """Note what became of a try at an upstream."""
+        self.avoided.add(name)
+        self.verdict = combine_tries(self.verdict, verdict)
+        match verdict:
+            case MayHaveRun():
+                self.runs.add(name)
+
+
+def start_run(routed: RoutedRequest, arrived_s: float) -> ServingRun:
+    """Return the state of a request that has just come."""
+    timeout_s = routed.route.timeout_s
+    if routed.request.timeout_s is not None:
+        timeout_s = min(timeout_s, routed.request.timeout_s)
+    return ServingRun(routed, arrived_s, arrived_s + timeout_s)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -0,0 +1,119 @@
+"""What the tasks of a serving daemon share."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+
+from attrs import Factory, define, field
+
+from cowslipstep.delivery import RetryBudget
+from cowslipstep.metrics import Counters, Histograms
+from cowslipstep.platform import PlatformClient
+from cowslipstep.routing import UpstreamLoads
+from cowslipstep.serving._configuration_feed import ConfigurationFeed
+from cowslipstep.serving._dialects import Dialects
+from cowslipstep.serving._groups_view import GroupsView
+from cowslipstep.serving._runner_directory import RunnerDirectory
+from cowslipstep.serving._suspicions import Suspicions
+from cowslipstep.settings import ServingSettings
+
+# Leaves room for reports of daemons that are counted late.
+_RETRY_SHARE = 0.8
+_FIRST_RETRIES = 4
+
+
+def _budget(state: ServingState) -> RetryBudget:
+    bounds = state.settings.bounds
+    return RetryBudget(
+        bounds.retry_ratio * _RETRY_SHARE,
+        _FIRST_RETRIES,
+        _FIRST_RETRIES,
+    )
+
+
+def _feed(state: ServingState) -> ConfigurationFeed:
+    dialects = state.dialects
+    return ConfigurationFeed(
+        dialects.configuration,
+        dialects.configuration_key,
+    )
+
+
+def _directory(state: ServingState) -> RunnerDirectory:
+    return RunnerDirectory(
+        state.dialects.runner,
+        state.settings.bounds.registration_s,
+        time.monotonic,
+        state.groups.forget,
+    )
+
+
+@define
+class ServingState:
+    """State shared by the tasks of one daemon.
+
+    Attributes
+    ----------
+    settings
+        Settings of the daemon.
+    dialects
+        How the outside is spoken to.
+    platform
+        Client of the platform.
+    configuration
+        The configuration in force.
+    groups
+        Groups that serve.
+    directory
+        Runners that have registered.
+    loads
+        Requests in progress at upstreams.
+    suspicions
+        Upstreams that were found silent.
+    retries
+        Budget of retries by service.
+    served
+        Whether a request has come.
+    stopping
+        Whether a planned stop has begun.
+    model_requests
+        Requests that have come, by model.
+    """
+
+    settings: ServingSettings
+    dialects: Dialects
+    platform: PlatformClient
+    configuration: ConfigurationFeed = field(
+        default=Factory(_feed, takes_self=True),
+    )
+    groups: GroupsView = field(factory=GroupsView)
+    directory: RunnerDirectory = field(
+        default=Factory(_directory, takes_self=True),
+    )
+    loads: UpstreamLoads = field(
+        factory=lambda: UpstreamLoads(time.monotonic),
+    )
+    suspicions: Suspicions = field(
+        factory=lambda: Suspicions(time.monotonic),
+    )
+    counters: Counters = field(factory=Counters)
+    histograms: Histograms = field(factory=Histograms)
+    served: bool = False
+    model_requests: Counter[str] = field(factory=Counter)
+    stopping: bool = False
+    _retries: dict[str, RetryBudget] = field(factory=dict)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send requests."""
+        known = self.configuration.table is not None and self.directory.known
+        return known and not self.stopping
+
+    def retries(self, service: str) -> RetryBudget:
+        """Return the budget of retries of a service."""
+        budget = self._retries.get(service)
+        if budget is None:
+            budget = _budget(self)
+            self._retries[service] = budget
+        return budget
--- a/libs/delivery/src/cowslipstep/delivery/_budget.py
+++ b/libs/delivery/src/cowslipstep/delivery/_budget.py
@@ -15,6 +15,8 @@
         Retries allowed for each first try.
     max_saved
         Largest number of retries saved up for later.
+    saved
+        Retries saved up at the start; by default just less than one.
 
     Examples
     --------
@@ -28,10 +30,11 @@
         self,
         ratio: float = _RATIO,
         max_saved: float = _MAX_SAVED,
+        saved: float | None = None,
     ) -> None:
         self._ratio = ratio
         self._max_saved = max_saved
-        self._saved = 1 - ratio
+        self._saved = 1 - ratio if saved is None else saved
 
     def add_first_try(self) -> None:
         """Note a first try."""
--- /dev/null
+++ b/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
@@ -0,0 +1,91 @@
+"""What a keeper sees of a fleet of runners, and what it decides."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from attrs import field, frozen
+
+from cowslipstep.groups._formations import FormationKey
+from cowslipstep.model import DiscoveredRunner, EngineProfile
+
+
+@frozen
+class FleetView:
+    """Runners of one service as known at one moment.
+
+    Parameters
+    ----------
+    runners
+        Runners that have registered, by name.
+    engine
+        What their engines publish.
+    now_s
+        Clock reading.
+    demand
+        Requests a second by model.
+    lost
+        Runners that do not answer.
+    paced
+        Whether loads of weights count towards the limits of their store.
+    """
+
+    runners: Mapping[str, DiscoveredRunner]
+    engine: EngineProfile
+    now_s: float
+    demand: Mapping[str, float] = field(factory=dict)
+    lost: frozenset[str] = field(factory=frozenset)
+    paced: bool = True
+
+    @property
+    def present(self) -> list[DiscoveredRunner]:
+        """Runners that answer."""
+        return [
+            runner
+            for runner in self.runners.values()
+            if runner.name not in self.lost
+        ]
+
+
+@frozen
+class FormGroup:
+    """Runners shall join a new group; the first of them leads."""
+
+    key: FormationKey
+    model: str
+    members: tuple[DiscoveredRunner, ...]
+
+
+@frozen
+class OpenGroup:
+    """The head of a whole group shall take requests."""
+
+    key: FormationKey
+    head: DiscoveredRunner
+
+
+@frozen
+class CloseGroup:
+    """The head shall take no more requests and finish those that run."""
+
+    key: FormationKey
+    head: DiscoveredRunner
+
+
+@frozen
+class LeaveGroup:
+    """The head shall leave its group, so that the members become free."""
+
+    key: FormationKey
+    head: DiscoveredRunner
+
+
+@frozen
+class StageModel:
+    """A host shall load the weights of a model beside its other work."""
+
+    runner: DiscoveredRunner
+    model: str
+
+
+FleetDecision = FormGroup | OpenGroup | CloseGroup | LeaveGroup | StageModel
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -13,6 +13,12 @@
     VersionedConfiguration,
     Workspace,
 )
+from cowslipstep.model._discovered import (
+    DiscoveredRunner,
+    Seat,
+    SeatState,
+    ServingGroup,
+)
 from cowslipstep.model._errors import (
     CowslipstepError,
     DocumentError,
@@ -33,6 +39,11 @@
     GroupsDocument,
     GroupsQuery,
 )
+from cowslipstep.model._load_reports import (
+    LoadReport,
+    ModelDemand,
+    UpstreamLoad,
+)
 from cowslipstep.model._membership import (
     Acknowledgement,
     ConfigurationCopy,
@@ -53,6 +64,30 @@
     OrderMessage,
 )
 from cowslipstep.model._requests import Request
+from cowslipstep.model._serving import (
+    Backend,
+    CallerLimits,
+    EngineProfile,
+    KeyHolder,
+    RequestKind,
+    Route,
+    ServedModel,
+    ServedService,
+    ServingConfiguration,
+)
+from cowslipstep.model._serving_requests import (
+    AnswerHead,
+    CallerRequest,
+    GroupOrder,
+    Header,
+    Opening,
+    OrderOutcome,
+    Closing,
+    Joining,
+    Leaving,
+    Staging,
+    UpstreamRequest,
+)
 from cowslipstep.model._verdicts import (
     Completed,
     MayHaveRun,
--- /dev/null
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -0,0 +1,55 @@
+"""What daemons tell each other of the requests that they have in progress."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen
+class UpstreamLoad:
+    """Requests of one daemon in progress at one upstream."""
+
+    upstream: str
+    requests: int
+
+
+@frozen
+class ModelDemand:
+    """Requests of one daemon for one model, in progress or turned away."""
+
+    model: str
+    requests: float
+
+
+@frozen
+class LoadReport:
+    """Report of one daemon to its peers; each replaces the one before.
+
+    Parameters
+    ----------
+    daemon
+        Name of the sender.
+    sequence
+        Grows with each report of one run of the sender.
+    configuration_version
+        Version of the sender's configuration in force.
+    loads
+        Upstreams where it has requests in progress.
+    demands
+        Its requests by model.
+    suspects
+        Upstreams that its requests found silent.
+    served
+        Whether it has received any request from a caller.
+    keeper
+        Whether it holds the lease for orders to runners.
+    """
+
+    daemon: str
+    sequence: int
+    configuration_version: int
+    loads: tuple[UpstreamLoad, ...] = ()
+    demands: tuple[ModelDemand, ...] = ()
+    suspects: tuple[str, ...] = ()
+    served: bool = False
+    keeper: bool = False
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -21,6 +21,7 @@
     ledgerReply @13 :LedgerReply;
     groupsQuery @14 :Text;
     groupsCopy @15 :List(GroupsDocument);
+    loadReport @16 :LoadReport;
   }
 }
 
@@ -158,3 +159,24 @@
   outcome @0 :Text;
   answer @1 :LedgerAnswer;
 }
+
+struct UpstreamLoad {
+  upstream @0 :Text;
+  requests @1 :UInt32;
+}
+
+struct ModelDemand {
+  model @0 :Text;
+  requests @1 :Float32;
+}
+
+struct LoadReport {
+  daemon @0 :Text;
+  sequence @1 :UInt64;
+  configurationVersion @2 :UInt64;
+  loads @3 :List(UpstreamLoad);
+  demands @4 :List(ModelDemand);
+  suspects @5 :List(Text);
+  served @6 :Bool;
+  keeper @7 :Bool;
+}
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -7,10 +7,23 @@
     Priority,
     priority_of,
 )
-from cowslipstep.platform._calls import CallOutcome, CallRecord
+from cowslipstep.platform._calls import (
+    CALL_TIMEOUT_S,
+    CallOutcome,
+    CallRecord,
+    PlatformCall,
+)
 from cowslipstep.platform._client import PlatformClient
+from cowslipstep.platform._dialect import (
+    KindChanges,
+    ObjectChange,
+    ObjectPage,
+    StoreDialect,
+    TextDialect,
+)
 from cowslipstep.platform._host_list import HostList, read_host_list
 from cowslipstep.platform._objects import (
+    HistoryGone,
     ObjectKey,
     ObjectMissing,
     PlatformUnavailable,
--- a/libs/platform/src/cowslipstep/platform/_caller.py
+++ b/libs/platform/src/cowslipstep/platform/_caller.py
@@ -14,6 +14,7 @@
 from cowslipstep.platform._budgets import CallBudgets
 from cowslipstep.platform._calls import CallOutcome, CallRecord, PlatformCall
 from cowslipstep.platform._objects import (
+    HistoryGone,
     ObjectMissing,
     PlatformUnavailable,
     VersionConflict,
@@ -94,7 +95,7 @@
         except VersionConflict:
             outcome = CallOutcome.conflict
             raise
-        except ObjectMissing:
+        except (ObjectMissing, HistoryGone):
             outcome = CallOutcome.missing
             raise
         except BaseException:
--- a/libs/platform/src/cowslipstep/platform/_client.py
+++ b/libs/platform/src/cowslipstep/platform/_client.py
@@ -9,6 +9,7 @@
 from cowslipstep.platform._budgets import CallBudgets
 from cowslipstep.platform._caller import CallObserver, PlatformCaller
 from cowslipstep.platform._calls import CallRecord, PlatformCall
+from cowslipstep.platform._dialect import StoreDialect, TextDialect
 from cowslipstep.platform._objects import ObjectKey
 from cowslipstep.platform._change import Change
 from cowslipstep.platform._proof import change_with_proof
@@ -33,6 +34,8 @@
         Budget of calls.
     on_call
         Told of each call, for counts.
+    dialect
+        Writes calls and reads answers.
     """
 
     def __init__(
@@ -41,10 +44,13 @@
         sender: str = 'cowslipstep',
         limits: PlatformLimits | None = None,
         on_call: CallObserver = ignore_call,
+        dialect: StoreDialect | None = None,
     ) -> None:
-        transport = PlatformTransport(address, sender)
+        spoken = dialect or TextDialect()
+        transport = PlatformTransport(address, sender, spoken)
         self._budgets = CallBudgets(limits or PlatformLimits(), time.monotonic)
-        super().__init__(PlatformCaller(transport, self._budgets, on_call))
+        caller = PlatformCaller(transport, self._budgets, on_call)
+        super().__init__(caller, spoken)
 
     def change_limits(self, limits: PlatformLimits) -> None:
         """Use other limits of calls from now on."""
@@ -61,8 +67,7 @@
             If there was no answer; its verdict says whether the change may
             have taken effect.
         """
-        call = PlatformCall('POST', key.kind, f'/objects/{key}', body)
-        return self._caller.call(call).json()['version']
+        return self._change(key, self._dialect.create(key, body))
 
     def update(self, key: ObjectKey, version: int, body: str) -> int:
         """Replace an object that still has ``version``; return the new one.
@@ -75,9 +80,7 @@
             If there was no answer; its verdict says whether the change may
             have taken effect.
         """
-        path = f'/objects/{key}?version={version}'
-        call = PlatformCall('PUT', key.kind, path, body)
-        return self._caller.call(call).json()['version']
+        return self._change(key, self._dialect.update(key, version, body))
 
     def update_with_proof(
         self,
@@ -119,5 +122,8 @@
         PlatformUnavailable
             If there was no answer.
         """
-        path = f'/objects/{key}?version={version}'
-        self._caller.call(PlatformCall('DELETE', key.kind, path))
+        self._caller.call(self._dialect.delete(key, version))
+
+    def _change(self, key: ObjectKey, call: PlatformCall) -> int:
+        document = self._caller.call(call).json()
+        return self._dialect.stored(key, document).version
--- a/libs/platform/src/cowslipstep/platform/_objects.py
+++ b/libs/platform/src/cowslipstep/platform/_objects.py
@@ -58,3 +58,7 @@
 
 class ObjectMissing(CowslipstepError):
     """There is no object of that kind and name."""
+
+
+class HistoryGone(CowslipstepError):
+    """The changes behind a revision are no longer kept."""
--- a/libs/platform/src/cowslipstep/platform/_transport.py
+++ b/libs/platform/src/cowslipstep/platform/_transport.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-import json
+import socket
 
 import urllib3
 
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.platform._calls import PlatformCall
+from cowslipstep.platform._dialect import StoreDialect, TextDialect
 from cowslipstep.platform._objects import (
+    HistoryGone,
     ObjectMissing,
     PlatformUnavailable,
     VersionConflict,
@@ -17,9 +19,19 @@
 _CONNECT_TIMEOUT_S = 1
 _MAX_IDLE_CONNECTIONS = 4
 _NOT_FOUND = 404
+_GONE = 410
 _CONFLICT = 409
 _CALLER_ERROR = 400
-_SERVER_ERROR = 500
+# A connection that went silent is closed after three of these periods.
+_KEEPALIVE_PERIOD_S = 1
+_KEEPALIVE_PROBES = 2
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_PERIOD_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_PERIOD_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+)
 
 
 class PlatformTransport:
@@ -31,15 +43,27 @@
         Address of the object API.
     sender
         Name in the ``User-Agent`` header.
+    dialect
+        Says what error statuses mean.
     """
 
-    def __init__(self, address: Address, sender: str) -> None:
+    def __init__(
+        self,
+        address: Address,
+        sender: str,
+        dialect: StoreDialect | None = None,
+    ) -> None:
+        self._dialect = dialect or TextDialect()
         self._pool = urllib3.HTTPConnectionPool(
             address.ip,
             address.port,
             maxsize=_MAX_IDLE_CONNECTIONS,
             retries=False,
-            headers={'User-Agent': sender},
+            headers={
+                'User-Agent': sender,
+                'Content-Type': 'application/json',
+            },
+            socket_options=_SOCKET_OPTIONS,
         )
 
     def send(self, call: PlatformCall) -> urllib3.BaseHTTPResponse:
@@ -51,6 +75,8 @@
             If the object has another version.
         ObjectMissing
             If there is no such object.
+        HistoryGone
+            If the changes that are watched for are no longer kept.
         PlatformUnavailable
             If there was no usable answer.
         """
@@ -62,7 +88,7 @@
             answer = self._pool.request(
                 call.method,
                 call.path,
-                body=_encoded(call.body),
+                body=call.body,
                 timeout=timeout,
             )
         except (
@@ -78,32 +104,24 @@
                 MayHaveRun(Reason.platform_down),
                 f'{call}: {error}',
             ) from error
-        return _checked(answer, call)
-
-
-def _encoded(body: str | None) -> str | None:
-    return None if body is None else json.dumps({'body': body})
-
-
-def _checked(
-    answer: urllib3.BaseHTTPResponse,
-    call: PlatformCall,
-) -> urllib3.BaseHTTPResponse:
-    match answer.status:
-        case status if status == _CONFLICT:
-            raise VersionConflict(str(call))
-        case status if status == _NOT_FOUND:
-            raise ObjectMissing(str(call))
-        case status if status >= _CALLER_ERROR:
-            raise PlatformUnavailable(
-                _verdict(status),
-                f'{call}: status {status}',
-            )
-        case _:
-            return answer
-
-
-def _verdict(status: int) -> NotRun | MayHaveRun:
-    if status >= _SERVER_ERROR:
-        return MayHaveRun(Reason.platform_down)
-    return NotRun(Reason.platform_down)
+        return self._checked(answer, call)
+
+    def _checked(
+        self,
+        answer: urllib3.BaseHTTPResponse,
+        call: PlatformCall,
+    ) -> urllib3.BaseHTTPResponse:
+        match answer.status:
+            case status if status == _CONFLICT:
+                raise VersionConflict(str(call))
+            case status if status == _NOT_FOUND:
+                raise ObjectMissing(str(call))
+            case status if status == _GONE:
+                raise HistoryGone(str(call))
+            case status if status >= _CALLER_ERROR:
+                raise PlatformUnavailable(
+                    self._dialect.refusal(status),
+                    f'{call}: status {status}',
+                )
+            case _:
+                return answer
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -20,3 +20,10 @@
     ReplyToAsk,
     WorkspaceShare,
 )
+from cowslipstep.routing._first_event import (
+    GroupView,
+    choose_group,
+    first_event_s,
+)
+from cowslipstep.routing._routes import RoutedRequest, RouteTable
+from cowslipstep.routing._upstream_loads import UpstreamLoads
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -0,0 +1,93 @@
+"""Requests in progress at each upstream, over all daemons."""
+
+from __future__ import annotations
+
+import contextlib
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from attrs import define
+
+from cowslipstep.model import LoadReport, UpstreamLoad
+
+# Reports come several times a second; one this old is of a dead daemon.
+REPORT_LIFETIME_S = 1.5
+
+
+@define
+class _Heard:
+    report: LoadReport
+    loads: dict[str, int]
+    heard_s: float
+
+
+class UpstreamLoads:
+    """Counts of own requests, and those that peers have told.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock, seconds.
+
+    Examples
+    --------
+    >>> loads = UpstreamLoads(lambda: 0)
+    >>> with loads.counted('a'):
+    ...     loads.total('a')
+    1
+    >>> loads.total('a')
+    0
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._own: Counter[str] = Counter()
+        self._heard: dict[str, _Heard] = {}
+
+    @property
+    def reports(self) -> tuple[LoadReport, ...]:
+        """The newest report of each peer that is not too old."""
+        self._drop_old()
+        return tuple(heard.report for heard in self._heard.values())
+
+    @property
+    def own(self) -> tuple[UpstreamLoad, ...]:
+        """Own requests in progress by upstream."""
+        return tuple(
+            UpstreamLoad(upstream, count)
+            for upstream, count in self._own.items()
+            if count > 0
+        )
+
+    @contextlib.contextmanager
+    def counted(self, upstream: str) -> Iterator[None]:
+        """Count a request as in progress while the context lasts."""
+        self._own[upstream] += 1
+        try:
+            yield
+        finally:
+            self._own[upstream] -= 1
+            if self._own[upstream] <= 0:
+                self._own.pop(upstream)
+
+    def note(self, report: LoadReport) -> None:
+        """Replace what a peer has told before."""
+        loads = {load.upstream: load.requests for load in report.loads}
+        self._heard[report.daemon] = _Heard(report, loads, self._clock())
+
+    def total(self, upstream: str) -> int:
+        """Return the requests in progress at an upstream."""
+        told = sum(
+            heard.loads.get(upstream, 0) for heard in self._heard.values()
+        )
+        return self._own.get(upstream, 0) + told
+
+    def total_own(self) -> int:
+        """Return the number of own requests in progress."""
+        return sum(self._own.values())
+
+    def _drop_old(self) -> None:
+        oldest_s = self._clock() - REPORT_LIFETIME_S
+        for daemon, heard in tuple(self._heard.items()):
+            if heard.heard_s < oldest_s:
+                self._heard.pop(daemon)
--- a/libs/settings/src/cowslipstep/settings/__init__.py
+++ b/libs/settings/src/cowslipstep/settings/__init__.py
@@ -13,3 +13,4 @@
     load_daemon_settings,
     parse_daemon_settings,
 )
+from cowslipstep.settings._serving import ServingBounds, ServingSettings
