Lay groups out by the work that requests bring to each model

Ruled out: load limits (all orders were accepted). Change: demand counts group-seconds; while runners register, the model that needs them more waits for its whole group; the read timeout is the planned one.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -69,7 +69,7 @@
             raise _refusal(Reason.not_ready)
         run = start_run(table.route(request), arrived_s)
         self._state.retries(run.routed.service).add_first_try()
-        self._state.model_requests[request.model] += 1
+        self._targets.note_demand(run)
         while True:
             target = self._next_target(run)
             run.tries += 1
--- a/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
@@ -15,7 +15,7 @@
 
 
 class DemandWatch:
-    """Smoothed rate of own requests by model, and the sum over peers.
+    """Full groups that requests keep busy, by model; own and of all daemons.
 
     Parameters
     ----------
@@ -30,25 +30,25 @@
         self._sampled_s = time.monotonic()
 
     def own(self) -> tuple[ModelDemand, ...]:
-        """Return the requests a second of this daemon."""
+        """Return the groups that this daemon's requests keep busy."""
         self._sample()
         return tuple(
             ModelDemand(model, rate) for model, rate in self._rates.items()
         )
 
     def total(self) -> dict[str, float]:
-        """Return the requests a second of all daemons by model."""
+        """Return the groups that all requests keep busy, by model."""
         total = dict(self._rates)
         for report in self._state.loads.reports:
             for demand in report.demands:
-                told = total.get(demand.model, 0) + demand.requests
+                told = total.get(demand.model, 0) + demand.groups
                 total[demand.model] = told
         return total
 
     def _sample(self) -> None:
         now_s = time.monotonic()
         passed_s = now_s - self._sampled_s
-        counted = self._state.model_requests
+        counted = self._state.model_work_s
         if passed_s <= 0:
             return
         self._sampled_s = now_s
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -127,7 +127,8 @@
         ) from error
     sock: Any = connection.sock
     with _failure_told():
-        sock.settimeout(max(exchange.answer_timeout_s, 0.001))
+        # The connection sets this again on its socket before it reads.
+        connection.timeout = max(exchange.answer_timeout_s, 0.001)
         connection.request(
             exchange.method,
             exchange.target,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import eventlet
@@ -45,7 +46,8 @@
     follower
         Is told of objects and changes.
     pause_s
-        Wait between two watches, so that changes come several at once.
+        Returns the wait between two watches, so that changes come several
+        at once.
     """
 
     def __init__(
@@ -53,7 +55,7 @@
         client: PlatformClient,
         kind: str,
         follower: Follower,
-        pause_s: float,
+        pause_s: Callable[[], float],
     ) -> None:
         self._client = client
         self._kind = kind
@@ -61,6 +63,11 @@
         self._pause_s = pause_s
         self._lost = False
 
+    @property
+    def kind(self) -> str:
+        """Kind of objects."""
+        return self._kind
+
     def run(self) -> None:
         """Follow until the task is ended."""
         while True:
@@ -78,7 +85,7 @@
         self._follower.replace(page)
         revision = page.revision
         while True:
-            eventlet.sleep(self._pause_s)
+            eventlet.sleep(self._pause_s())
             changes = self._client.watch_kind(self._kind, revision, _WATCH_S)
             self._follower.apply(changes)
             revision = changes.revision
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -22,9 +22,10 @@
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
 
-# Changes within this time are told by one watch.
-_RUNNERS_PAUSE_S = 0.1
-_CONFIGURATION_PAUSE_S = 0.2
+# Changes within this time are told by one watch; each watch is a call.
+_KEEPER_PAUSE_S = 0.1
+_RUNNERS_PAUSE_S = 0.3
+_CONFIGURATION_PAUSE_S = 0.3
 _DAEMONS_PAUSE_S = 0.5
 # Daemons that start at once share the platform's rates by this guess.
 _EXPECTED_DAEMONS = 9
@@ -76,7 +77,7 @@
             peers.traffic,
         )
     start_task('peer server', server.run)
-    _start_watches(state, registry)
+    _start_watches(state, registry, peers)
     start_task('registration', lambda: registry.register(state.platform))
     start_task('load reports', peers.run)
     start_task('group keeper', GroupKeeper(state, peers).run)
@@ -89,20 +90,38 @@
     return callers
 
 
-def _start_watches(state: ServingState, registry: DaemonRegistry) -> None:
+def _start_watches(
+    state: ServingState,
+    registry: DaemonRegistry,
+    peers: PeerReports,
+) -> None:
     dialects = state.dialects
-    watched = (
-        (
+
+    def runners_pause_s() -> float:  # noqa: WPS430
+        return _KEEPER_PAUSE_S if peers.is_keeper else _RUNNERS_PAUSE_S
+
+    watches = (
+        KindWatch(
+            state.platform,
             dialects.configuration_key.kind,
             state.configuration,
-            _CONFIGURATION_PAUSE_S,
+            lambda: _CONFIGURATION_PAUSE_S,
+        ),
+        KindWatch(
+            state.platform,
+            dialects.runners_kind,
+            state.directory,
+            runners_pause_s,
+        ),
+        KindWatch(
+            state.platform,
+            registry.kind,
+            registry,
+            lambda: _DAEMONS_PAUSE_S,
         ),
-        (dialects.runners_kind, state.directory, _RUNNERS_PAUSE_S),
-        (registry.kind, registry, _DAEMONS_PAUSE_S),
     )
-    for kind, follower, pause_s in watched:
-        watch = KindWatch(state.platform, kind, follower, pause_s)
-        start_task(f'watch of {kind}', watch.run)
+    for watch in watches:
+        start_task(f'watch of {watch.kind}', watch.run)
 
 
 def _serve_readiness(address: Address, state: ServingState) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -77,8 +77,8 @@
         Whether a request has come.
     stopping
         Whether a planned stop has begun.
-    model_requests
-        Requests that have come, by model.
+    model_work_s
+        Time for which the requests so far keep full groups busy, by model.
     """
 
     settings: ServingSettings
@@ -100,7 +100,7 @@
     counters: Counters = field(factory=Counters)
     histograms: Histograms = field(factory=Histograms)
     served: bool = False
-    model_requests: Counter[str] = field(factory=Counter)
+    model_work_s: Counter[str] = field(factory=Counter)
     stopping: bool = False
     _retries: dict[str, RetryBudget] = field(factory=dict)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -14,7 +14,7 @@
     ServedService,
     ServingGroup,
 )
-from cowslipstep.routing import GroupView, choose_group
+from cowslipstep.routing import GroupView, choose_group, group_seconds
 from cowslipstep.serving._serving_run import ServingRun
 from cowslipstep.serving._state import ServingState
 
@@ -69,6 +69,21 @@
             return None
         return self._choose_group(run, service.engine, model)
 
+    def note_demand(self, run: ServingRun) -> None:
+        """Count the work of a new request for the layout of groups."""
+        service = self._service(run)
+        if service is None or service.engine is None:
+            return
+        request = run.routed.request
+        model = service.engine.model(request.model)
+        if model is not None:
+            self._state.model_work_s[model.name] += group_seconds(
+                request.prompt_tokens,
+                request.output_tokens,
+                service.engine,
+                model,
+            )
+
     def _service(self, run: ServingRun) -> ServedService | None:
         table = self._state.configuration.table
         if table is None:
--- a/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
@@ -23,11 +23,13 @@
     now_s
         Clock reading.
     demand
-        Requests a second by model.
+        Groups that requests keep busy, by model.
     lost
         Runners that do not answer.
     paced
         Whether loads of weights count towards the limits of their store.
+    settled
+        Whether no runner has registered for a while.
     """
 
     runners: Mapping[str, DiscoveredRunner]
@@ -36,6 +38,7 @@
     demand: Mapping[str, float] = field(factory=dict)
     lost: frozenset[str] = field(factory=frozenset)
     paced: bool = True
+    settled: bool = True
 
     @property
     def present(self) -> list[DiscoveredRunner]:
--- a/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from cowslipstep.groups._fleet_decisions import (
     CloseGroup,
@@ -31,6 +31,8 @@
 # A group that is not ready after this many of its load times has failed.
 _OVERDUE_FACTOR = 3
 _MIN_PATIENCE_S = 4
+# Runners that start together register within this time of each other.
+_SETTLED_S = 1.5
 # Leaves room for the numbers of all groups of a term.
 _EPOCHS_PER_TERM = 10000
 
@@ -79,9 +81,12 @@
         self._since_s: dict[FormationKey, float] = {}
         self._ordered_s: dict[tuple[type, FormationKey], float] = {}
         self._pace = LoadPace()
+        self._known: frozenset[str] = frozenset()
+        self._registered_s = -_SETTLED_S
 
     def decide(self, view: FleetView) -> list[FleetDecision]:
         """Return what shall be done now."""
+        view = evolve(view, settled=self._is_settled(view))
         found = formations(view.present)
         self._pace.settle(view)
         self._note(view, found)
@@ -102,6 +107,13 @@
         decisions.extend(stage_models(view, self._pace))
         return decisions
 
+    def _is_settled(self, view: FleetView) -> bool:
+        names = frozenset(view.runners)
+        if names - self._known:
+            self._registered_s = view.now_s
+        self._known = names
+        return view.now_s - self._registered_s >= _SETTLED_S
+
     def _note(
         self,
         view: FleetView,
--- a/libs/groups/src/cowslipstep/groups/_group_choice.py
+++ b/libs/groups/src/cowslipstep/groups/_group_choice.py
@@ -14,7 +14,10 @@
 # Time to join a group of the model that the runner last served.
 _REJOIN_S = 0.2
 # Demand that is assumed at least, as a part of the published share.
-_LEAST_DEMAND = 0.2
+_LEAST_DEMAND = 0.3
+# While runners still register, a model with less than this part of the
+# greatest pressure leaves them to the model that needs them more.
+_FAIR_PRESSURE = 0.6
 
 
 @frozen
@@ -70,24 +73,37 @@
             key=self._pressure,
             reverse=True,
         )
-        for model in models:
+        for model in self._fair(models):
             chosen = self._best(model)
             if chosen is not None:
                 self._take(chosen)
                 return chosen
         return None
 
+    def _fair(self, models: list[ServedModel]) -> list[ServedModel]:
+        if self._view.settled or not models:
+            return models
+        least = _FAIR_PRESSURE * self._pressure(models[0])
+        return [model for model in models if self._pressure(model) >= least]
+
     def _pressure(self, model: ServedModel) -> float:
-        demand = self._view.demand.get(model.name, 0)
-        total = sum(
-            self._view.demand.get(other.name, 0)
-            for other in self._view.engine.models
+        """Return the groups that are wanted for each group there is."""
+        wanted = max(
+            self._view.demand.get(model.name, 0),
+            _LEAST_DEMAND * self._expected(model),
         )
-        share = demand / total if total else model.share
-        wanted = max(share, _LEAST_DEMAND * model.share) * model.pace
         # Half a group keeps the order of models that have none.
         return wanted / (self._counts.get(model.name, 0) + 0.5)
 
+    def _expected(self, model: ServedModel) -> float:
+        """Return the part of the demand that the published share means."""
+        models = self._view.engine.models
+        total = sum(self._view.demand.values()) or 1
+        shares = {
+            other.name: other.share / other.group_size for other in models
+        }
+        return total * shares[model.name] / (sum(shares.values()) or 1)
+
     def _best(self, model: ServedModel) -> ChosenGroup | None:
         candidates = [
             self._choose(model, runners)
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -15,10 +15,10 @@
 
 @frozen
 class ModelDemand:
-    """Requests of one daemon for one model, in progress or turned away."""
+    """Full groups of one model that a daemon's requests keep busy."""
 
     model: str
-    requests: float
+    groups: float
 
 
 @frozen
@@ -36,7 +36,7 @@
     loads
         Upstreams where it has requests in progress.
     demands
-        Its requests by model.
+        Groups that its requests keep busy.
     suspects
         Upstreams that its requests found silent.
     served
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -34,7 +34,7 @@
     listed = builder.init('demands', len(demands))
     for index, demand in enumerate(demands):
         listed[index].model = demand.model
-        listed[index].requests = demand.requests
+        listed[index].groups = demand.groups
 
 
 def _write_suspects(builder: Any, suspects: tuple[str, ...]) -> None:
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -167,7 +167,7 @@
 
 struct ModelDemand {
   model @0 :Text;
-  requests @1 :Float32;
+  groups @1 :Float32;
 }
 
 struct LoadReport {
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -24,6 +24,7 @@
     GroupView,
     choose_group,
     first_event_s,
+    group_seconds,
 )
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
 from cowslipstep.routing._upstream_loads import UpstreamLoads
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -70,6 +70,35 @@
     )
 
 
+def group_seconds(
+    prompt_tokens: int,
+    output_tokens: int,
+    engine: EngineProfile,
+    model: ServedModel,
+) -> float:
+    """Return the time for which a request keeps a full group busy.
+
+    Parameters
+    ----------
+    prompt_tokens
+        Length of the prompt, whose reading holds up the whole batch.
+    output_tokens
+        Length of the answer, whose steps are shared by the batch.
+    engine
+        Published times of the engine.
+    model
+        The model that runs it.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    step_s = engine.step_s + engine.sequence_step_s * engine.slots
+    prefill_s = prompt_tokens / engine.prefill_tokens_per_s
+    return model.pace * (prefill_s + output_tokens * step_s / engine.slots)
+
+
 def choose_group(
     views: Iterable[GroupView],
     prompt_tokens: int,
