--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -124,6 +124,7 @@
         raise UpstreamFailure(
             NotRun(Reason.connect_failed),
             f'{exchange.address}: {error}',
+            refused=_is_refused(error),
         ) from error
     sock: Any = connection.sock
     with _failure_told():
@@ -157,6 +158,11 @@
         ) from error
 
 
+def _is_refused(error: Exception) -> bool:
+    cause = error.__cause__ or error
+    return isinstance(cause, ConnectionRefusedError)
+
+
 def _reason(error: Exception) -> Reason:
     match error:
         case TimeoutError() | urllib3.exceptions.TimeoutError():
--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -22,8 +22,8 @@
     LedgerWriter,
 )
 from cowslipstep.model import CowslipstepError, ServedService
+from cowslipstep.serving._demand import DemandWatch
 from cowslipstep.serving._order_sender import OrderSender
-from cowslipstep.serving._peers import PeerReports
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._state import ServingState
 
@@ -53,13 +53,21 @@
     ----------
     state
         State of the daemon.
-    peers
-        Tells which daemon is the keeper.
+    demand
+        Tells what requests need of each model.
+    reachability
+        Tells which runners answer.
     """
 
-    def __init__(self, state: ServingState, peers: PeerReports) -> None:
+    def __init__(
+        self,
+        state: ServingState,
+        demand: DemandWatch,
+        reachability: Reachability,
+    ) -> None:
         self._state = state
-        self._peers = peers
+        self._demand = demand
+        self._reachability = reachability
         store = PlatformLedger(state.platform, _SCOPE)
         author = Author(
             state.settings.name,
@@ -68,7 +76,6 @@
         )
         writer = LedgerWriter(author, store)
         self._lease = DomainLease(writer, boot_time_s, _TIMING)
-        self._reachability = Reachability(state)
         self._orders = OrderSender(state, lambda: self._lease.may_order)
         self._keepers: dict[str, FleetKeeper] = {}
 
@@ -80,7 +87,7 @@
                 self._take_and_keep()
             except LedgerUnavailable as error:
                 logger.info('no lease for groups: {}', error)
-            self._peers.is_keeper = False
+            self._state.is_keeper = False
             eventlet.sleep(_RETRY_DELAY_S)
         with contextlib.suppress(CowslipstepError):
             if self._lease.state.held:
@@ -112,7 +119,7 @@
         if boot_time_s() >= self._lease.state.renewal_at_s:
             if not self._renew():
                 return False
-        self._peers.is_keeper = self._lease.may_order
+        self._state.is_keeper = self._lease.may_order
         table = self._state.configuration.table
         if table is None or not self._lease.may_order:
             return True
@@ -127,10 +134,8 @@
             return
         keeper = self._keepers.get(service.name)
         if keeper is None:
-            stall_s = self._state.settings.bounds.stall_s
-            keeper = FleetKeeper(term, stall_s)
+            keeper = FleetKeeper(term)
             self._keepers[service.name] = keeper
-        self._reachability.check(view)
         for decision in keeper.decide(view):
             self._orders.carry_out(decision, term)
 
@@ -146,8 +151,12 @@
             },
             engine=service.engine,
             now_s=boot_time_s(),
-            demand=self._peers.demand.total(),
+            demand=self._demand.total(),
             lost=self._reachability.lost,
+            members=self._reachability.members,
+            heard=self._reachability.heard,
+            gone=self._reachability.gone,
+            left=self._orders.left,
             paced=self._is_paced(),
         )
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -16,8 +16,9 @@
     PlatformUnavailable,
 )
 
-# Keep-alive probes find a silent connection, so that a watch may be long.
-_WATCH_S = 10
+# Keep-alive probes find a silent connection; a store that takes calls and
+# never answers is only found at the end of a watch.
+_WATCH_S = 5
 _RETRY_S = 0.3
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -19,6 +19,7 @@
 )
 from cowslipstep.peers import Callee, PeerLink, PeerUnreachable, Reply, Traffic
 from cowslipstep.serving._demand import DemandWatch
+from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._state import ServingState
 
@@ -52,17 +53,24 @@
         State of the daemon.
     registry
         The other daemons.
+    reachability
+        Tells which vanished runners answer.
     """
 
-    def __init__(self, state: ServingState, registry: DaemonRegistry) -> None:
+    def __init__(
+        self,
+        state: ServingState,
+        registry: DaemonRegistry,
+        reachability: Reachability,
+    ) -> None:
         self._state = state
         self._registry = registry
+        self._reachability = reachability
         self._traffic = Traffic()
         self._peers: dict[str, _Peer] = {}
         self._sequence = 0
         self._demand = DemandWatch(state)
         self._copying = False
-        self.is_keeper = False
 
     @property
     def traffic(self) -> Traffic:
@@ -102,7 +110,8 @@
             demands=self._demand.own(),
             suspects=self._state.suspicions.names,
             served=self._state.served,
-            keeper=self.is_keeper,
+            keeper=self._state.is_keeper,
+            heard=self._reachability.own_heard(),
         )
 
     def _tell_all(self, link: PeerLink) -> None:
@@ -182,4 +191,5 @@
         or told.suspects != report.suspects
         or told.configuration_version != report.configuration_version
         or told.keeper != report.keeper
+        or told.heard != report.heard
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import signal
 import time
+from collections.abc import Callable
 
 import eventlet
+from attrs import evolve
 from loguru import logger
 
 from cowslipstep.daemon._listening import listen_http, listening_on
@@ -18,6 +21,7 @@
 from cowslipstep.serving._keeper import GroupKeeper
 from cowslipstep.serving._kind_watch import KindWatch
 from cowslipstep.serving._peers import PeerReports
+from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
@@ -35,21 +39,51 @@
 _EXIT_MARGIN_S = 0.7
 
 
-def run_serving_daemon(settings: ServingSettings, dialects: Dialects) -> None:
+def run_serving_daemon(
+    load_settings: Callable[[], ServingSettings],
+    dialects: Dialects,
+) -> None:
     """Run a daemon until a planned stop has ended.
 
+    Parameters
+    ----------
+    load_settings
+        Reads the settings, at the start and on SIGHUP; raises
+        ``ValueError`` or ``OSError`` if it cannot.
+    dialects
+        How the outside is spoken to.
+
     Raises
     ------
     ListenError
         If an address is taken.
     """
     stop = stop_event()
+    settings = load_settings()
     state = ServingState(settings, dialects, _client(settings, dialects))
+    signal.signal(
+        signal.SIGHUP,
+        lambda _number, _frame: reload_settings(state, load_settings),
+    )
     server = _start(state)
     stop.wait()
     _stop(server, state)
 
 
+def reload_settings(
+    state: ServingState,
+    load_settings: Callable[[], ServingSettings],
+) -> None:
+    """Use what may change while the daemon runs; its addresses may not."""
+    try:
+        settings = load_settings()
+    except (OSError, ValueError) as error:
+        logger.warning('settings not reloaded: {!r}', error)
+        return
+    state.settings = evolve(state.settings, bounds=settings.bounds)
+    logger.info('settings reloaded')
+
+
 def _client(settings: ServingSettings, dialects: Dialects) -> PlatformClient:
     limits = PlatformLimits(
         reads=BudgetLimits(settings.platform_reads_per_s / _EXPECTED_DAEMONS),
@@ -69,7 +103,8 @@
     settings = state.settings
     _serve_readiness(settings.readiness_address, state)
     registry = DaemonRegistry(settings)
-    peers = PeerReports(state, registry)
+    reachability = Reachability(state, registry)
+    peers = PeerReports(state, registry, reachability)
     with listening_on(settings.peer_address):
         server = PeerServer(
             settings.peer_address,
@@ -77,10 +112,12 @@
             peers.traffic,
         )
     start_task('peer server', server.run)
-    _start_watches(state, registry, peers)
+    _start_watches(state, registry)
     start_task('registration', lambda: registry.register(state.platform))
     start_task('load reports', peers.run)
-    start_task('group keeper', GroupKeeper(state, peers).run)
+    start_task('reachability', reachability.run)
+    keeper = GroupKeeper(state, peers.demand, reachability)
+    start_task('group keeper', keeper.run)
     callers = CallerServer(
         listen_http(settings.caller_address),
         CallerFront(state),
@@ -93,12 +130,11 @@
 def _start_watches(
     state: ServingState,
     registry: DaemonRegistry,
-    peers: PeerReports,
 ) -> None:
     dialects = state.dialects
 
     def runners_pause_s() -> float:  # noqa: WPS430
-        return _KEEPER_PAUSE_S if peers.is_keeper else _RUNNERS_PAUSE_S
+        return _KEEPER_PAUSE_S if state.is_keeper else _RUNNERS_PAUSE_S
 
     watches = (
         KindWatch(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -75,6 +75,8 @@
         Budget of retries by service.
     served
         Whether a request has come.
+    is_keeper
+        Whether this daemon keeps the groups.
     stopping
         Whether a planned stop has begun.
     model_work_s
@@ -100,6 +102,7 @@
     counters: Counters = field(factory=Counters)
     histograms: Histograms = field(factory=Histograms)
     served: bool = False
+    is_keeper: bool = False
     model_work_s: Counter[str] = field(factory=Counter)
     stopping: bool = False
     _retries: dict[str, RetryBudget] = field(factory=dict)
--- a/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
@@ -26,6 +26,14 @@
         Groups that requests keep busy, by model.
     lost
         Runners that do not answer.
+    members
+        Members by rank that have ever reported a group.
+    heard
+        Members that are registered no more and still answer.
+    gone
+        Members that have ended, or whose group has broken meanwhile.
+    left
+        Groups that their heads have left, as these answered.
     paced
         Whether loads of weights count towards the limits of their store.
     settled
@@ -37,6 +45,12 @@
     now_s: float
     demand: Mapping[str, float] = field(factory=dict)
     lost: frozenset[str] = field(factory=frozenset)
+    members: Mapping[FormationKey, Mapping[int, DiscoveredRunner]] = field(
+        factory=dict,
+    )
+    heard: frozenset[str] = field(factory=frozenset)
+    gone: frozenset[str] = field(factory=frozenset)
+    left: frozenset[FormationKey] = field(factory=frozenset)
     paced: bool = True
     settled: bool = True
 
--- a/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
@@ -26,8 +26,11 @@
 
 # An order whose effect does not show is repeated after this time.
 REPEAT_S = 1
-# Room for entries to show what has happened.
-_MARGIN_S = 1
+# The members of a group whose head nobody remembers are free after this
+# time: a partition that lasts longer has broken the group.
+_UNKNOWN_HEAD_S = 15
+# A head that has vanished may finish its requests before it has to leave.
+_FINISH_S = 3
 # A group that is not ready after this many of its load times has failed.
 _OVERDUE_FACTOR = 3
 _MIN_PATIENCE_S = 4
@@ -62,22 +65,17 @@
     """Decides on the groups of one service; gives no orders itself.
 
     A member is only taken for another group when its head has left the
-    group, is broken, was never told to serve, or was not seen for longer
-    than a group that has lost a member stands still.
+    group, is broken, was never told to serve, or has certainly ended.
 
     Parameters
     ----------
     term
         Number of the term of the lease under which decisions are made.
-    stall_s
-        Time for which a group stands still after it has lost a member.
     """
 
-    def __init__(self, term: int, stall_s: float) -> None:
+    def __init__(self, term: int) -> None:
         self._epochs = _EPOCHS_PER_TERM * term
-        self._stall_s = stall_s
         self._pending: dict[FormationKey, _Pending] = {}
-        self._heads: dict[FormationKey, str] = {}
         self._since_s: dict[FormationKey, float] = {}
         self._ordered_s: dict[tuple[type, FormationKey], float] = {}
         self._pace = LoadPace()
@@ -121,14 +119,12 @@
     ) -> None:
         for key, formation in found.items():
             if formation.head is not None:
-                self._heads[key] = formation.head.name
                 self._since_s.pop(key, None)
             else:
                 self._since_s.setdefault(key, view.now_s)
-        for known in (self._heads, self._since_s):
-            for key in tuple(known):
-                if key not in found and key not in self._pending:
-                    known.pop(key)
+        for key in tuple(self._since_s):
+            if key not in found:
+                self._since_s.pop(key)
 
     def _claim_pending(
         self,
@@ -179,7 +175,7 @@
             case SeatState.ready:
                 return _judge_ready(formation, head, whole=whole)
             case SeatState.open:
-                return _judge_open(formation, head, whole=whole)
+                return _judge_open(view, formation, head, whole=whole)
         return _KEPT if whole else _leave(formation, head)
 
     def _judge_headless(
@@ -187,14 +183,21 @@
         view: FleetView,
         formation: Formation,
     ) -> _Verdict:
-        name = self._heads.get(formation.key, '')
-        if name in view.runners and name not in view.lost:
-            # It registers without this group: it has left or restarted.
+        key = formation.key
+        if key in view.left:
             return _FREE
-        since_s = self._since_s.get(formation.key, view.now_s)
-        if view.now_s - since_s > self._stall_s + _MARGIN_S:
+        waited_s = view.now_s - self._since_s.get(key, view.now_s)
+        head = view.members.get(key, {}).get(0)
+        if head is None:
+            return _FREE if waited_s > _UNKNOWN_HEAD_S else _KEPT
+        if head.name in view.runners:
+            # Registered without this group: it has left or restarted.
+            return _KEPT if head.name in view.lost else _FREE
+        if head.name in view.gone:
             return _FREE
-        return _KEPT
+        if head.name in view.heard and waited_s < _FINISH_S:
+            return _Verdict(free=False, decision=CloseGroup(key, head))
+        return _leave(formation, head)
 
     def _is_due(self, view: FleetView, decision: FleetDecision) -> bool:
         match decision:
@@ -272,14 +275,23 @@
 
 
 def _judge_open(
+    view: FleetView,
     formation: Formation,
     head: DiscoveredRunner,
     *,
     whole: bool,
 ) -> _Verdict:
-    if not whole:
+    known = view.members.get(formation.key, {})
+    missing = [
+        member
+        for rank, member in known.items()
+        if rank not in formation.members
+    ]
+    # A member that leaves without a word serves for a while.
+    serving = all(member.name in view.heard for member in missing)
+    if not (whole or (missing and serving)):
         return _leave(formation, head)
-    if formation.draining:
+    if missing or formation.draining:
         return _Verdict(free=False, decision=CloseGroup(formation.key, head))
     return _KEPT
 
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -43,6 +43,8 @@
         Whether it has received any request from a caller.
     keeper
         Whether it holds the lease for orders to runners.
+    heard
+        Runners that are registered no more and answer the sender.
     """
 
     daemon: str
@@ -53,3 +55,4 @@
     suspects: tuple[str, ...] = ()
     served: bool = False
     keeper: bool = False
+    heard: tuple[str, ...] = ()
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -25,4 +25,5 @@
         suspects=tuple(raw.suspects),
         served=raw.served,
         keeper=raw.keeper,
+        heard=tuple(raw.heard),
     )
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -16,7 +16,8 @@
     builder.keeper = report.keeper
     _write_loads(builder, report.loads)
     _write_demands(builder, report.demands)
-    _write_suspects(builder, report.suspects)
+    _write_names(builder, 'suspects', report.suspects)
+    _write_names(builder, 'heard', report.heard)
 
 
 def _write_loads(builder: Any, loads: tuple[UpstreamLoad, ...]) -> None:
@@ -37,9 +38,9 @@
         listed[index].groups = demand.groups
 
 
-def _write_suspects(builder: Any, suspects: tuple[str, ...]) -> None:
-    if not suspects:
+def _write_names(builder: Any, field: str, names: tuple[str, ...]) -> None:
+    if not names:
         return
-    listed = builder.init('suspects', len(suspects))
-    for index, suspect in enumerate(suspects):
-        listed[index] = suspect
+    listed = builder.init(field, len(names))
+    for index, name in enumerate(names):
+        listed[index] = name
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -179,4 +179,5 @@
   suspects @5 :List(Text);
   served @6 :Bool;
   keeper @7 :Bool;
+  heard @8 :List(Text);
 }
