Number groups on when a lease is taken again within a term

Ruled out: orders of another keeper (all orders came from one daemon). Change: numbers go on within a term and pass every number that runners report.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -78,6 +78,7 @@
         self._lease = DomainLease(writer, boot_time_s, _TIMING)
         self._orders = OrderSender(state, lambda: self._lease.may_order)
         self._keepers: dict[str, FleetKeeper] = {}
+        self._term = 0
 
     def run(self) -> None:
         """Keep the groups whenever the lease is held."""
@@ -102,7 +103,10 @@
             return
         term = self._lease.state.term
         logger.bind(term=term).info('lease for groups taken')
-        self._keepers.clear()
+        if term != self._term:
+            # Numbers of groups go on within a term.
+            self._term = term
+            self._keepers.clear()
         while not self._state.stopping:
             if not self._keep(term):
                 logger.bind(term=term).warning('lease for groups lost')
--- a/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
@@ -118,6 +118,7 @@
         found: dict[FormationKey, Formation],
     ) -> None:
         for key, formation in found.items():
+            self._epochs = max(self._epochs, key[1])
             if formation.head is not None:
                 self._since_s.pop(key, None)
             else:
