Let members leave a silent head; find a dead keeper sooner

Ruled out: order losses. Change: a member leaves its group before it joins another, a group whose vanished member answers serves on, the lease lasts 1.6 s and a keeper is missed after 0.9 s.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
@@ -16,21 +16,9 @@
 class UpstreamFailure(Exception):
     """An upstream gave no complete answer."""
 
-    def __init__(
-        self,
-        verdict: NotRun | MayHaveRun,
-        message: str,
-        *,
-        refused: bool = False,
-    ) -> None:
+    def __init__(self, verdict: NotRun | MayHaveRun, message: str) -> None:
         super().__init__(message)
         self._verdict = verdict
-        self._refused = refused
-
-    @property
-    def refused(self) -> bool:
-        """Whether the host answered that nobody listens at the address."""
-        return self._refused
 
     @property
     def verdict(self) -> NotRun | MayHaveRun:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -124,7 +124,6 @@
         raise UpstreamFailure(
             NotRun(Reason.connect_failed),
             f'{exchange.address}: {error}',
-            refused=_is_refused(error),
         ) from error
     sock: Any = connection.sock
     with _failure_told():
@@ -158,11 +157,6 @@
         ) from error
 
 
-def _is_refused(error: Exception) -> bool:
-    cause = error.__cause__ or error
-    return isinstance(cause, ConnectionRefusedError)
-
-
 def _reason(error: Exception) -> Reason:
     match error:
         case TimeoutError() | urllib3.exceptions.TimeoutError():
--- a/apps/cowslipstepd/src/cowslipstep/serving/_front.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_front.py
@@ -171,4 +171,3 @@
 def _body(pieces: Any, environ: Environ) -> Iterator[bytes]:
     with contextlib.closing(pieces), raise_on_hangup(environ):
         yield from pieces
-
--- a/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
@@ -4,20 +4,29 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from cowslipstep.groups import serving_groups
+from cowslipstep.groups import FormationKey, serving_groups
 from cowslipstep.model import DiscoveredRunner, EngineProfile, ServingGroup
 
+Vanished = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
+
 
 class GroupsView:
     """Keeps the serving groups of each service until an entry changes."""
 
     def __init__(self) -> None:
         self._by_service: dict[str, tuple[ServingGroup, ...]] = {}
+        self._vanished: Vanished = {}
 
     def forget(self) -> None:
         """Work the groups out again when they are next asked for."""
         self._by_service.clear()
 
+    def note_vanished(self, vanished: Vanished) -> None:
+        """Take members by rank that vanished and still answer."""
+        if vanished != self._vanished:
+            self._vanished = vanished
+            self.forget()
+
     def serving(
         self,
         service: str,
@@ -30,6 +39,7 @@
             groups = serving_groups(
                 _of_service(runners().values(), service),
                 engine,
+                self._vanished,
             )
             self._by_service[service] = groups
         return groups
--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -31,12 +31,16 @@
 _STEP_S = 0.1
 _RETRY_DELAY_S = 0.3
 # Short, so that a keeper that died is replaced before much is broken.
-_LEASE_S = 2.1
+_LEASE_S = 1.6
+_STOP_MARGIN_S = 0.3
+_TAKE_MARGIN_S = 0.2
 _TIMING = LeaseTiming(
     duration_s=_LEASE_S,
-    stop_margin_s=0.4,
-    take_margin_s=0.2,
+    stop_margin_s=_STOP_MARGIN_S,
+    take_margin_s=_TAKE_MARGIN_S,
 )
+# A keeper that is not heard for two of its reports may be gone.
+_KEEPER_SILENCE_S = 0.9
 # Daemons that start together do not all ask at the same moment.
 _FIRST_LOOK_S = 0.3
 
@@ -114,7 +118,8 @@
             eventlet.sleep(_STEP_S)
 
     def _is_kept(self) -> bool:
-        return any(report.keeper for report in self._state.loads.reports)
+        reports = self._state.loads.recent(_KEEPER_SILENCE_S)
+        return any(report.keeper for report in reports)
 
     def _renew(self) -> bool:
         return self._lease.write(DomainLedger(_SCOPE), _LEASE_S)
@@ -159,8 +164,6 @@
             lost=self._reachability.lost,
             members=self._reachability.members,
             heard=self._reachability.heard,
-            gone=self._reachability.gone,
-            left=self._orders.left,
             paced=self._is_paced(),
         )
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
@@ -12,7 +12,6 @@
 from cowslipstep.groups import (
     CloseGroup,
     FleetDecision,
-    FormationKey,
     FormGroup,
     LeaveGroup,
     OpenGroup,
@@ -61,12 +60,6 @@
     ) -> None:
         self._state = state
         self._may_order = may_order
-        self._left: set[FormationKey] = set()
-
-    @property
-    def left(self) -> frozenset[FormationKey]:
-        """Groups that their heads have left, as they answered themselves."""
-        return frozenset(self._left)
 
     def carry_out(self, decision: FleetDecision, fence: int) -> None:
         """Send the orders that a decision is made of."""
@@ -81,18 +74,12 @@
         except UpstreamFailure as failure:
             outcome = OrderOutcome.unknown
             logger.info('order without answer: {}', failure)
-        self._note(addressed.order, outcome)
         logger.bind(
             runner=addressed.runner.name,
             outcome=outcome.value,
             term=fence,
         ).info('order {}', addressed.order)
 
-    def _note(self, order: GroupOrder, outcome: OrderOutcome) -> None:
-        match order, outcome:
-            case Leaving(group, epoch), OrderOutcome.accepted:
-                self._left.add((group, epoch))
-
     def _exchange(self, addressed: _Addressed, fence: int) -> OrderOutcome:
         orders = self._state.dialects.orders
         exchange = Exchange(
@@ -117,7 +104,7 @@
             yield _Addressed(head, Opening(*key))
         case CloseGroup(key, head):
             yield _Addressed(head, Closing(*key))
-        case LeaveGroup(key, head):
-            yield _Addressed(head, Leaving(*key))
+        case LeaveGroup(key, member):
+            yield _Addressed(member, Leaving(*key))
         case StageModel(runner, model):
             yield _Addressed(runner, Staging(model))
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -111,7 +111,7 @@
             suspects=self._state.suspicions.names,
             served=self._state.served,
             keeper=self._state.is_keeper,
-            heard=self._reachability.own_heard(),
+            heard=self._reachability.own_heard,
         )
 
     def _tell_all(self, link: PeerLink) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -3,49 +3,21 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable, Mapping
 
 import eventlet
-from attrs import define
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.groups import Formation, FormationKey, formations
-from cowslipstep.model import DiscoveredRunner, OrderOutcome
-from cowslipstep.serving._exchange import Exchange, open_answer
-from cowslipstep.serving._registry import DaemonRegistry
+from cowslipstep.model import DiscoveredRunner
+from cowslipstep.serving._report_probe import ask_report
 from cowslipstep.serving._state import ServingState
 
-# Several times the longest round trip; reports need no slot.
-_PROBE_TIMEOUT_S = 0.4
+Members = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
+
 # One lost packet does not make a runner unreachable.
 _MISSES = 2
 _STEP_S = 0.2
-# Room for peers to tell that they reach a runner.
-_MARGIN_S = 1
-# A daemon that cannot be heard may reach what others do not; a partition
-# that lasts longer has broken the groups behind it.
-_UNHEARD_S = 15
-
-
-@define
-class _Probed:
-    """What probes of one runner have shown."""
-
-    runner: DiscoveredRunner
-    misses: int = 0
-    silent_since_s: float = 0
-    refused: bool = False
-
-    def answer(self) -> None:
-        """Note an answer."""
-        self.misses = 0
-        self.refused = False
-
-    def miss(self, *, refused: bool) -> None:
-        """Note that there was no answer, or that nobody listens there."""
-        if self.misses == 0:
-            self.silent_since_s = time.monotonic()
-        self.misses += 1
-        self.refused = refused
 
 
 class Reachability:
@@ -58,19 +30,16 @@
     ----------
     state
         State of the daemon.
-    registry
-        The other daemons.
     """
 
-    def __init__(self, state: ServingState, registry: DaemonRegistry) -> None:
+    def __init__(self, state: ServingState) -> None:
         self._state = state
-        self._registry = registry
-        self._probed: dict[str, _Probed] = {}
+        self._misses: dict[str, int] = {}
         self._probing: set[str] = set()
         self._members: dict[FormationKey, dict[int, DiscoveredRunner]] = {}
 
     @property
-    def members(self) -> dict[FormationKey, dict[int, DiscoveredRunner]]:
+    def members(self) -> Members:
         """Members by rank of each group that some runner reports."""
         return self._members
 
@@ -80,143 +49,104 @@
         runners = self._state.directory.runners
         return frozenset(
             name
-            for name, probed in self._probed.items()
-            if name in runners and probed.misses >= _MISSES
+            for name, misses in self._misses.items()
+            if name in runners and misses >= _MISSES
         )
 
     @property
-    def heard(self) -> frozenset[str]:
-        """Vanished members that answer this daemon or a peer."""
-        told = {
-            name
-            for report in self._state.loads.reports
-            for name in report.heard
-        }
-        return frozenset(told.union(self.own_heard()))
-
-    @property
-    def gone(self) -> frozenset[str]:
-        """Vanished members that have certainly ended or broken their group."""
-        heard = self.heard
-        now_s = time.monotonic()
-        return frozenset(
-            name
-            for name, probed in self._vanished()
-            if probed.refused
-            or (
-                probed.misses >= _MISSES
-                and name not in heard
-                and now_s - probed.silent_since_s > self._silence_s()
-            )
-        )
-
     def own_heard(self) -> tuple[str, ...]:
-        """Return the vanished members that answer this daemon."""
+        """Vanished members that answer this daemon."""
+        runners = self._state.directory.runners
         return tuple(
             name
-            for name, probed in self._vanished()
-            if probed.misses == 0
+            for name, misses in self._misses.items()
+            if misses == 0 and name not in runners
         )
 
+    @property
+    def heard(self) -> frozenset[str]:
+        """Vanished members that answer this daemon or a peer."""
+        told = set(self.own_heard)
+        for report in self._state.loads.reports:
+            told.update(report.heard)
+        return frozenset(told)
+
     def run(self) -> None:
         """Probe until the task is ended."""
         while True:
             eventlet.sleep(_STEP_S)
             doubtful = self._doubtful()
-            for name in tuple(self._probed):
-                if name not in doubtful:
-                    self._probed.pop(name)
+            self._state.groups.note_vanished(
+                vanished_members(self._members, self.heard),
+            )
+            for name in self._misses.keys() - doubtful.keys():
+                self._misses.pop(name)
             for name, runner in doubtful.items():
                 if name not in self._probing:
                     self._probing.add(name)
                     eventlet.spawn(self._probe, runner)
 
-    def _vanished(self) -> list[tuple[str, _Probed]]:
-        runners = self._state.directory.runners
-        return [
-            (name, probed)
-            for name, probed in self._probed.items()
-            if name not in runners
-        ]
-
-    def _silence_s(self) -> float:
-        reporting = {report.daemon for report in self._state.loads.reports}
-        if set(self._registry.others) - reporting:
-            return _UNHEARD_S
-        return self._state.settings.bounds.stall_s + _MARGIN_S
-
     def _doubtful(self) -> dict[str, DiscoveredRunner]:
         runners = self._state.directory.runners
         found = formations(runners.values())
-        self._remember(found)
+        self._members = remembered(self._members, found)
         doubtful = {
             member.name: member
             for members in self._members.values()
             for member in members.values()
             if member.name not in runners
         }
-        for formation in self._suspected(found):
-            for member in formation.members.values():
-                doubtful[member.name] = member
+        if self._state.is_keeper:
+            suspects = self._state.all_suspects().union(self._misses)
+            doubtful.update(_suspected(found.values(), suspects))
         return doubtful
 
-    def _remember(self, found: dict[FormationKey, Formation]) -> None:
-        for key in tuple(self._members):
-            if key not in found:
-                self._members.pop(key)
-        for key, formation in found.items():
-            self._members.setdefault(key, {}).update(formation.members)
-
-    def _suspected(
-        self,
-        found: dict[FormationKey, Formation],
-    ) -> list[Formation]:
-        if not self._state.is_keeper:
-            return []
-        suspects = set(self._state.suspicions.names) | set(self._probed)
-        for report in self._state.loads.reports:
-            suspects.update(report.suspects)
-        return [
-            formation
-            for formation in found.values()
-            if any(
-                member.name in suspects
-                for member in formation.members.values()
-            )
-        ]
-
     def _probe(self, runner: DiscoveredRunner) -> None:
-        probed = self._probed.setdefault(runner.name, _Probed(runner))
         begun_s = time.monotonic()
         try:
-            misdirected = self._is_misdirected(runner)
-        except UpstreamFailure as failure:
-            probed.miss(refused=failure.refused)
+            ask_report(self._state.dialects.orders, runner)
+        except UpstreamFailure:
+            self._misses[runner.name] = self._misses.get(runner.name, 0) + 1
         else:
-            self._note(probed, misdirected=misdirected)
+            self._misses[runner.name] = 0
         passed_s = time.monotonic() - begun_s
         eventlet.sleep(max(0, _STEP_S - passed_s))
         self._probing.discard(runner.name)
 
-    def _note(self, probed: _Probed, *, misdirected: bool) -> None:
-        if misdirected:
-            probed.miss(refused=True)
-        else:
-            probed.answer()
-
-    def _is_misdirected(self, runner: DiscoveredRunner) -> bool:
-        """Ask for a report; say whether another runner has the address."""
-        orders = self._state.dialects.orders
-        exchange = Exchange(
-            runner.address,
-            'GET',
-            orders.report_path,
-            orders.headers(runner),
-            b'',
-            _PROBE_TIMEOUT_S,
-        )
-        with open_answer(exchange) as answer:
-            answer.read_all(time.monotonic() + _PROBE_TIMEOUT_S)
-            outcome = orders.outcome(answer.status)
-        return outcome is OrderOutcome.misdirected
 
+def vanished_members(members: Members, heard: frozenset[str]) -> Members:
+    """Return those members that are among ``heard``."""
+    if not heard:
+        return {}
+    return {
+        key: {
+            rank: member
+            for rank, member in by_rank.items()
+            if member.name in heard
+        }
+        for key, by_rank in members.items()
+    }
+
+
+def remembered(
+    members: Members,
+    found: Mapping[FormationKey, Formation],
+) -> dict[FormationKey, dict[int, DiscoveredRunner]]:
+    """Return the members by rank of each group that is still reported."""
+    return {
+        key: {**members.get(key, {}), **formation.members}
+        for key, formation in found.items()
+    }
+
+
+def _suspected(
+    found: Iterable[Formation],
+    suspects: frozenset[str],
+) -> dict[str, DiscoveredRunner]:
+    """Return all members of groups with a suspected member."""
+    return {
+        member.name: member
+        for formation in found
+        if not suspects.isdisjoint(formation.names)
+        for member in formation.members.values()
+    }
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -103,7 +103,7 @@
     settings = state.settings
     _serve_readiness(settings.readiness_address, state)
     registry = DaemonRegistry(settings)
-    reachability = Reachability(state, registry)
+    reachability = Reachability(state)
     peers = PeerReports(state, registry, reachability)
     with listening_on(settings.peer_address):
         server = PeerServer(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -113,6 +113,13 @@
         known = self.configuration.table is not None and self.directory.known
         return known and not self.stopping
 
+    def all_suspects(self) -> frozenset[str]:
+        """Return the upstreams that this daemon or a peer suspects."""
+        suspects = set(self.suspicions.names)
+        for report in self.loads.reports:
+            suspects.update(report.suspects)
+        return frozenset(suspects)
+
     def retries(self, service: str) -> RetryBudget:
         """Return the budget of retries of a service."""
         budget = self._retries.get(service)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -109,7 +109,8 @@
         return (load, self._distance_s(runner) + self._rng.uniform(0, _FAR_S))
 
     def _plain_patience_s(self, run: ServingRun) -> float:
-        if not run.routed.route.repeatable:
+        route = run.routed.route
+        if not route.repeatable or len(run.runs) + 1 >= route.max_tries:
             return run.remaining_s
         # Leaves as much time for another try.
         return run.remaining_s / 2
@@ -123,8 +124,7 @@
         groups = [
             group
             for group in self._serving(run, engine)
-            if group.model == model.name
-            and group.head.name not in run.avoided
+            if group.model == model.name and group.head.name not in run.avoided
         ]
         trusted = self._trusted(groups, lambda group: group.head.name)
         chosen = choose_group(
--- a/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
@@ -30,10 +30,6 @@
         Members by rank that have ever reported a group.
     heard
         Members that are registered no more and still answer.
-    gone
-        Members that have ended, or whose group has broken meanwhile.
-    left
-        Groups that their heads have left, as these answered.
     paced
         Whether loads of weights count towards the limits of their store.
     settled
@@ -49,8 +45,6 @@
         factory=dict,
     )
     heard: frozenset[str] = field(factory=frozenset)
-    gone: frozenset[str] = field(factory=frozenset)
-    left: frozenset[FormationKey] = field(factory=frozenset)
     paced: bool = True
     settled: bool = True
 
@@ -91,10 +85,13 @@
 
 @frozen
 class LeaveGroup:
-    """The head shall leave its group, so that the members become free."""
+    """A member shall leave its group at once and become free.
+
+    When the head leaves, all members become free.
+    """
 
     key: FormationKey
-    head: DiscoveredRunner
+    member: DiscoveredRunner
 
 
 @frozen
--- a/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
+++ b/libs/groups/src/cowslipstep/groups/_fleet_keeper.py
@@ -26,11 +26,8 @@
 
 # An order whose effect does not show is repeated after this time.
 REPEAT_S = 1
-# The members of a group whose head nobody remembers are free after this
-# time: a partition that lasts longer has broken the group.
-_UNKNOWN_HEAD_S = 15
 # A head that has vanished may finish its requests before it has to leave.
-_FINISH_S = 3
+_FINISH_S = 1.5
 # A group that is not ready after this many of its load times has failed.
 _OVERDUE_FACTOR = 3
 _MIN_PATIENCE_S = 4
@@ -54,7 +51,7 @@
     """Whether the members are free, and what shall be done meanwhile."""
 
     free: bool
-    decision: FleetDecision | None = None
+    decisions: tuple[FleetDecision, ...] = ()
 
 
 _FREE = _Verdict(free=True)
@@ -64,8 +61,8 @@
 class FleetKeeper:
     """Decides on the groups of one service; gives no orders itself.
 
-    A member is only taken for another group when its head has left the
-    group, is broken, was never told to serve, or has certainly ended.
+    A member is only taken for another group when it has left its group, or
+    when its head has left, is broken or was never told to serve.
 
     Parameters
     ----------
@@ -77,7 +74,7 @@
         self._epochs = _EPOCHS_PER_TERM * term
         self._pending: dict[FormationKey, _Pending] = {}
         self._since_s: dict[FormationKey, float] = {}
-        self._ordered_s: dict[tuple[type, FormationKey], float] = {}
+        self._ordered_s: dict[tuple[type, FormationKey, str], float] = {}
         self._pace = LoadPace()
         self._known: frozenset[str] = frozenset()
         self._registered_s = -_SETTLED_S
@@ -96,8 +93,7 @@
             verdict = self._judge(view, formation)
             if not verdict.free:
                 claimed.update(_names(formation))
-            if verdict.decision is not None:
-                decisions.append(verdict.decision)
+            decisions.extend(verdict.decisions)
         decisions = [
             decision for decision in decisions if self._is_due(view, decision)
         ]
@@ -185,25 +181,27 @@
         formation: Formation,
     ) -> _Verdict:
         key = formation.key
-        if key in view.left:
-            return _FREE
-        waited_s = view.now_s - self._since_s.get(key, view.now_s)
         head = view.members.get(key, {}).get(0)
-        if head is None:
-            return _FREE if waited_s > _UNKNOWN_HEAD_S else _KEPT
+        if head is None or head.name in view.lost:
+            return _members_leave(formation)
         if head.name in view.runners:
             # Registered without this group: it has left or restarted.
-            return _KEPT if head.name in view.lost else _FREE
-        if head.name in view.gone:
             return _FREE
-        if head.name in view.heard and waited_s < _FINISH_S:
-            return _Verdict(free=False, decision=CloseGroup(key, head))
+        if head.name not in view.heard:
+            return _members_leave(formation)
+        waited_s = view.now_s - self._since_s.get(key, view.now_s)
+        if waited_s < _FINISH_S:
+            return _Verdict(free=False, decisions=(CloseGroup(key, head),))
         return _leave(formation, head)
 
     def _is_due(self, view: FleetView, decision: FleetDecision) -> bool:
         match decision:
-            case OpenGroup(key) | CloseGroup(key) | LeaveGroup(key):
-                named = (type(decision), key)
+            case (
+                OpenGroup(key, runner)
+                | CloseGroup(key, runner)
+                | LeaveGroup(key, runner)
+            ):
+                named = (type(decision), key, runner.name)
                 ordered_s = self._ordered_s.get(named, -REPEAT_S)
                 if view.now_s - ordered_s < REPEAT_S:
                     return False
@@ -271,7 +269,8 @@
         # An order to open may still be on its way to the head.
         return _leave(formation, head)
     if formation.are_ready():
-        return _Verdict(free=False, decision=OpenGroup(formation.key, head))
+        opening = OpenGroup(formation.key, head)
+        return _Verdict(free=False, decisions=(opening,))
     return _KEPT
 
 
@@ -288,17 +287,30 @@
         for rank, member in known.items()
         if rank not in formation.members
     ]
-    # A member that leaves without a word serves for a while.
+    # A vanished member that answers still serves; when it has ended, the
+    # head stands still.
     serving = all(member.name in view.heard for member in missing)
     if not (whole or (missing and serving)):
         return _leave(formation, head)
-    if missing or formation.draining:
-        return _Verdict(free=False, decision=CloseGroup(formation.key, head))
+    if formation.draining:
+        closing = CloseGroup(formation.key, head)
+        return _Verdict(free=False, decisions=(closing,))
     return _KEPT
 
 
 def _leave(formation: Formation, head: DiscoveredRunner) -> _Verdict:
-    return _Verdict(free=False, decision=LeaveGroup(formation.key, head))
+    return _Verdict(free=False, decisions=(LeaveGroup(formation.key, head),))
+
+
+def _members_leave(formation: Formation) -> _Verdict:
+    """Free the members of a head that cannot be told to leave."""
+    return _Verdict(
+        free=False,
+        decisions=tuple(
+            LeaveGroup(formation.key, member)
+            for member in formation.members.values()
+        ),
+    )
 
 
 def _names(formation: Formation) -> set[str]:
--- a/libs/groups/src/cowslipstep/groups/_formations.py
+++ b/libs/groups/src/cowslipstep/groups/_formations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import frozen
 
@@ -50,6 +50,11 @@
                 return runner.loaded[0]
         return ''
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of the members that report the group."""
+        return frozenset(runner.name for runner in self.members.values())
+
     @property
     def draining(self) -> bool:
         """Whether a member is about to leave."""
@@ -84,28 +89,36 @@
 def serving_groups(
     runners: Iterable[DiscoveredRunner],
     engine: EngineProfile,
+    vanished: Mapping[FormationKey, Mapping[int, DiscoveredRunner]],
 ) -> tuple[ServingGroup, ...]:
     """Return the whole groups whose head takes requests.
 
     Groups with a member that is about to leave are left out.
+
+    Parameters
+    ----------
+    runners
+        Runners that are registered.
+    engine
+        What their engines publish.
+    vanished
+        Members by rank that are registered no more and still answer.
     """
-    found = []
+    groups = []
     for formation in formations(runners).values():
         model = engine.model(formation.model)
         if model is None or formation.head_state is not SeatState.open:
             continue
-        if formation.is_whole(model.group_size) and not formation.draining:
-            found.append(
-                ServingGroup(
-                    *formation.key,
-                    model.name,
-                    tuple(
-                        formation.members[rank]
-                        for rank in range(model.group_size)
-                    ),
-                ),
-            )
-    return tuple(found)
+        members = {
+            **vanished.get(formation.key, {}),
+            **formation.members,
+        }
+        ranks = range(model.group_size)
+        if formation.draining or any(rank not in members for rank in ranks):
+            continue
+        listed = tuple(members[rank] for rank in ranks)
+        groups.append(ServingGroup(*formation.key, model.name, listed))
+    return tuple(groups)
 
 
 def _state(runner: DiscoveredRunner | None) -> SeatState | None:
--- a/libs/groups/src/cowslipstep/groups/_group_choice.py
+++ b/libs/groups/src/cowslipstep/groups/_group_choice.py
@@ -135,9 +135,7 @@
         names = {runner.name for runner in chosen.members}
         domain = chosen.members[0].fabric_domain
         self._free[domain] = [
-            runner
-            for runner in self._free[domain]
-            if runner.name not in names
+            runner for runner in self._free[domain] if runner.name not in names
         ]
         self._counts[chosen.model.name] = (
             self._counts.get(chosen.model.name, 0) + 1
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -19,8 +19,7 @@
             UpstreamLoad(load.upstream, load.requests) for load in raw.loads
         ),
         demands=tuple(
-            ModelDemand(demand.model, demand.groups)
-            for demand in raw.demands
+            ModelDemand(demand.model, demand.groups) for demand in raw.demands
         ),
         suspects=tuple(raw.suspects),
         served=raw.served,
--- a/libs/platform/src/cowslipstep/platform/_dialect.py
+++ b/libs/platform/src/cowslipstep/platform/_dialect.py
@@ -143,7 +143,9 @@
         """Read the object that a watch told of."""
         name = kind.partition('/')[2]
         stored = self.stored(ObjectKey(kind, name), document)
-        return KindChanges((ObjectChange(stored, removed=False),), stored.version)
+        return KindChanges(
+            (ObjectChange(stored, removed=False),), stored.version
+        )
 
     def refusal(self, status: int) -> NotRun | MayHaveRun:
         """Return what an error status says of a change."""
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -50,6 +50,15 @@
         self._drop_old()
         return tuple(heard.report for heard in self._heard.values())
 
+    def recent(self, age_s: float) -> tuple[LoadReport, ...]:
+        """Return the newest reports of peers that are not older."""
+        oldest_s = self._clock() - age_s
+        return tuple(
+            heard.report
+            for heard in self._heard.values()
+            if heard.heard_s >= oldest_s
+        )
+
     @property
     def own(self) -> tuple[UpstreamLoad, ...]:
         """Own requests in progress by upstream."""
