Admit by the predicted first event; others stand by or are refused at once

Ruled out: too few groups alone (half of the server time was unused). Change: a request that can't begin in time stands by behind the others or is refused with a time to come back; loads tell standby apart; moved heads are avoided for 2 s; daemons without the store copy runners' entries from peers.

--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
@@ -0,0 +1,66 @@
+"""Copies from peers of what this daemon has missed at the platform."""
+
+from __future__ import annotations
+
+import eventlet
+from loguru import logger
+
+from cowslipstep.model import (
+    ConfigurationCopy,
+    ConfigurationQuery,
+    LoadReport,
+    Message,
+    RunnersCopy,
+    RunnersQuery,
+)
+from cowslipstep.peers import PeerLink, PeerUnreachable
+from cowslipstep.serving._state import ServingState
+
+_COPY_TIMEOUT_S = 1
+
+
+class CatchingUp:
+    """Asks a peer that knows more, once at a time.
+
+    Parameters
+    ----------
+    state
+        State of the daemon.
+    """
+
+    def __init__(self, state: ServingState) -> None:
+        self._state = state
+        self._asking = False
+
+    def start(self, report: LoadReport, link: PeerLink) -> None:
+        """Ask the sender of a report if it knows more."""
+        query = self._query(report)
+        if query is None or self._asking:
+            return
+        self._asking = True
+        eventlet.spawn(self._ask, query, link)
+
+    def _query(self, report: LoadReport) -> Message | None:
+        version = self._state.configuration.version
+        if report.configuration_version > version:
+            return ConfigurationQuery(version)
+        directory = self._state.directory
+        # A daemon that reaches the platform is told by it.
+        if directory.lost and report.runners_revision > directory.revision:
+            return RunnersQuery(directory.revision)
+        return None
+
+    def _ask(self, query: Message, link: PeerLink) -> None:
+        try:
+            self._take(link.call(query, _COPY_TIMEOUT_S))
+        except PeerUnreachable as error:
+            logger.info('nothing copied from a peer: {}', error)
+        finally:
+            self._asking = False
+
+    def _take(self, copy: Message) -> None:
+        match copy:
+            case ConfigurationCopy(_, document):
+                self._state.configuration.take_document(document)
+            case RunnersCopy():
+                self._state.directory.take_copy(copy)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from collections.abc import Iterator
 
@@ -9,7 +10,7 @@
 from loguru import logger
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
-from cowslipstep.delivery import may_resume, may_retry
+from cowslipstep.delivery import combine_tries, may_resume, may_retry
 from cowslipstep.model import (
     AnswerHead,
     CallerRequest,
@@ -31,7 +32,6 @@
 _GATEWAY_TIMEOUT = 504
 # Refusals do not count as runs; this many bound the time spent on them.
 _MAX_TRIES = 5
-_MAX_URGENCY = 9
 # A stream that is silent for this many of its longest pauses is cut off.
 _SILENT_GAPS = 2
 _MIN_SILENCE_S = 0.4
@@ -66,7 +66,7 @@
         """
         table = self._state.configuration.table
         if table is None:
-            raise _refusal(Reason.not_ready)
+            raise _refusal(NotRun(Reason.not_ready))
         run = start_run(table.route(request), arrived_s)
         self._state.retries(run.routed.service).add_first_try()
         self._targets.note_demand(run)
@@ -83,10 +83,12 @@
     def _next_target(self, run: ServingRun) -> Target:
         if run.overdue or run.tries >= _MAX_TRIES:
             raise _end(run)
-        if run.tries and not self._may_go_on(run):
-            raise _end(run)
         target = self._targets.choose(run)
-        if target is None:
+        match target:
+            case NotRun():
+                run.verdict = combine_tries(run.verdict, target)
+                raise _end(run)
+        if run.tries and not self._may_go_on(run):
             raise _end(run)
         return target
 
@@ -106,9 +108,11 @@
         return allowed and self._state.retries(run.routed.service).take()
 
     def _once(self, run: ServingRun, target: Target) -> Iterator[Piece]:
+        name = target.runner.name
         sent = self._sent(run, target)
         with (
-            self._state.loads.counted(target.runner.name),
+            self._state.loads.counted(name),
+            self._waiting(target) as waiting,
             open_answer(self._exchange(sent, target)) as answer,
         ):
             head = self._state.dialects.requests.answer(
@@ -117,18 +121,28 @@
                 answer.headers,
             )
             _check(head)
+            waiting.close()
             if run.streaming and head.succeeded:
                 yield from self._stream(run, target, head, answer)
             else:
                 yield from _whole(run, head, answer)
 
+    @contextlib.contextmanager
+    def _waiting(self, target: Target) -> Iterator[contextlib.ExitStack]:
+        """Count a request that stands by until its answer begins."""
+        with contextlib.ExitStack() as waiting:
+            if target.standby:
+                loads = self._state.loads
+                waiting.enter_context(loads.standing_by(target.runner.name))
+            yield waiting
+
     def _sent(self, run: ServingRun, target: Target) -> UpstreamRequest:
         return UpstreamRequest(
             run.routed.request,
             target.runner,
             run.routed.workspace,
             run.remaining_s,
-            min(_MAX_URGENCY, max(0, run.routed.rank)),
+            target.urgency,
             run.last_event_id,
         )
 
@@ -207,6 +221,11 @@
             MayHaveRun(Reason.upstream_cut),
             'answer to another request',
         )
+    if head.misdirected:
+        raise UpstreamFailure(
+            NotRun(Reason.upstream_moved),
+            'not the upstream, or no head of a group any more',
+        )
     if head.refusal is not None:
         raise UpstreamFailure(head.refusal, f'status {head.status}')
 
@@ -241,15 +260,15 @@
         case MayHaveRun() as verdict:
             status = _GATEWAY_TIMEOUT if run.overdue else _BAD_GATEWAY
             return RequestError(verdict, 'the request may have run', status)
-        case NotRun(reason):
-            return _refusal(reason)
+        case NotRun() as refusal:
+            return _refusal(refusal)
         case None:
-            return _refusal(Reason.no_capacity)
+            return _refusal(NotRun(Reason.no_capacity))
 
 
-def _refusal(reason: Reason) -> RequestError:
+def _refusal(refusal: NotRun) -> RequestError:
     return RequestError(
-        NotRun(reason, _RETRY_AFTER_S),
+        NotRun(refusal.reason, refusal.retry_after_s or _RETRY_AFTER_S),
         'the request has not run',
         _UNAVAILABLE,
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
@@ -4,7 +4,6 @@
 
 import math
 import time
-from collections import Counter
 
 from cowslipstep.model import ModelDemand
 from cowslipstep.serving._state import ServingState
@@ -26,7 +25,7 @@
     def __init__(self, state: ServingState) -> None:
         self._state = state
         self._rates: dict[str, float] = {}
-        self._counted: Counter[str] = Counter()
+        self._counted: dict[str, float] = {}
         self._sampled_s = time.monotonic()
 
     def own(self) -> tuple[ModelDemand, ...]:
@@ -54,7 +53,7 @@
         self._sampled_s = now_s
         kept = math.exp(-passed_s / _SMOOTHING_S)
         for model, count in counted.items():
-            rate = (count - self._counted[model]) / passed_s
+            rate = (count - self._counted.get(model, 0)) / passed_s
             before = self._rates.get(model, rate)
             self._rates[model] = kept * before + (1 - kept) * rate
-        self._counted = Counter(counted)
+        self._counted = dict(counted)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -18,7 +18,7 @@
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
 _READ_CHUNK_BYTES = 65536
-_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
+_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
 
 
 @frozen
@@ -90,7 +90,7 @@
         UpstreamFailure
             If the connection breaks or the time has passed.
         """
-        pieces = []
+        pieces: list[bytes] = []
         while True:
             piece = self.read_piece(until_s - time.monotonic())
             if not piece:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -16,6 +16,7 @@
 from cowslipstep.model import Address
 from cowslipstep.peers import PeerServer
 from cowslipstep.platform import BudgetLimits, PlatformClient, PlatformLimits
+from cowslipstep.serving._demand import DemandWatch
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._front import CallerFront, ReadinessFront
 from cowslipstep.serving._keeper import GroupKeeper
@@ -23,6 +24,7 @@
 from cowslipstep.serving._peers import PeerReports
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registry import DaemonRegistry
+from cowslipstep.serving._reports import ReportMaker
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
 
@@ -104,11 +106,13 @@
     _serve_readiness(settings.readiness_address, state)
     registry = DaemonRegistry(settings)
     reachability = Reachability(state)
-    peers = PeerReports(state, registry, reachability)
+    demand = DemandWatch(state)
+    reports = ReportMaker(state, demand, reachability)
+    peers = PeerReports(state, registry, reports)
     with listening_on(settings.peer_address):
         server = PeerServer(
             settings.peer_address,
-            peers.handle,
+            peers.take,
             peers.traffic,
         )
     start_task('peer server', server.run)
@@ -116,7 +120,7 @@
     start_task('registration', lambda: registry.register(state.platform))
     start_task('load reports', peers.run)
     start_task('reachability', reachability.run)
-    keeper = GroupKeeper(state, peers.demand, reachability)
+    keeper = GroupKeeper(state, demand, reachability)
     start_task('group keeper', keeper.run)
     callers = CallerServer(
         listen_http(settings.caller_address),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_directory.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_directory.py
@@ -6,8 +6,18 @@
 
 from loguru import logger
 
-from cowslipstep.model import DiscoveredRunner, DocumentError
-from cowslipstep.platform import KindChanges, ObjectPage, StoredObject
+from cowslipstep.model import (
+    DiscoveredRunner,
+    DocumentError,
+    RunnerDocument,
+    RunnersCopy,
+)
+from cowslipstep.platform import (
+    KindChanges,
+    ObjectKey,
+    ObjectPage,
+    StoredObject,
+)
 
 _Decode = Callable[[str, str], DiscoveredRunner]
 
@@ -39,6 +49,7 @@
         self._clock = clock
         self._on_change = on_change
         self._runners: dict[str, DiscoveredRunner] = {}
+        self._documents: dict[str, str] = {}
         self._missing_s: dict[str, float] = {}
         self._lost = False
         self._known = False
@@ -69,6 +80,31 @@
         """Note that the platform cannot be reached."""
         self._lost = True
 
+    def copy(self) -> RunnersCopy:
+        """Return all entries, for a peer that cannot reach the platform."""
+        return RunnersCopy(
+            self._revision,
+            tuple(
+                RunnerDocument(name, document)
+                for name, document in self._documents.items()
+            ),
+        )
+
+    def take_copy(self, copy: RunnersCopy) -> None:
+        """Take the entries of a peer if they are newer than the own ones."""
+        if copy.revision <= self._revision:
+            return
+        told = {entry.name: entry.document for entry in copy.entries}
+        for name in self._runners.keys() - told.keys():
+            self._remove(name)
+        for name, document in told.items():
+            if self._documents.get(name) != document:
+                key = ObjectKey('', name)
+                self._take(StoredObject(key, copy.revision, document))
+        self._revision = copy.revision
+        self._known = True
+        self._on_change()
+
     def replace(self, page: ObjectPage) -> None:
         """Take all entries; after an outage missing ones get some time."""
         present = {stored.key.name for stored in page.objects}
@@ -103,9 +139,11 @@
             return
         self._missing_s.pop(name, None)
         self._runners[name] = runner
+        self._documents[name] = stored.body
 
     def _remove(self, name: str) -> None:
         self._missing_s.pop(name, None)
+        self._documents.pop(name, None)
         if self._runners.pop(name, None) is not None:
             logger.info('runner {} is gone', name)
             self._on_change()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
@@ -46,10 +46,15 @@
     begun: bool = False
     progress: StreamProgress = field(factory=StreamProgress)
 
+    @property
+    def now_s(self) -> float:
+        """Reading of the clock by which the times are told."""
+        return time.monotonic()
+
     @property
     def remaining_s(self) -> float:
         """Time that is left."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - self.now_s
 
     @property
     def overdue(self) -> bool:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections import Counter
+from collections import defaultdict
 
 from attrs import Factory, define, field
 
@@ -103,7 +103,9 @@
     histograms: Histograms = field(factory=Histograms)
     served: bool = False
     is_keeper: bool = False
-    model_work_s: Counter[str] = field(factory=Counter)
+    model_work_s: defaultdict[str, float] = field(
+        factory=lambda: defaultdict(float),
+    )
     stopping: bool = False
     _retries: dict[str, RetryBudget] = field(factory=dict)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
@@ -43,7 +43,7 @@
         match reason:
             case Reason.upstream_refused:
                 self.add(name, _FULL_S)
-            case Reason.connect_failed:
+            case Reason.connect_failed | Reason.upstream_moved:
                 self.add(name)
             case _:
                 self._strike(name)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -3,26 +3,39 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
 
 from attrs import frozen
 
 from cowslipstep.model import (
     DiscoveredRunner,
     EngineProfile,
+    NotRun,
+    Reason,
     ServedModel,
     ServedService,
     ServingGroup,
 )
-from cowslipstep.routing import GroupView, choose_group, group_seconds
+from cowslipstep.routing import (
+    GroupView,
+    OnTime,
+    Overloaded,
+    RequestDemand,
+    Standby,
+    admit_request,
+    group_seconds,
+)
+from cowslipstep.serving._candidates import Candidates
 from cowslipstep.serving._serving_run import ServingRun
 from cowslipstep.serving._state import ServingState
 
-# Network delay between failure domains, where none is published.
-_FAR_S = 0.0015
 # A first event that takes this much longer than predicted is lost.
 _PATIENCE_FACTOR = 2
 _PATIENCE_SLACK_S = 0.4
+# Urgencies of requests that are on time come before those that stand by.
+_MAX_RANK = 4
+_STANDBY_URGENCY = 5
+# When a request for which there is no upstream may find one.
+_RETRY_AFTER_S = 0.5
 
 
 @frozen
@@ -35,13 +48,19 @@
         The upstream.
     patience_s
         Longest wait for the beginning of its answer.
+    urgency
+        Place in the upstream's queue; 0 goes first.
     expected_s
         Predicted time until the beginning of its answer; zero if unknown.
+    standby
+        Whether the request only uses what others leave.
     """
 
     runner: DiscoveredRunner
     patience_s: float
+    urgency: int = 0
     expected_s: float = 0
+    standby: bool = False
 
 
 class TargetChoice:
@@ -56,17 +75,18 @@
     def __init__(self, state: ServingState) -> None:
         self._state = state
         self._rng = random.Random()
+        self._candidates = Candidates(state, self._rng)
 
-    def choose(self, run: ServingRun) -> Target | None:
-        """Return the upstream for the next try; ``None`` if there is none."""
+    def choose(self, run: ServingRun) -> Target | NotRun:
+        """Return the upstream for the next try, or why there is none."""
         service = self._service(run)
         if service is None:
-            return None
+            return NotRun(Reason.unknown_service)
         if service.engine is None:
             return self._choose_plain(run)
         model = service.engine.model(run.routed.request.model)
         if model is None:
-            return None
+            return NotRun(Reason.unknown_model)
         return self._choose_group(run, service.engine, model)
 
     def note_demand(self, run: ServingRun) -> None:
@@ -90,89 +110,75 @@
             return None
         return table.configuration.services.get(run.routed.service)
 
-    def _choose_plain(self, run: ServingRun) -> Target | None:
-        usable = [
-            runner
-            for runner in self._state.directory.runners.values()
-            if runner.service == run.routed.service
-            and not runner.draining
-            and runner.name not in run.avoided
-        ]
-        if not usable:
-            return None
-        trusted = self._trusted(usable, lambda runner: runner.name)
-        best = min(trusted, key=self._plain_order)
-        return Target(best, self._plain_patience_s(run))
-
-    def _plain_order(self, runner: DiscoveredRunner) -> tuple[float, float]:
-        load = self._state.loads.total(runner.name) / max(1, runner.slots)
-        return (load, self._distance_s(runner) + self._rng.uniform(0, _FAR_S))
-
-    def _plain_patience_s(self, run: ServingRun) -> float:
+    def _choose_plain(self, run: ServingRun) -> Target | NotRun:
+        runner = self._candidates.least_loaded(run)
+        if runner is None:
+            return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
         route = run.routed.route
         if not route.repeatable or len(run.runs) + 1 >= route.max_tries:
-            return run.remaining_s
+            return Target(runner, run.remaining_s)
         # Leaves as much time for another try.
-        return run.remaining_s / 2
+        return Target(runner, run.remaining_s / 2)
 
     def _choose_group(
         self,
         run: ServingRun,
         engine: EngineProfile,
         model: ServedModel,
-    ) -> Target | None:
-        groups = [
-            group
-            for group in self._serving(run, engine)
-            if group.model == model.name and group.head.name not in run.avoided
-        ]
-        trusted = self._trusted(groups, lambda group: group.head.name)
-        chosen = choose_group(
-            [self._view(group) for group in trusted],
-            run.routed.request.prompt_tokens,
+    ) -> Target | NotRun:
+        admission = admit_request(
+            self._candidates.group_views(run, engine, model),
+            _demand(run),
             engine,
             model,
             self._rng,
         )
-        if chosen is None:
-            return None
-        view, expected_s = chosen
-        patience_s = _PATIENCE_FACTOR * expected_s + _PATIENCE_SLACK_S
-        return Target(
-            view.group.head,
-            min(run.remaining_s, patience_s),
-            expected_s,
-        )
-
-    def _serving(
-        self,
-        run: ServingRun,
-        engine: EngineProfile,
-    ) -> tuple[ServingGroup, ...]:
-        directory = self._state.directory
-        return self._state.groups.serving(
-            run.routed.service,
-            engine,
-            lambda: directory.runners,
-        )
-
-    def _view(self, group: ServingGroup) -> GroupView:
-        return GroupView(
-            group,
-            self._state.loads.total(group.head.name),
-            self._distance_s(group.head),
-        )
-
-    def _distance_s(self, runner: DiscoveredRunner) -> float:
-        near = runner.failure_domain == self._state.settings.failure_domain
-        return 0 if near else _FAR_S
-
-    def _trusted(self, candidates: Iterable, name_of) -> list:
-        """Leave out suspects, unless no other is left."""
-        listed = list(candidates)
-        trusted = [
-            candidate
-            for candidate in listed
-            if not self._state.suspicions.holds(name_of(candidate))
-        ]
-        return trusted or listed
+        match admission:
+            case OnTime(view, expected_s):
+                return _on_time(run, view.group, expected_s)
+            case Standby(view, expected_s):
+                return _standing_by(run, view, expected_s)
+            case Overloaded(retry_after_s):
+                return NotRun(Reason.queue_full, retry_after_s)
+        return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
+
+
+def _demand(run: ServingRun) -> RequestDemand:
+    route = run.routed.route
+    # A stream that has begun goes on within its longest pause.
+    begun_s = run.arrived_s + route.objective_s - run.now_s
+    objective_s = route.objective_s if run.begun else begun_s
+    return RequestDemand(
+        run.routed.request.prompt_tokens,
+        objective_s,
+        run.remaining_s,
+    )
+
+
+def _on_time(
+    run: ServingRun,
+    group: ServingGroup,
+    expected_s: float,
+) -> Target:
+    patience_s = _PATIENCE_FACTOR * expected_s + _PATIENCE_SLACK_S
+    return Target(
+        group.head,
+        min(run.remaining_s, patience_s),
+        min(_MAX_RANK, max(0, run.routed.rank)),
+        expected_s,
+    )
+
+
+def _standing_by(
+    run: ServingRun,
+    view: GroupView,
+    expected_s: float,
+) -> Target:
+    rank = min(_MAX_RANK, max(0, run.routed.rank))
+    return Target(
+        view.group.head,
+        run.remaining_s,
+        _STANDBY_URGENCY + rank,
+        expected_s,
+        standby=True,
+    )
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -40,8 +40,12 @@
     GroupsQuery,
 )
 from cowslipstep.model._load_reports import (
+    LoadMessage,
     LoadReport,
     ModelDemand,
+    RunnerDocument,
+    RunnersCopy,
+    RunnersQuery,
     UpstreamLoad,
 )
 from cowslipstep.model._membership import (
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -7,10 +7,44 @@
 
 @frozen
 class UpstreamLoad:
-    """Requests of one daemon in progress at one upstream."""
+    """Requests in progress at one upstream.
+
+    Parameters
+    ----------
+    upstream
+        Name of the upstream.
+    requests
+        Number of requests.
+    standby
+        Those among them that wait behind all others.
+    """
 
     upstream: str
     requests: int
+    standby: int = 0
+
+
+@frozen
+class RunnersQuery:
+    """Asks a peer for all entries of runners that it knows."""
+
+    known_revision: int
+
+
+@frozen
+class RunnerDocument:
+    """The entry of one runner as the platform holds it."""
+
+    name: str
+    document: str
+
+
+@frozen
+class RunnersCopy:
+    """Entries of runners up to a revision of the platform."""
+
+    revision: int
+    entries: tuple[RunnerDocument, ...] = ()
 
 
 @frozen
@@ -45,6 +79,9 @@
         Whether it holds the lease for orders to runners.
     heard
         Runners that are registered no more and answer the sender.
+    runners_revision
+        Revision of the platform up to which it knows entries of runners;
+        zero while it cannot reach the platform.
     """
 
     daemon: str
@@ -56,3 +93,7 @@
     served: bool = False
     keeper: bool = False
     heard: tuple[str, ...] = ()
+    runners_revision: int = 0
+
+
+LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/model/src/cowslipstep/model/_messages.py
+++ b/libs/model/src/cowslipstep/model/_messages.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from cowslipstep.model._grants import GrantMessage
-from cowslipstep.model._load_reports import LoadReport
+from cowslipstep.model._load_reports import LoadMessage
 from cowslipstep.model._membership import MembershipMessage
 from cowslipstep.model._order_messages import OrderMessage
 
-Message = GrantMessage | MembershipMessage | OrderMessage | LoadReport
+Message = GrantMessage | MembershipMessage | OrderMessage | LoadMessage
--- a/libs/model/src/cowslipstep/model/_verdicts.py
+++ b/libs/model/src/cowslipstep/model/_verdicts.py
@@ -28,6 +28,7 @@
     platform_down = 'platform_down'
     connect_failed = 'connect_failed'
     upstream_refused = 'upstream_refused'
+    upstream_moved = 'upstream_moved'
     upstream_failed = 'upstream_failed'
     upstream_cut = 'upstream_cut'
     upstream_timeout = 'upstream_timeout'
--- a/libs/peers/src/cowslipstep/peers/_decode.py
+++ b/libs/peers/src/cowslipstep/peers/_decode.py
@@ -9,7 +9,7 @@
 
 from cowslipstep.model import Message
 from cowslipstep.peers._decode_grants import decode_grant_message
-from cowslipstep.peers._decode_loads import decode_load_report
+from cowslipstep.peers._decode_loads import decode_load_message
 from cowslipstep.peers._decode_membership import decode_membership_message
 from cowslipstep.peers._decode_orders import decode_order_message
 from cowslipstep.peers._frames import Frame, FrameError
@@ -24,7 +24,7 @@
     decode_grant_message,
     decode_membership_message,
     decode_order_message,
-    decode_load_report,
+    decode_load_message,
 )
 
 
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -1,23 +1,47 @@
-"""Decoding of load reports."""
+"""Decoding of load reports and copies of runners' entries."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from cowslipstep.model import LoadReport, ModelDemand, UpstreamLoad
+from cowslipstep.model import (
+    LoadMessage,
+    LoadReport,
+    ModelDemand,
+    RunnerDocument,
+    RunnersCopy,
+    RunnersQuery,
+    UpstreamLoad,
+)
 
 
-def decode_load_report(name: str, raw: Any) -> LoadReport | None:
-    """Read a load report; return ``None`` for another message."""
-    if name != 'loadReport':
-        return None
+def decode_load_message(name: str, raw: Any) -> LoadMessage | None:
+    """Read such a message; return ``None`` for another one."""
+    match name:
+        case 'loadReport':
+            return _report(raw)
+        case 'runnersQuery':
+            return RunnersQuery(raw)
+        case 'runnersCopy':
+            return _copy(raw)
+    return None
+
+
+def _copy(raw: Any) -> RunnersCopy:
+    return RunnersCopy(
+        raw.revision,
+        tuple(
+            RunnerDocument(entry.name, entry.document) for entry in raw.entries
+        ),
+    )
+
+
+def _report(raw: Any) -> LoadReport:
     return LoadReport(
         daemon=raw.daemon,
         sequence=raw.sequence,
         configuration_version=raw.configurationVersion,
-        loads=tuple(
-            UpstreamLoad(load.upstream, load.requests) for load in raw.loads
-        ),
+        loads=tuple(_load(load) for load in raw.loads),
         demands=tuple(
             ModelDemand(demand.model, demand.groups) for demand in raw.demands
         ),
@@ -25,4 +49,9 @@
         served=raw.served,
         keeper=raw.keeper,
         heard=tuple(raw.heard),
+        runners_revision=raw.runnersRevision,
     )
+
+
+def _load(raw: Any) -> UpstreamLoad:
+    return UpstreamLoad(raw.upstream, raw.requests, raw.standby)
--- a/libs/peers/src/cowslipstep/peers/_encode.py
+++ b/libs/peers/src/cowslipstep/peers/_encode.py
@@ -9,9 +9,9 @@
 
 from typing import Any
 
-from cowslipstep.model import GrantMessage, LoadReport, Message, OrderMessage
+from cowslipstep.model import GrantMessage, LoadMessage, Message, OrderMessage
 from cowslipstep.peers._encode_grants import write_grant_message
-from cowslipstep.peers._encode_loads import write_load_report
+from cowslipstep.peers._encode_loads import write_load_message
 from cowslipstep.peers._encode_membership import write_membership_message
 from cowslipstep.peers._encode_orders import write_order_message
 from cowslipstep.peers._frames import Frame
@@ -34,7 +34,7 @@
     if isinstance(message, OrderMessage):
         write_order_message(builder, message)
         return
-    if isinstance(message, LoadReport):
-        write_load_report(builder.init('loadReport'), message)
+    if isinstance(message, LoadMessage):
+        write_load_message(builder, message)
         return
     write_membership_message(builder, message)
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -22,6 +22,8 @@
     groupsQuery @14 :Text;
     groupsCopy @15 :List(GroupsDocument);
     loadReport @16 :LoadReport;
+    runnersQuery @17 :UInt64;
+    runnersCopy @18 :RunnersCopy;
   }
 }
 
@@ -163,6 +165,7 @@
 struct UpstreamLoad {
   upstream @0 :Text;
   requests @1 :UInt32;
+  standby @2 :UInt32;
 }
 
 struct ModelDemand {
@@ -180,4 +183,15 @@
   served @6 :Bool;
   keeper @7 :Bool;
   heard @8 :List(Text);
+  runnersRevision @9 :UInt64;
+}
+
+struct RunnerDocument {
+  name @0 :Text;
+  document @1 :Text;
+}
+
+struct RunnersCopy {
+  revision @0 :UInt64;
+  entries @1 :List(RunnerDocument);
 }
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -22,9 +22,16 @@
 )
 from cowslipstep.routing._first_event import (
     GroupView,
-    choose_group,
     first_event_s,
     group_seconds,
 )
+from cowslipstep.routing._overload import (
+    Admission,
+    OnTime,
+    Overloaded,
+    RequestDemand,
+    Standby,
+    admit_request,
+)
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
 from cowslipstep.routing._upstream_loads import UpstreamLoads
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -1,18 +1,13 @@
-"""Choice of a group by the expected time to the first event."""
+"""Expected time to the first event of a request, and its work."""
 
 from __future__ import annotations
 
-import random
-from collections.abc import Iterable
-
 from attrs import frozen
 
 from cowslipstep.model import EngineProfile, ServedModel, ServingGroup
 
 # A request waits for the step in progress before its prompt is read.
 _MEAN_STRIDES = 1.5
-# Spreads daemons that see the same loads over equal groups.
-_JITTER_S = 0.01
 
 
 @frozen
@@ -25,12 +20,15 @@
         The group.
     requests
         Requests in progress there, over all daemons.
+    standby
+        Those among them that wait behind all others.
     distance_s
         Network delay to it.
     """
 
     group: ServingGroup
     requests: int
+    standby: int = 0
     distance_s: float = 0
 
 
@@ -58,10 +56,11 @@
     float
         Seconds.
     """
-    batch = min(view.requests + 1, engine.slots)
+    ahead = view.requests - view.standby
+    batch = min(ahead + 1, engine.slots)
     step_s = engine.step_s + engine.sequence_step_s * batch
     prefill_s = prompt_tokens / engine.prefill_tokens_per_s
-    waiting = max(0, view.requests + 1 - engine.slots)
+    waiting = max(0, ahead + 1 - engine.slots)
     slot_s = step_s * engine.usual_output_tokens / engine.slots
     busy_s = waiting * slot_s + prefill_s
     return (
@@ -97,27 +96,3 @@
     step_s = engine.step_s + engine.sequence_step_s * engine.slots
     prefill_s = prompt_tokens / engine.prefill_tokens_per_s
     return model.pace * (prefill_s + output_tokens * step_s / engine.slots)
-
-
-def choose_group(
-    views: Iterable[GroupView],
-    prompt_tokens: int,
-    engine: EngineProfile,
-    model: ServedModel,
-    rng: random.Random,
-) -> tuple[GroupView, float] | None:
-    """Return the group with the earliest first event, and that time.
-
-    Returns ``None`` when there is no group.
-    """
-    timed = [
-        (first_event_s(view, prompt_tokens, engine, model), view)
-        for view in views
-    ]
-    if not timed:
-        return None
-    best_s, best = min(
-        timed,
-        key=lambda entry: entry[0] + rng.uniform(0, _JITTER_S),
-    )
-    return best, best_s
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -17,7 +17,7 @@
 @define
 class _Heard:
     report: LoadReport
-    loads: dict[str, int]
+    loads: dict[str, UpstreamLoad]
     heard_s: float
 
 
@@ -33,15 +33,16 @@
     --------
     >>> loads = UpstreamLoads(lambda: 0)
     >>> with loads.counted('a'):
-    ...     loads.total('a')
+    ...     loads.total('a').requests
     1
-    >>> loads.total('a')
+    >>> loads.total('a').requests
     0
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._own: Counter[str] = Counter()
+        self._own_standby: Counter[str] = Counter()
         self._heard: dict[str, _Heard] = {}
 
     @property
@@ -63,7 +64,7 @@
     def own(self) -> tuple[UpstreamLoad, ...]:
         """Own requests in progress by upstream."""
         return tuple(
-            UpstreamLoad(upstream, count)
+            UpstreamLoad(upstream, count, self._own_standby[upstream])
             for upstream, count in self._own.items()
             if count > 0
         )
@@ -71,32 +72,46 @@
     @contextlib.contextmanager
     def counted(self, upstream: str) -> Iterator[None]:
         """Count a request as in progress while the context lasts."""
-        self._own[upstream] += 1
-        try:
+        with _counted_in(self._own, upstream):
+            yield
+
+    @contextlib.contextmanager
+    def standing_by(self, upstream: str) -> Iterator[None]:
+        """Count a request as waiting behind all others meanwhile."""
+        with _counted_in(self._own_standby, upstream):
             yield
-        finally:
-            self._own[upstream] -= 1
-            if self._own[upstream] <= 0:
-                self._own.pop(upstream)
 
     def note(self, report: LoadReport) -> None:
         """Replace what a peer has told before."""
-        loads = {load.upstream: load.requests for load in report.loads}
+        loads = {load.upstream: load for load in report.loads}
         self._heard[report.daemon] = _Heard(report, loads, self._clock())
 
-    def total(self, upstream: str) -> int:
-        """Return the requests in progress at an upstream."""
-        told = sum(
-            heard.loads.get(upstream, 0) for heard in self._heard.values()
+    def total(self, upstream: str) -> UpstreamLoad:
+        """Return the requests in progress at an upstream, over all daemons."""
+        told = [
+            heard.loads[upstream]
+            for heard in self._heard.values()
+            if upstream in heard.loads
+        ]
+        return UpstreamLoad(
+            upstream,
+            self._own[upstream] + sum(load.requests for load in told),
+            self._own_standby[upstream] + sum(load.standby for load in told),
         )
-        return self._own.get(upstream, 0) + told
-
-    def total_own(self) -> int:
-        """Return the number of own requests in progress."""
-        return sum(self._own.values())
 
     def _drop_old(self) -> None:
         oldest_s = self._clock() - REPORT_LIFETIME_S
         for daemon, heard in tuple(self._heard.items()):
             if heard.heard_s < oldest_s:
                 self._heard.pop(daemon)
+
+
+@contextlib.contextmanager
+def _counted_in(counts: Counter[str], upstream: str) -> Iterator[None]:
+    counts[upstream] += 1
+    try:
+        yield
+    finally:
+        counts[upstream] -= 1
+        if counts[upstream] <= 0:
+            counts.pop(upstream)
