--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -65,10 +65,7 @@
         views = []
         for group in trusted:
             load = self._state.loads.total(group.head.name)
-            distance_s = self._distance_s(group.head)
-            views.append(
-                GroupView(group, load.requests, load.standby, distance_s),
-            )
+            views.append(GroupView(group, load, self._distance_s(group.head)))
         return views
 
     def _plain_order(self, runner: DiscoveredRunner) -> tuple[float, float]:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -129,11 +129,12 @@
 
     @contextlib.contextmanager
     def _waiting(self, target: Target) -> Iterator[contextlib.ExitStack]:
-        """Count a request that stands by until its answer begins."""
+        """Count a request as waiting until its answer begins."""
         with contextlib.ExitStack() as waiting:
-            if target.standby:
-                loads = self._state.loads
-                waiting.enter_context(loads.standing_by(target.runner.name))
+            loads = self._state.loads
+            waiting.enter_context(
+                loads.waiting(target.runner.name, target.urgency),
+            )
             yield waiting
 
     def _sent(self, run: ServingRun, target: Target) -> UpstreamRequest:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -18,7 +18,9 @@
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
 _READ_CHUNK_BYTES = 65536
-_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
+_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+]
 
 
 @frozen
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -16,6 +16,7 @@
     ServingGroup,
 )
 from cowslipstep.routing import (
+    STANDBY_URGENCY,
     GroupView,
     OnTime,
     Overloaded,
@@ -33,7 +34,6 @@
 _PATIENCE_SLACK_S = 0.4
 # Urgencies of requests that are on time come before those that stand by.
 _MAX_RANK = 4
-_STANDBY_URGENCY = 5
 # When a request for which there is no upstream may find one.
 _RETRY_AFTER_S = 0.5
 
@@ -52,15 +52,12 @@
         Place in the upstream's queue; 0 goes first.
     expected_s
         Predicted time until the beginning of its answer; zero if unknown.
-    standby
-        Whether the request only uses what others leave.
     """
 
     runner: DiscoveredRunner
     patience_s: float
     urgency: int = 0
     expected_s: float = 0
-    standby: bool = False
 
 
 class TargetChoice:
@@ -150,11 +147,16 @@
     objective_s = route.objective_s if run.begun else begun_s
     return RequestDemand(
         run.routed.request.prompt_tokens,
+        _urgency(run),
         objective_s,
         run.remaining_s,
     )
 
 
+def _urgency(run: ServingRun) -> int:
+    return min(_MAX_RANK, max(0, run.routed.rank))
+
+
 def _on_time(
     run: ServingRun,
     group: ServingGroup,
@@ -164,7 +166,7 @@
     return Target(
         group.head,
         min(run.remaining_s, patience_s),
-        min(_MAX_RANK, max(0, run.routed.rank)),
+        _urgency(run),
         expected_s,
     )
 
@@ -174,11 +176,9 @@
     view: GroupView,
     expected_s: float,
 ) -> Target:
-    rank = min(_MAX_RANK, max(0, run.routed.rank))
     return Target(
         view.group.head,
         run.remaining_s,
-        _STANDBY_URGENCY + rank,
+        STANDBY_URGENCY + _urgency(run),
         expected_s,
-        standby=True,
     )
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -15,13 +15,24 @@
         Name of the upstream.
     requests
         Number of requests.
-    standby
-        Those among them that wait behind all others.
+    waiting
+        Those among them whose answer has not begun, by urgency; the first
+        is the number of the most urgent ones.
     """
 
     upstream: str
     requests: int
-    standby: int = 0
+    waiting: tuple[int, ...] = ()
+
+    def behind(self, urgency: int) -> int:
+        """Return how many wait that are less urgent.
+
+        Examples
+        --------
+        >>> UpstreamLoad('a', 5, (1, 0, 2)).behind(0)
+        2
+        """
+        return sum(self.waiting[urgency + 1 :])
 
 
 @frozen
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -54,4 +54,4 @@
 
 
 def _load(raw: Any) -> UpstreamLoad:
-    return UpstreamLoad(raw.upstream, raw.requests, raw.standby)
+    return UpstreamLoad(raw.upstream, raw.requests, tuple(raw.waiting))
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -58,7 +58,15 @@
     for index, load in enumerate(loads):
         listed[index].upstream = load.upstream
         listed[index].requests = load.requests
-        listed[index].standby = load.standby
+        _write_waiting(listed[index], load.waiting)
+
+
+def _write_waiting(builder: Any, waiting: tuple[int, ...]) -> None:
+    if not waiting:
+        return
+    listed = builder.init('waiting', len(waiting))
+    for urgency, count in enumerate(waiting):
+        listed[urgency] = count
 
 
 def _write_demands(builder: Any, demands: tuple[ModelDemand, ...]) -> None:
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -165,7 +165,7 @@
 struct UpstreamLoad {
   upstream @0 :Text;
   requests @1 :UInt32;
-  standby @2 :UInt32;
+  waiting @2 :List(UInt16);
 }
 
 struct ModelDemand {
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -26,6 +26,7 @@
     group_seconds,
 )
 from cowslipstep.routing._overload import (
+    STANDBY_URGENCY,
     Admission,
     OnTime,
     Overloaded,
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -4,7 +4,12 @@
 
 from attrs import frozen
 
-from cowslipstep.model import EngineProfile, ServedModel, ServingGroup
+from cowslipstep.model import (
+    EngineProfile,
+    ServedModel,
+    ServingGroup,
+    UpstreamLoad,
+)
 
 # A request waits for the step in progress before its prompt is read.
 _MEAN_STRIDES = 1.5
@@ -18,23 +23,21 @@
     ----------
     group
         The group.
-    requests
+    load
         Requests in progress there, over all daemons.
-    standby
-        Those among them that wait behind all others.
     distance_s
         Network delay to it.
     """
 
     group: ServingGroup
-    requests: int
-    standby: int = 0
+    load: UpstreamLoad
     distance_s: float = 0
 
 
 def first_event_s(
     view: GroupView,
     prompt_tokens: int,
+    urgency: int,
     engine: EngineProfile,
     model: ServedModel,
 ) -> float:
@@ -46,6 +49,8 @@
         The group.
     prompt_tokens
         Length of the prompt.
+    urgency
+        Its place in the queue; requests that are less urgent wait for it.
     engine
         Published times of the engine.
     model
@@ -56,7 +61,7 @@
     float
         Seconds.
     """
-    ahead = view.requests - view.standby
+    ahead = view.load.requests - view.load.behind(urgency)
     batch = min(ahead + 1, engine.slots)
     step_s = engine.step_s + engine.sequence_step_s * batch
     prefill_s = prompt_tokens / engine.prefill_tokens_per_s
--- a/libs/routing/src/cowslipstep/routing/_overload.py
+++ b/libs/routing/src/cowslipstep/routing/_overload.py
@@ -19,8 +19,11 @@
 from cowslipstep.routing._first_event import GroupView, first_event_s
 
 # Requests that wait for a free slot at each group without being on time, as
-# a part of its slots; more would wait longer than callers do.
-_STANDBY_SHARE = 0.5
+# a part of its slots. Each takes a slot from a request that could begin in
+# time a moment later, so that one is enough (replay in test_overload).
+_STANDBY_SHARE = 0.1
+# Requests that stand by have this urgency and more.
+STANDBY_URGENCY = 5
 # Left for the way back and for reports that are late.
 _ON_TIME_SHARE = 0.9
 # Spreads daemons that see the same loads over equal groups.
@@ -39,6 +42,8 @@
     ----------
     prompt_tokens
         Length of the prompt.
+    urgency
+        Its place among the requests that are on time; 0 goes first.
     objective_s
         Time that is left to begin the answer in time.
     remaining_s
@@ -46,6 +51,7 @@
     """
 
     prompt_tokens: int
+    urgency: int
     objective_s: float
     remaining_s: float
 
@@ -88,7 +94,16 @@
     Returns ``None`` when there is no group.
     """
     timed = [
-        (first_event_s(view, demand.prompt_tokens, engine, model), view)
+        (
+            first_event_s(
+                view,
+                demand.prompt_tokens,
+                demand.urgency,
+                engine,
+                model,
+            ),
+            view,
+        )
         for view in views
     ]
     if not timed:
@@ -111,12 +126,16 @@
 ) -> tuple[float, GroupView] | None:
     most = _STANDBY_SHARE * engine.slots
     return min(
-        (entry for entry in timed if entry[1].standby < most),
-        key=lambda entry: (entry[1].standby, entry[0]),
+        (entry for entry in timed if _standby(entry[1]) < most),
+        key=lambda entry: (_standby(entry[1]), entry[0]),
         default=None,
     )
 
 
+def _standby(view: GroupView) -> int:
+    return view.load.behind(STANDBY_URGENCY - 1)
+
+
 def _spread(delay_s: float, rng: random.Random) -> float:
     bounded_s = min(max(delay_s, _MIN_RETRY_S), _MAX_RETRY_S)
     return bounded_s * (1 + rng.uniform(0, _RETRY_SPREAD))
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from collections import Counter
 from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 from attrs import define
 
@@ -12,6 +14,10 @@
 
 # Reports come several times a second; one this old is of a dead daemon.
 REPORT_LIFETIME_S = 1.5
+# Places in the queue of an upstream.
+URGENCIES = 10
+
+_Key = TypeVar('_Key')
 
 
 @define
@@ -42,7 +48,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._own: Counter[str] = Counter()
-        self._own_standby: Counter[str] = Counter()
+        self._own_waiting: Counter[tuple[str, int]] = Counter()
         self._heard: dict[str, _Heard] = {}
 
     @property
@@ -64,7 +70,7 @@
     def own(self) -> tuple[UpstreamLoad, ...]:
         """Own requests in progress by upstream."""
         return tuple(
-            UpstreamLoad(upstream, count, self._own_standby[upstream])
+            UpstreamLoad(upstream, count, self._own_waiting_at(upstream))
             for upstream, count in self._own.items()
             if count > 0
         )
@@ -76,9 +82,9 @@
             yield
 
     @contextlib.contextmanager
-    def standing_by(self, upstream: str) -> Iterator[None]:
-        """Count a request as waiting behind all others meanwhile."""
-        with _counted_in(self._own_standby, upstream):
+    def waiting(self, upstream: str, urgency: int) -> Iterator[None]:
+        """Count a request as waiting for its answer meanwhile."""
+        with _counted_in(self._own_waiting, (upstream, urgency)):
             yield
 
     def note(self, report: LoadReport) -> None:
@@ -96,7 +102,18 @@
         return UpstreamLoad(
             upstream,
             self._own[upstream] + sum(load.requests for load in told),
-            self._own_standby[upstream] + sum(load.standby for load in told),
+            _summed(
+                [self._own_waiting_at(upstream)]
+                + [load.waiting for load in told],
+            ),
+        )
+
+    def _own_waiting_at(self, upstream: str) -> tuple[int, ...]:
+        if not self._own_waiting:
+            return ()
+        return tuple(
+            self._own_waiting.get((upstream, urgency), 0)
+            for urgency in range(URGENCIES)
         )
 
     def _drop_old(self) -> None:
@@ -107,11 +124,15 @@
 
 
 @contextlib.contextmanager
-def _counted_in(counts: Counter[str], upstream: str) -> Iterator[None]:
-    counts[upstream] += 1
+def _counted_in(counts: Counter[_Key], key: _Key) -> Iterator[None]:
+    counts[key] += 1
     try:
         yield
     finally:
-        counts[upstream] -= 1
-        if counts[upstream] <= 0:
-            counts.pop(upstream)
+        counts[key] -= 1
+        if counts[key] <= 0:
+            counts.pop(key)
+
+
+def _summed(listed: list[tuple[int, ...]]) -> tuple[int, ...]:
+    return tuple(map(sum, itertools.zip_longest(*listed, fillvalue=0)))
