--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -58,8 +58,7 @@
         groups = [
             group
             for group in serving
-            if group.model == model.name
-            and group.head.name not in run.avoided
+            if group.model == model.name and group.head.name not in run.avoided
         ]
         trusted = self._trusted(groups, lambda group: group.head.name)
         views = []
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -18,10 +18,12 @@
 from cowslipstep.routing import (
     STANDBY_URGENCY,
     GroupView,
+    ModelTimes,
     OnTime,
     Overloaded,
     RequestDemand,
     Standby,
+    UsualRequests,
     admit_request,
     group_seconds,
 )
@@ -73,6 +75,7 @@
         self._state = state
         self._rng = random.Random()
         self._candidates = Candidates(state, self._rng)
+        self._usual = UsualRequests()
 
     def choose(self, run: ServingRun) -> Target | NotRun:
         """Return the upstream for the next try, or why there is none."""
@@ -94,6 +97,11 @@
         request = run.routed.request
         model = service.engine.model(request.model)
         if model is not None:
+            self._usual.add(
+                model.name,
+                request.prompt_tokens,
+                request.output_tokens,
+            )
             self._state.model_work_s[model.name] += group_seconds(
                 request.prompt_tokens,
                 request.output_tokens,
@@ -126,8 +134,7 @@
         admission = admit_request(
             self._candidates.group_views(run, engine, model),
             _demand(run),
-            engine,
-            model,
+            ModelTimes(engine, model, self._usual.usual(model.name, engine)),
             self._rng,
         )
         match admission:
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -11,6 +11,7 @@
 from cowslipstep.routing._limits import read_limits
 from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._ownership import rank_owners
+from cowslipstep.routing._usual_requests import UsualRequest, UsualRequests
 from cowslipstep.routing._uses import SeenUses, newest_uses
 from cowslipstep.routing._views import (
     CellPolicy,
@@ -22,6 +23,7 @@
 )
 from cowslipstep.routing._first_event import (
     GroupView,
+    ModelTimes,
     first_event_s,
     group_seconds,
 )
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -10,6 +10,7 @@
     ServingGroup,
     UpstreamLoad,
 )
+from cowslipstep.routing._usual_requests import UsualRequest
 
 # A request waits for the step in progress before its prompt is read.
 _MEAN_STRIDES = 1.5
@@ -34,12 +35,45 @@
     distance_s: float = 0
 
 
+@frozen
+class ModelTimes:
+    """What decides how fast the groups of a model serve.
+
+    Parameters
+    ----------
+    engine
+        Published times of the engine.
+    model
+        The model.
+    usual
+        Its usual request.
+    """
+
+    engine: EngineProfile
+    model: ServedModel
+    usual: UsualRequest
+
+    def step_s(self, batch: int) -> float:
+        """Return the time of one token step, without the model's pace."""
+        return self.engine.step_s + self.engine.sequence_step_s * batch
+
+    def prefill_s(self, prompt_tokens: float) -> float:
+        """Return the time to read a prompt, without the model's pace."""
+        return prompt_tokens / self.engine.prefill_tokens_per_s
+
+    @property
+    def slot_s(self) -> float:
+        """Mean time between two slots of a full group that become free."""
+        slots = self.engine.slots
+        shared_s = self.step_s(slots) * self.usual.output_tokens / slots
+        return shared_s + self.prefill_s(self.usual.prompt_tokens)
+
+
 def first_event_s(
     view: GroupView,
     prompt_tokens: int,
     urgency: int,
-    engine: EngineProfile,
-    model: ServedModel,
+    times: ModelTimes,
 ) -> float:
     """Predict the time until the first event of a new request.
 
@@ -51,27 +85,23 @@
         Length of the prompt.
     urgency
         Its place in the queue; requests that are less urgent wait for it.
-    engine
-        Published times of the engine.
-    model
-        The model of the group.
+    times
+        How fast the groups of its model serve.
 
     Returns
     -------
     float
         Seconds.
     """
+    engine = times.engine
     ahead = view.load.requests - view.load.behind(urgency)
-    batch = min(ahead + 1, engine.slots)
-    step_s = engine.step_s + engine.sequence_step_s * batch
-    prefill_s = prompt_tokens / engine.prefill_tokens_per_s
     waiting = max(0, ahead + 1 - engine.slots)
-    slot_s = step_s * engine.usual_output_tokens / engine.slots
-    busy_s = waiting * slot_s + prefill_s
-    return (
-        model.pace * (busy_s + _MEAN_STRIDES * engine.stride * step_s)
-        + 2 * view.distance_s
+    step_s = times.step_s(min(ahead + 1, engine.slots))
+    own_s = times.prefill_s(prompt_tokens) + (
+        _MEAN_STRIDES * engine.stride * step_s
     )
+    delay_s = 2 * view.distance_s
+    return times.model.pace * (waiting * times.slot_s + own_s) + delay_s
 
 
 def group_seconds(
@@ -98,6 +128,5 @@
     float
         Seconds.
     """
-    step_s = engine.step_s + engine.sequence_step_s * engine.slots
-    prefill_s = prompt_tokens / engine.prefill_tokens_per_s
-    return model.pace * (prefill_s + output_tokens * step_s / engine.slots)
+    usual = UsualRequest(prompt_tokens, output_tokens)
+    return model.pace * ModelTimes(engine, model, usual).slot_s
--- a/libs/routing/src/cowslipstep/routing/_overload.py
+++ b/libs/routing/src/cowslipstep/routing/_overload.py
@@ -15,8 +15,12 @@
 
 from attrs import frozen
 
-from cowslipstep.model import EngineProfile, ServedModel
-from cowslipstep.routing._first_event import GroupView, first_event_s
+from cowslipstep.model import EngineProfile
+from cowslipstep.routing._first_event import (
+    GroupView,
+    ModelTimes,
+    first_event_s,
+)
 
 # Requests that wait for a free slot at each group without being on time, as
 # a part of its slots. Each takes a slot from a request that could begin in
@@ -85,8 +89,7 @@
 def admit_request(
     views: Iterable[GroupView],
     demand: RequestDemand,
-    engine: EngineProfile,
-    model: ServedModel,
+    times: ModelTimes,
     rng: random.Random,
 ) -> Admission | None:
     """Decide where a request goes, if anywhere.
@@ -95,13 +98,7 @@
     """
     timed = [
         (
-            first_event_s(
-                view,
-                demand.prompt_tokens,
-                demand.urgency,
-                engine,
-                model,
-            ),
+            first_event_s(view, demand.prompt_tokens, demand.urgency, times),
             view,
         )
         for view in views
@@ -114,7 +111,7 @@
     )
     if best_s <= demand.objective_s * _ON_TIME_SHARE:
         return OnTime(best, best_s)
-    room = _least_standby(timed, engine)
+    room = _least_standby(timed, times.engine)
     if room is not None and room[0] < demand.remaining_s:
         return Standby(room[1], room[0])
     return Overloaded(_spread(best_s, rng))
--- a/libs/routing/tests/test_overload.py
+++ b/libs/routing/tests/test_overload.py
@@ -15,10 +15,13 @@
 )
 from cowslipstep.routing import (
     GroupView,
+    ModelTimes,
     OnTime,
     Overloaded,
     RequestDemand,
     Standby,
+    UsualRequest,
+    UsualRequests,
     admit_request,
 )
 
@@ -38,6 +41,7 @@
 OBJECTIVE_S = 0.25
 DEMAND = RequestDemand(700, 0, OBJECTIVE_S, remaining_s=6)
 RUN_S = 0.9
+TIMES = ModelTimes(ENGINE, MODEL, UsualRequest(700, 150))
 
 
 def group(number: int) -> ServingGroup:
@@ -61,7 +65,7 @@
         GroupView(group(number), load(requests, standby))
         for number, (requests, standby) in enumerate(loads)
     ]
-    return admit_request(views, DEMAND, ENGINE, MODEL, random.Random(1))
+    return admit_request(views, DEMAND, TIMES, random.Random(1))
 
 
 def test_request_goes_to_the_group_with_room() -> None:
@@ -87,7 +91,7 @@
 def test_less_urgent_requests_that_wait_do_not_count() -> None:
     waiting = UpstreamLoad('head', 14, (0, 0, 5))
     views = [GroupView(group(0), waiting)]
-    admission = admit_request(views, DEMAND, ENGINE, MODEL, random.Random(1))
+    admission = admit_request(views, DEMAND, TIMES, random.Random(1))
     assert isinstance(admission, OnTime)
 
 
@@ -156,3 +160,14 @@
     _, arrived_s = heapq.heappop(queue)
     heapq.heappush(running, free_s + RUN_S)
     return int(free_s - arrived_s <= OBJECTIVE_S - 0.1)
+
+
+def test_a_model_with_short_answers_frees_its_slots_sooner() -> None:
+    usual = UsualRequests()
+    for _ in range(200):
+        usual.add('long', 700, 180)
+        usual.add('short', 700, 20)
+    short = usual.usual('short', ENGINE)
+    assert short.output_tokens < ENGINE.usual_output_tokens / 3
+    times = ModelTimes(ENGINE, MODEL, short)
+    assert times.slot_s < TIMES.slot_s / 2
