--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from cowslipstep.model import DiscoveredRunner, EngineProfile, ServedModel
+from cowslipstep.fleet import (
+    DiscoveredRunner,
+    EngineProfile,
+    ServedModel,
+    ServingGroup,
+)
 from cowslipstep.routing import GroupView
 from cowslipstep.serving._serving_run import ServingRun
 from cowslipstep.serving._state import ServingState
@@ -49,23 +54,30 @@
         model: ServedModel,
     ) -> list[GroupView]:
         """Return the groups of a model with their loads."""
-        directory = self._state.directory
-        serving = self._state.groups.serving(
-            run.routed.service,
-            engine,
-            lambda: directory.runners,
-        )
         groups = [
             group
-            for group in serving
+            for group in self._serving(run.routed.service, engine)
             if group.model == model.name and group.head.name not in run.avoided
         ]
-        trusted = self._trusted(groups, lambda group: group.head.name)
-        views = []
-        for group in trusted:
-            load = self._state.loads.total(group.head.name)
-            views.append(GroupView(group, load, self._distance_s(group.head)))
-        return views
+        return [
+            GroupView(
+                group,
+                self._state.loads.total(group.head.name),
+                self._distance_s(group.head),
+            )
+            for group in self._trusted(groups, _head_name)
+        ]
+
+    def _serving(
+        self,
+        service: str,
+        engine: EngineProfile,
+    ) -> tuple[ServingGroup, ...]:
+        return self._state.groups.serving(
+            service,
+            engine,
+            lambda: self._state.directory.runners,
+        )
 
     def _plain_order(self, runner: DiscoveredRunner) -> tuple[float, float]:
         load = self._state.loads.total(runner.name)
@@ -89,6 +101,10 @@
         return trusted or candidates
 
 
+def _head_name(group: ServingGroup) -> str:
+    return group.head.name
+
+
 def _is_usable(runner: DiscoveredRunner, run: ServingRun) -> bool:
     if runner.draining or runner.name in run.avoided:
         return False
--- a/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
@@ -5,14 +5,8 @@
 import eventlet
 from loguru import logger
 
-from cowslipstep.model import (
-    ConfigurationCopy,
-    ConfigurationQuery,
-    LoadReport,
-    Message,
-    RunnersCopy,
-    RunnersQuery,
-)
+from cowslipstep.model import ConfigurationCopy, ConfigurationQuery, Message
+from cowslipstep.model.loads import LoadReport, RunnersCopy, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable
 from cowslipstep.serving._state import ServingState
 
@@ -61,6 +55,6 @@
     def _take(self, copy: Message) -> None:
         match copy:
             case ConfigurationCopy(_, document):
-                self._state.configuration.take_document(document)
+                self._state.configuration.take(document)
             case RunnersCopy():
-                self._state.directory.take_copy(copy)
+                self._state.entries.take_copy(copy)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
@@ -7,7 +7,8 @@
 
 from loguru import logger
 
-from cowslipstep.model import DocumentError, ServingConfiguration
+from cowslipstep.fleet import ServingConfiguration
+from cowslipstep.model import DocumentError
 from cowslipstep.platform import (
     KindChanges,
     ObjectKey,
@@ -19,24 +20,20 @@
 _NO_VERSION = 0
 
 
-class ConfigurationFeed:
-    """Follows the configuration.
+class ConfigurationInForce:
+    """Holds the newest version that was told.
 
     Parameters
     ----------
     decode
         Reads a document.
-    key
-        Where the document lies.
     """
 
     def __init__(
         self,
         decode: Callable[[str], ServingConfiguration],
-        key: ObjectKey,
     ) -> None:
         self._decode = decode
-        self._key = key
         self._table: RouteTable | None = None
         self._document = ''
 
@@ -57,21 +54,7 @@
         """Text of the version in force, for peers that lag."""
         return self._document
 
-    def replace(self, page: ObjectPage) -> None:
-        """Take all documents of the kind."""
-        for stored in page.objects:
-            self._take(stored)
-
-    def apply(self, changes: KindChanges) -> None:
-        """Take changed documents; one that was removed stays in force."""
-        for change in changes.changes:
-            if not change.removed:
-                self._take(change.stored)
-
-    def lose(self) -> None:
-        """Keep what is in force while the platform cannot be reached."""
-
-    def take_document(self, document: str) -> None:
+    def take(self, document: str) -> None:
         """Take a document if it is newer than the one in force."""
         try:
             configuration = self._decode(document)
@@ -86,6 +69,36 @@
             'configuration in force',
         )
 
+
+class ConfigurationFollower:
+    """Takes what a watch tells of the configuration.
+
+    Parameters
+    ----------
+    in_force
+        Receives the documents.
+    key
+        Where the document lies.
+    """
+
+    def __init__(self, in_force: ConfigurationInForce, key: ObjectKey) -> None:
+        self._in_force = in_force
+        self._key = key
+
+    def replace(self, page: ObjectPage) -> None:
+        """Take all documents of the kind."""
+        for stored in page.stored:
+            self._take(stored)
+
+    def apply(self, changes: KindChanges) -> None:
+        """Take changed documents; one that was removed stays in force."""
+        for change in changes.changes:
+            if not change.removed:
+                self._take(change.stored)
+
+    def lose(self) -> None:
+        """Keep what is in force while the platform cannot be reached."""
+
     def _take(self, stored: StoredObject) -> None:
         if stored.key == self._key:
-            self.take_document(stored.body)
+            self._in_force.take(stored.body)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
@@ -5,7 +5,7 @@
 import math
 import time
 
-from cowslipstep.model import ModelDemand
+from cowslipstep.model.loads import ModelDemand
 from cowslipstep.serving._state import ServingState
 
 # Demand is smoothed over this time, so that the layout of groups does not
@@ -47,13 +47,18 @@
     def _sample(self) -> None:
         now_s = time.monotonic()
         passed_s = now_s - self._sampled_s
-        counted = self._state.model_work_s
         if passed_s <= 0:
             return
         self._sampled_s = now_s
-        kept = math.exp(-passed_s / _SMOOTHING_S)
-        for model, count in counted.items():
-            rate = (count - self._counted.get(model, 0)) / passed_s
-            before = self._rates.get(model, rate)
-            self._rates[model] = kept * before + (1 - kept) * rate
-        self._counted = dict(counted)
+        for model, work_s in self._state.model_work_s.items():
+            busy = (work_s - self._counted.get(model, 0)) / passed_s
+            self._counted[model] = work_s
+            self._rates[model] = _smoothed(
+                self._rates.get(model, busy),
+                busy,
+                passed_s,
+            )
+
+
+def _smoothed(before: float, now: float, passed_s: float) -> float:
+    return now + math.exp(-passed_s / _SMOOTHING_S) * (before - now)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from cowslipstep.model import (
+from cowslipstep.fleet import (
     AnswerHead,
     CallerRequest,
     DiscoveredRunner,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -18,9 +18,9 @@
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
 _READ_CHUNK_BYTES = 65536
-_OPTIONS: list[tuple[int, int, int | bytes]] = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-]
+_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
+# A time that has passed still lets bytes be read that are there.
+_LEAST_TIMEOUT_S = 0.001
 
 
 @frozen
@@ -81,7 +81,7 @@
             If the connection breaks or is silent for ``timeout_s`` seconds.
         """
         with _failure_told():
-            self._sock.settimeout(max(timeout_s, 0.001))
+            self._sock.settimeout(max(timeout_s, _LEAST_TIMEOUT_S))
             return self._answer.read1(_READ_CHUNK_BYTES)
 
     def read_all(self, until_s: float) -> bytes:
@@ -113,7 +113,7 @@
         exchange.address.ip,
         exchange.address.port,
         timeout=CONNECT_TIMEOUT_S,
-        socket_options=_OPTIONS,
+        socket_options=list(_OPTIONS),
     )
     with contextlib.closing(connection):
         yield _send(connection, exchange)
@@ -130,7 +130,10 @@
     sock: Any = connection.sock
     with _failure_told():
         # The connection sets this again on its socket before it reads.
-        connection.timeout = max(exchange.answer_timeout_s, 0.001)
+        connection.timeout = max(
+            exchange.answer_timeout_s,
+            _LEAST_TIMEOUT_S,
+        )
         connection.request(
             exchange.method,
             exchange.target,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_front.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_front.py
@@ -14,19 +14,13 @@
 from cowslipstep.daemon._http import (
     Environ,
     StartResponse,
+    REQUEST_ID,
     error_document,
     status_line,
 )
 from cowslipstep.daemon._intake import read_body
-from cowslipstep.model import (
-    AnswerHead,
-    CallerRequest,
-    Header,
-    MayHaveRun,
-    NotRun,
-    Reason,
-    RequestError,
-)
+from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
+from cowslipstep.fleet import AnswerHead, CallerRequest, Header
 from cowslipstep.serving._delivery import RouteDelivery
 from cowslipstep.serving._state import ServingState
 
@@ -78,25 +72,22 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         self._state.served = True
-        request_id = ''
         try:
-            request = self._read(environ)
-            request_id = request.request_id
-            return self._answer(request, environ, start_response)
+            return self._answer(environ, start_response)
         except RequestError as error:
             failure = error
         except CallerGone:
-            logger.bind(request_id=request_id).debug('caller is gone')
+            logger.bind(request_id=_id(environ)).debug('caller is gone')
             start_response(status_line(_CLIENT_CLOSED), [])
             return [b'']
         except Exception:
-            logger.bind(request_id=request_id).exception('request failed')
+            logger.bind(request_id=_id(environ)).exception('request failed')
             failure = RequestError(
                 MayHaveRun(Reason.internal),
                 'internal error',
                 _INTERNAL_ERROR,
             )
-        return self._refuse(failure, request_id, start_response)
+        return self._refuse(failure, _id(environ), start_response)
 
     def _read(self, environ: Environ) -> CallerRequest:
         arrived_s = time.monotonic()
@@ -118,10 +109,11 @@
 
     def _answer(
         self,
-        request: CallerRequest,
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
+        request = self._read(environ)
+        environ[REQUEST_ID] = request.request_id
         pieces = self._delivery.deliver(
             request,
             environ['cowslipstep.arrived_s'],
@@ -162,6 +154,11 @@
     return json.dumps(document).encode()
 
 
+def _id(environ: Environ) -> str:
+    """Return the id of a request; empty if it was not understood."""
+    return environ.get(REQUEST_ID, '')
+
+
 def _target(environ: Environ) -> str:
     query = environ.get('QUERY_STRING', '')
     path = environ['RAW_PATH_INFO']
--- a/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
@@ -4,8 +4,13 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from cowslipstep.groups import FormationKey, serving_groups
-from cowslipstep.model import DiscoveredRunner, EngineProfile, ServingGroup
+from cowslipstep.fleet import (
+    DiscoveredRunner,
+    EngineProfile,
+    FormationKey,
+    ServingGroup,
+    serving_groups,
+)
 
 Vanished = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import random
-import time
 import uuid
 
 import eventlet
@@ -15,16 +14,15 @@
     Author,
     DomainLease,
     DomainLedger,
-    FleetKeeper,
-    FleetView,
     LeaseTiming,
     LedgerUnavailable,
     LedgerWriter,
 )
-from cowslipstep.model import CowslipstepError, ServedService
-from cowslipstep.serving._demand import DemandWatch
+from cowslipstep.model import CowslipstepError
+from cowslipstep.fleet import EngineProfile, FleetKeeper
+from cowslipstep.serving._clocks import boot_time_s
+from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._order_sender import OrderSender
-from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._state import ServingState
 
 _SCOPE = 'fleet'
@@ -45,11 +43,6 @@
 _FIRST_LOOK_S = 0.3
 
 
-def boot_time_s() -> float:
-    """Return a clock reading that counts the time of a suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class GroupKeeper:
     """Takes the lease when no other daemon has it, and keeps the groups.
 
@@ -57,21 +50,17 @@
     ----------
     state
         State of the daemon.
-    demand
-        Tells what requests need of each model.
-    reachability
-        Tells which runners answer.
+    views
+        Makes views of the fleet.
     """
 
     def __init__(
         self,
         state: ServingState,
-        demand: DemandWatch,
-        reachability: Reachability,
+        views: FleetViews,
     ) -> None:
         self._state = state
-        self._demand = demand
-        self._reachability = reachability
+        self._views = views
         store = PlatformLedger(state.platform, _SCOPE)
         author = Author(
             state.settings.name,
@@ -130,45 +119,21 @@
                 return False
         self._state.is_keeper = self._lease.may_order
         table = self._state.configuration.table
-        if table is None or not self._lease.may_order:
+        directory = self._state.directory
+        blind = table is None or directory.lost or not directory.known
+        if table is None or blind or not self._lease.may_order:
             return True
         for service in table.configuration.services.values():
             if service.engine is not None:
-                self._keep_service(service, term)
+                self._keep_service(service.name, service.engine, term)
         return True
 
-    def _keep_service(self, service: ServedService, term: int) -> None:
-        view = self._view(service)
-        if view is None:
-            return
-        keeper = self._keepers.get(service.name)
-        if keeper is None:
-            keeper = FleetKeeper(term)
-            self._keepers[service.name] = keeper
-        for decision in keeper.decide(view):
+    def _keep_service(
+        self,
+        service: str,
+        engine: EngineProfile,
+        term: int,
+    ) -> None:
+        keeper = self._keepers.setdefault(service, FleetKeeper(term))
+        for decision in keeper.decide(self._views.view(service, engine)):
             self._orders.carry_out(decision, term)
-
-    def _view(self, service: ServedService) -> FleetView | None:
-        directory = self._state.directory
-        if service.engine is None or not directory.known or directory.lost:
-            return None
-        return FleetView(
-            runners={
-                name: runner
-                for name, runner in directory.runners.items()
-                if runner.service == service.name
-            },
-            engine=service.engine,
-            now_s=boot_time_s(),
-            demand=self._demand.total(),
-            lost=self._reachability.lost,
-            members=self._reachability.members,
-            heard=self._reachability.heard,
-            paced=self._is_paced(),
-        )
-
-    def _is_paced(self) -> bool:
-        """Whether loads count: not before the first request of all."""
-        if not self._state.settings.first_start or self._state.served:
-            return True
-        return any(report.served for report in self._state.loads.reports)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
@@ -9,22 +9,20 @@
 from loguru import logger
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
-from cowslipstep.groups import (
+from cowslipstep.fleet import (
     CloseGroup,
-    FleetDecision,
-    FormGroup,
-    LeaveGroup,
-    OpenGroup,
-    StageModel,
-)
-from cowslipstep.model import (
     Closing,
     DiscoveredRunner,
+    FleetDecision,
+    FormGroup,
     GroupOrder,
     Joining,
+    LeaveGroup,
     Leaving,
+    OpenGroup,
     Opening,
     OrderOutcome,
+    StageModel,
     Staging,
 )
 from cowslipstep.serving._exchange import Exchange, open_answer
@@ -98,8 +96,9 @@
     match decision:
         case FormGroup(key, model, members):
             names = tuple(member.name for member in members)
-            for member in members:
-                yield _Addressed(member, Joining(*key, model, names))
+            joining = Joining(*key, model, names)
+            for joined in members:
+                yield _Addressed(joined, joining)
         case OpenGroup(key, head):
             yield _Addressed(head, Opening(*key))
         case CloseGroup(key, head):
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -14,10 +14,9 @@
     ConfigurationCopy,
     ConfigurationQuery,
     DaemonEntry,
-    LoadReport,
     Message,
-    RunnersQuery,
 )
+from cowslipstep.model.loads import LoadReport, RunnersQuery
 from cowslipstep.peers import Callee, PeerLink, PeerUnreachable, Reply, Traffic
 from cowslipstep.serving._catching_up import CatchingUp
 from cowslipstep.serving._registry import DaemonRegistry
@@ -86,13 +85,14 @@
         match message:
             case LoadReport(daemon=daemon):
                 self._state.loads.note(message)
-                if daemon in self._peers:
-                    self._catching_up.start(message, self._peers[daemon].link)
+                peer = self._peers.get(daemon)
+                if peer is not None:
+                    self._catching_up.start(message, peer.link)
             case ConfigurationQuery():
                 feed = self._state.configuration
                 reply(ConfigurationCopy(feed.version, feed.document))
             case RunnersQuery():
-                reply(self._state.directory.copy())
+                reply(self._state.entries.copy())
             case _:
                 reply(Acknowledgement())
 
@@ -104,11 +104,8 @@
             eventlet.sleep(_REPORT_S)
             idle_s += _REPORT_S
             report = self._reports.make()
-            if not link.connected:
-                told = None
-            elif idle_s >= _IDLE_REPORT_S or is_news(told, report):
-                _tell(link, report)
-                told = report
+            if idle_s >= _IDLE_REPORT_S or is_news(told, report):
+                told = report if _is_told(link, report) else None
                 idle_s = 0
 
     def _connect(self) -> None:
@@ -133,8 +130,10 @@
         return _Peer(entry, link, tasks)
 
 
-def _tell(link: PeerLink, report: LoadReport) -> None:
+def _is_told(link: PeerLink, report: LoadReport) -> bool:
     try:
         link.tell(report)
     except PeerUnreachable as error:
         logger.debug('load report not sent: {}', error)
+        return False
+    return True
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import eventlet
 
-from cowslipstep.daemon._upstream_failures import UpstreamFailure
-from cowslipstep.groups import Formation, FormationKey, formations
-from cowslipstep.model import DiscoveredRunner
-from cowslipstep.serving._report_probe import ask_report
+from cowslipstep.fleet import (
+    DiscoveredRunner,
+    Formation,
+    FormationKey,
+    formations,
+)
+from cowslipstep.serving._probes import PROBE_PERIOD_S, Probes
 from cowslipstep.serving._state import ServingState
 
 Members = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
 
 # One lost packet does not make a runner unreachable.
 _MISSES = 2
-_STEP_S = 0.2
 
 
 class Reachability:
@@ -34,8 +35,7 @@
 
     def __init__(self, state: ServingState) -> None:
         self._state = state
-        self._misses: dict[str, int] = {}
-        self._probing: set[str] = set()
+        self._probes = Probes(state.dialects.orders)
         self._members: dict[FormationKey, dict[int, DiscoveredRunner]] = {}
 
     @property
@@ -49,82 +49,68 @@
         runners = self._state.directory.runners
         return frozenset(
             name
-            for name, misses in self._misses.items()
+            for name, misses in self._probes.misses.items()
             if name in runners and misses >= _MISSES
         )
 
+    def heard(self) -> frozenset[str]:
+        """Return the vanished members that answer this daemon or a peer."""
+        told = set(self.own_heard)
+        for report in self._state.loads.reports:
+            told.update(report.heard)
+        return frozenset(told)
+
     @property
     def own_heard(self) -> tuple[str, ...]:
         """Vanished members that answer this daemon."""
         runners = self._state.directory.runners
         return tuple(
             name
-            for name, misses in self._misses.items()
+            for name, misses in self._probes.misses.items()
             if misses == 0 and name not in runners
         )
 
-    @property
-    def heard(self) -> frozenset[str]:
-        """Vanished members that answer this daemon or a peer."""
-        told = set(self.own_heard)
-        for report in self._state.loads.reports:
-            told.update(report.heard)
-        return frozenset(told)
-
     def run(self) -> None:
         """Probe until the task is ended."""
         while True:
-            eventlet.sleep(_STEP_S)
-            doubtful = self._doubtful()
+            eventlet.sleep(PROBE_PERIOD_S)
+            found = formations(self._state.directory.runners.values())
+            self._members = remembered(self._members, found)
             self._state.groups.note_vanished(
-                vanished_members(self._members, self.heard),
+                vanished_members(self._members, self.heard()),
             )
-            for name in self._misses.keys() - doubtful.keys():
-                self._misses.pop(name)
-            for name, runner in doubtful.items():
-                if name not in self._probing:
-                    self._probing.add(name)
-                    eventlet.spawn(self._probe, runner)
-
-    def _doubtful(self) -> dict[str, DiscoveredRunner]:
-        runners = self._state.directory.runners
-        found = formations(runners.values())
-        self._members = remembered(self._members, found)
-        doubtful = {
-            member.name: member
-            for members in self._members.values()
-            for member in members.values()
-            if member.name not in runners
-        }
+            self._probes.start(self._doubtful(found.values()))
+
+    def _doubtful(
+        self,
+        found: Iterable[Formation],
+    ) -> dict[str, DiscoveredRunner]:
+        doubtful = doubtful_members(
+            self._members,
+            self._state.directory.runners.keys(),
+        )
         if self._state.is_keeper:
-            suspects = self._state.all_suspects().union(self._misses)
-            doubtful.update(_suspected(found.values(), suspects))
+            # One that missed a probe is asked until it answers.
+            suspects = self._state.all_suspects().union(
+                name for name, misses in self._probes.misses.items() if misses
+            )
+            doubtful.update(suspected_members(found, suspects))
         return doubtful
 
-    def _probe(self, runner: DiscoveredRunner) -> None:
-        begun_s = time.monotonic()
-        try:
-            ask_report(self._state.dialects.orders, runner)
-        except UpstreamFailure:
-            self._misses[runner.name] = self._misses.get(runner.name, 0) + 1
-        else:
-            self._misses[runner.name] = 0
-        passed_s = time.monotonic() - begun_s
-        eventlet.sleep(max(0, _STEP_S - passed_s))
-        self._probing.discard(runner.name)
-
 
 def vanished_members(members: Members, heard: frozenset[str]) -> Members:
     """Return those members that are among ``heard``."""
     if not heard:
         return {}
+    return {key: _heard_of(by_rank, heard) for key, by_rank in members.items()}
+
+
+def _heard_of(
+    by_rank: Mapping[int, DiscoveredRunner],
+    heard: frozenset[str],
+) -> dict[int, DiscoveredRunner]:
     return {
-        key: {
-            rank: member
-            for rank, member in by_rank.items()
-            if member.name in heard
-        }
-        for key, by_rank in members.items()
+        rank: member for rank, member in by_rank.items() if member.name in heard
     }
 
 
@@ -139,14 +125,32 @@
     }
 
 
-def _suspected(
+def doubtful_members(
+    members: Members,
+    registered: Collection[str],
+) -> dict[str, DiscoveredRunner]:
+    """Return the members that are registered no more, by name."""
+    doubtful: dict[str, DiscoveredRunner] = {}
+    for by_rank in members.values():
+        doubtful.update(_named(by_rank.values()))
+    for name in doubtful.keys() & registered:
+        doubtful.pop(name)
+    return doubtful
+
+
+def suspected_members(
     found: Iterable[Formation],
     suspects: frozenset[str],
 ) -> dict[str, DiscoveredRunner]:
     """Return all members of groups with a suspected member."""
-    return {
-        member.name: member
-        for formation in found
-        if not suspects.isdisjoint(formation.names)
-        for member in formation.members.values()
-    }
+    suspected: dict[str, DiscoveredRunner] = {}
+    for formation in found:
+        if not suspects.isdisjoint(formation.names):
+            suspected.update(_named(formation.members.values()))
+    return suspected
+
+
+def _named(
+    runners: Iterable[DiscoveredRunner],
+) -> dict[str, DiscoveredRunner]:
+    return {runner.name: runner for runner in runners}
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
@@ -2,52 +2,26 @@
 
 from __future__ import annotations
 
-import json
-import time
-
-import eventlet
 from loguru import logger
 
-from cowslipstep.model import Address, DaemonEntry
-from cowslipstep.platform import (
-    KindChanges,
-    ObjectKey,
-    ObjectMissing,
-    ObjectPage,
-    PlatformClient,
-    PlatformUnavailable,
-    StoredObject,
-    VersionConflict,
-)
-from cowslipstep.settings import ServingSettings
-
-_KIND = 'daemons'
-_RETRY_S = 0.5
+from cowslipstep.model import DaemonEntry
+from cowslipstep.platform import KindChanges, ObjectPage, StoredObject
+from cowslipstep.serving._registration import decode_daemon
 
 
 class DaemonRegistry:
-    """Registers this daemon and follows the others.
+    """Follows the entries of daemons.
 
     Parameters
     ----------
-    settings
-        Settings of this daemon.
+    own
+        The entry of this daemon.
     """
 
-    def __init__(self, settings: ServingSettings) -> None:
-        self._own = DaemonEntry(
-            settings.name,
-            settings.peer_address,
-            settings.failure_domain,
-            time.time_ns(),
-        )
+    def __init__(self, own: DaemonEntry) -> None:
+        self._own = own
         self._others: dict[str, DaemonEntry] = {}
 
-    @property
-    def kind(self) -> str:
-        """Kind of the entries."""
-        return _KIND
-
     @property
     def own(self) -> DaemonEntry:
         """The entry of this daemon."""
@@ -58,16 +32,10 @@
         """Entries of the other daemons by name."""
         return self._others
 
-    def register(self, client: PlatformClient) -> None:
-        """Write the entry of this daemon, then wait for ever."""
-        while not self._write(client):
-            eventlet.sleep(_RETRY_S)
-        eventlet.Event().wait()
-
     def replace(self, page: ObjectPage) -> None:
         """Take all entries."""
         self._others.clear()
-        for stored in page.objects:
+        for stored in page.stored:
             self._take(stored)
 
     def apply(self, changes: KindChanges) -> None:
@@ -85,44 +53,8 @@
         if stored.key.name == self._own.name:
             return
         try:
-            entry = _decode(stored)
+            entry = decode_daemon(stored)
         except (KeyError, TypeError, ValueError) as error:
             logger.warning('entry of no daemon: {} {}', stored.key, error)
             return
         self._others[entry.name] = entry
-
-    def _write(self, client: PlatformClient) -> bool:
-        key = ObjectKey(_KIND, self._own.name)
-        try:
-            _put(client, key, _encode(self._own))
-        except (PlatformUnavailable, VersionConflict, ObjectMissing) as error:
-            logger.info('not registered yet: {}', error)
-            return False
-        return True
-
-
-def _put(client: PlatformClient, key: ObjectKey, body: str) -> None:
-    try:
-        client.create(key, body)
-    except VersionConflict:
-        client.update(key, client.read(key).version, body)
-
-
-def _encode(entry: DaemonEntry) -> str:
-    return json.dumps(
-        {
-            'address': str(entry.address),
-            'failureDomain': entry.failure_domain,
-            'incarnation': entry.incarnation,
-        },
-    )
-
-
-def _decode(stored: StoredObject) -> DaemonEntry:
-    document = json.loads(stored.body)
-    return DaemonEntry(
-        stored.key.name,
-        Address.parse(document['address']),
-        document['failureDomain'],
-        document['incarnation'],
-    )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from cowslipstep.model import LoadReport
+from cowslipstep.model.loads import LoadReport
 from cowslipstep.serving._demand import DemandWatch
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._state import ServingState
@@ -44,7 +44,7 @@
             daemon=state.settings.name,
             sequence=next(self._numbers),
             configuration_version=state.configuration.version,
-            loads=state.loads.own,
+            loads=state.loads.own.listed(),
             demands=self._demand.own(),
             suspects=state.suspicions.names,
             served=state.served,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -1,4 +1,4 @@
-"""Assembly of a serving daemon: its tasks and its planned stop."""
+"""A serving daemon from its start to its planned stop."""
 
 from __future__ import annotations
 
@@ -10,29 +10,13 @@
 from attrs import evolve
 from loguru import logger
 
-from cowslipstep.daemon._listening import listen_http, listening_on
 from cowslipstep.daemon._server import CallerServer, stop_event
-from cowslipstep.daemon._tasks import start_task
-from cowslipstep.model import Address
-from cowslipstep.peers import PeerServer
 from cowslipstep.platform import BudgetLimits, PlatformClient, PlatformLimits
-from cowslipstep.serving._demand import DemandWatch
+from cowslipstep.serving._assembly import start_daemon
 from cowslipstep.serving._dialects import Dialects
-from cowslipstep.serving._front import CallerFront, ReadinessFront
-from cowslipstep.serving._keeper import GroupKeeper
-from cowslipstep.serving._kind_watch import KindWatch
-from cowslipstep.serving._peers import PeerReports
-from cowslipstep.serving._reachability import Reachability
-from cowslipstep.serving._registry import DaemonRegistry
-from cowslipstep.serving._reports import ReportMaker
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
 
-# Changes within this time are told by one watch; each watch is a call.
-_KEEPER_PAUSE_S = 0.1
-_RUNNERS_PAUSE_S = 0.3
-_CONFIGURATION_PAUSE_S = 0.3
-_DAEMONS_PAUSE_S = 0.5
 # Daemons that start at once share the platform's rates by this guess.
 _EXPECTED_DAEMONS = 9
 # The balancer stops sending new connections after two readings.
@@ -67,7 +51,7 @@
         signal.SIGHUP,
         lambda _number, _frame: reload_settings(state, load_settings),
     )
-    server = _start(state)
+    server = start_daemon(state)
     stop.wait()
     _stop(server, state)
 
@@ -87,92 +71,16 @@
 
 
 def _client(settings: ServingSettings, dialects: Dialects) -> PlatformClient:
-    limits = PlatformLimits(
-        reads=BudgetLimits(settings.platform_reads_per_s / _EXPECTED_DAEMONS),
-        writes=BudgetLimits(
-            settings.platform_writes_per_s / _EXPECTED_DAEMONS,
-        ),
-    )
+    reads_per_s = settings.platform_reads_per_s / _EXPECTED_DAEMONS
+    writes_per_s = settings.platform_writes_per_s / _EXPECTED_DAEMONS
     return PlatformClient(
         settings.platform_address,
         settings.name,
-        limits,
+        PlatformLimits(BudgetLimits(reads_per_s), BudgetLimits(writes_per_s)),
         dialect=dialects.store,
     )
 
 
-def _start(state: ServingState) -> CallerServer:
-    settings = state.settings
-    _serve_readiness(settings.readiness_address, state)
-    registry = DaemonRegistry(settings)
-    reachability = Reachability(state)
-    demand = DemandWatch(state)
-    reports = ReportMaker(state, demand, reachability)
-    peers = PeerReports(state, registry, reports)
-    with listening_on(settings.peer_address):
-        server = PeerServer(
-            settings.peer_address,
-            peers.take,
-            peers.traffic,
-        )
-    start_task('peer server', server.run)
-    _start_watches(state, registry)
-    start_task('registration', lambda: registry.register(state.platform))
-    start_task('load reports', peers.run)
-    start_task('reachability', reachability.run)
-    keeper = GroupKeeper(state, demand, reachability)
-    start_task('group keeper', keeper.run)
-    callers = CallerServer(
-        listen_http(settings.caller_address),
-        CallerFront(state),
-        lambda: state.stopping,
-    )
-    callers.start()
-    return callers
-
-
-def _start_watches(
-    state: ServingState,
-    registry: DaemonRegistry,
-) -> None:
-    dialects = state.dialects
-
-    def runners_pause_s() -> float:  # noqa: WPS430
-        return _KEEPER_PAUSE_S if state.is_keeper else _RUNNERS_PAUSE_S
-
-    watches = (
-        KindWatch(
-            state.platform,
-            dialects.configuration_key.kind,
-            state.configuration,
-            lambda: _CONFIGURATION_PAUSE_S,
-        ),
-        KindWatch(
-            state.platform,
-            dialects.runners_kind,
-            state.directory,
-            runners_pause_s,
-        ),
-        KindWatch(
-            state.platform,
-            registry.kind,
-            registry,
-            lambda: _DAEMONS_PAUSE_S,
-        ),
-    )
-    for watch in watches:
-        start_task(f'watch of {watch.kind}', watch.run)
-
-
-def _serve_readiness(address: Address, state: ServingState) -> None:
-    server = CallerServer(
-        listen_http(address),
-        ReadinessFront(state),
-        lambda: False,
-    )
-    server.start()
-
-
 def _stop(server: CallerServer, state: ServingState) -> None:
     """Finish the requests in progress within the grace."""
     begun_s = time.monotonic()
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_follower.py
@@ -0,0 +1,68 @@
+"""Follows the entries of runners at the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import eventlet
+
+from cowslipstep.fleet import DiscoveredRunner
+from cowslipstep.platform import KindChanges, ObjectPage
+from cowslipstep.serving._runner_table import RunnerEntries
+
+
+class RunnerFollower:
+    """Takes what a watch tells of runners.
+
+    Parameters
+    ----------
+    entries
+        Receives the entries.
+    registration_s
+        How long an entry that is missing after an outage is kept, since
+        runners that live write it again within this time.
+    """
+
+    def __init__(
+        self,
+        entries: RunnerEntries,
+        registration_s: float,
+    ) -> None:
+        self._entries = entries
+        self._registration_s = registration_s
+
+    def lose(self) -> None:
+        """Note that the platform cannot be reached."""
+        self._entries.table.lost = True
+
+    def replace(self, page: ObjectPage) -> None:
+        """Take all entries; after an outage missing ones get some time."""
+        table = self._entries.table
+        missing = dict(table.runners)
+        for stored in page.stored:
+            missing.pop(stored.key.name, None)
+        if table.lost:
+            eventlet.spawn_after(self._registration_s, self._drop, missing)
+        else:
+            self._drop(missing)
+        for entry in page.stored:
+            self._entries.take(entry.key.name, entry.body)
+        table.lost = False
+        self._entries.advance(page.revision)
+
+    def apply(self, changes: KindChanges) -> None:
+        """Take changes of entries."""
+        for change in changes.changes:
+            name = change.stored.key.name
+            if change.removed:
+                self._entries.remove(name)
+            else:
+                self._entries.take(name, change.stored.body)
+        self._entries.advance(changes.revision)
+
+    def _drop(self, missing: Mapping[str, DiscoveredRunner]) -> None:
+        """Forget runners that have not registered again since."""
+        runners = self._entries.table.runners
+        for name, runner in missing.items():
+            if runners.get(name) is runner:
+                self._entries.remove(name)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
@@ -8,7 +8,8 @@
 
 from cowslipstep.daemon._streams import StreamProgress
 from cowslipstep.delivery import combine_tries
-from cowslipstep.model import MayHaveRun, NotRun, RequestKind
+from cowslipstep.model import MayHaveRun, NotRun
+from cowslipstep.fleet import RequestKind
 from cowslipstep.routing import RoutedRequest
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -11,10 +11,10 @@
 from cowslipstep.metrics import Counters, Histograms
 from cowslipstep.platform import PlatformClient
 from cowslipstep.routing import UpstreamLoads
-from cowslipstep.serving._configuration_feed import ConfigurationFeed
+from cowslipstep.serving._configuration_feed import ConfigurationInForce
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._groups_view import GroupsView
-from cowslipstep.serving._runner_directory import RunnerDirectory
+from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
 from cowslipstep.serving._suspicions import Suspicions
 from cowslipstep.settings import ServingSettings
 
@@ -32,19 +32,10 @@
     )
 
 
-def _feed(state: ServingState) -> ConfigurationFeed:
-    dialects = state.dialects
-    return ConfigurationFeed(
-        dialects.configuration,
-        dialects.configuration_key,
-    )
-
-
-def _directory(state: ServingState) -> RunnerDirectory:
-    return RunnerDirectory(
+def _entries(state: ServingState) -> RunnerEntries:
+    return RunnerEntries(
+        state.directory,
         state.dialects.runner,
-        state.settings.bounds.registration_s,
-        time.monotonic,
         state.groups.forget,
     )
 
@@ -67,6 +58,8 @@
         Groups that serve.
     directory
         Runners that have registered.
+    entries
+        Puts entries of runners into the directory.
     loads
         Requests in progress at upstreams.
     suspicions
@@ -86,12 +79,16 @@
     settings: ServingSettings
     dialects: Dialects
     platform: PlatformClient
-    configuration: ConfigurationFeed = field(
-        default=Factory(_feed, takes_self=True),
+    configuration: ConfigurationInForce = field(
+        default=Factory(
+            lambda state: ConfigurationInForce(state.dialects.configuration),
+            takes_self=True,
+        ),
     )
     groups: GroupsView = field(factory=GroupsView)
-    directory: RunnerDirectory = field(
-        default=Factory(_directory, takes_self=True),
+    directory: RunnerTable = field(factory=RunnerTable)
+    entries: RunnerEntries = field(
+        default=Factory(_entries, takes_self=True),
     )
     loads: UpstreamLoads = field(
         factory=lambda: UpstreamLoads(time.monotonic),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -6,11 +6,10 @@
 
 from attrs import frozen
 
-from cowslipstep.model import (
+from cowslipstep.model import NotRun, Reason
+from cowslipstep.fleet import (
     DiscoveredRunner,
     EngineProfile,
-    NotRun,
-    Reason,
     ServedModel,
     ServedService,
     ServingGroup,
--- /dev/null
+++ b/libs/fleet/src/cowslipstep/fleet/_configuration.py
@@ -0,0 +1,49 @@
+"""One version of what the operators configure."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+
+from cowslipstep.fleet._engines import EngineProfile
+from cowslipstep.fleet._routes import Route
+
+
+@frozen
+class ServedService:
+    """A service of upstreams; one with an engine runs models."""
+
+    name: str
+    max_connections: int
+    engine: EngineProfile | None = None
+
+
+@frozen
+class CallerLimits:
+    """What a caller may send, and how long it may stay idle."""
+
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@frozen
+class KeyHolder:
+    """The workspace that a key belongs to.
+
+    ``rank`` goes before the rank of the route; ``None`` leaves it.
+    """
+
+    workspace: str
+    rank: int | None = None
+
+
+@frozen
+class ServingConfiguration:
+    """One version of the routes, services and keys in force."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, ServedService]
+    limits: CallerLimits
+    keys: dict[str, KeyHolder] = field(factory=dict)
+    keyed: bool = False
--- a/libs/groups/src/cowslipstep/groups/_fleet_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -6,8 +6,9 @@
 
 from attrs import field, frozen
 
-from cowslipstep.groups._formations import FormationKey
-from cowslipstep.model import DiscoveredRunner, EngineProfile
+from cowslipstep.fleet._formations import FormationKey
+from cowslipstep.fleet._engines import EngineProfile
+from cowslipstep.fleet._runners import DiscoveredRunner
 
 
 @frozen
--- a/libs/groups/src/cowslipstep/groups/_formations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_formations.py
@@ -6,9 +6,9 @@
 
 from attrs import frozen
 
-from cowslipstep.model import (
+from cowslipstep.fleet._engines import EngineProfile
+from cowslipstep.fleet._runners import (
     DiscoveredRunner,
-    EngineProfile,
     Seat,
     SeatState,
     ServingGroup,
@@ -104,21 +104,30 @@
     vanished
         Members by rank that are registered no more and still answer.
     """
-    groups = []
-    for formation in formations(runners).values():
-        model = engine.model(formation.model)
-        if model is None or formation.head_state is not SeatState.open:
-            continue
-        members = {
-            **vanished.get(formation.key, {}),
-            **formation.members,
-        }
-        ranks = range(model.group_size)
-        if formation.draining or any(rank not in members for rank in ranks):
-            continue
-        listed = tuple(members[rank] for rank in ranks)
-        groups.append(ServingGroup(*formation.key, model.name, listed))
-    return tuple(groups)
+    groups = (
+        _serving_group(
+            formation,
+            engine,
+            {**vanished.get(key, {}), **formation.members},
+        )
+        for key, formation in formations(runners).items()
+    )
+    return tuple(group for group in groups if group is not None)
+
+
+def _serving_group(
+    formation: Formation,
+    engine: EngineProfile,
+    members: Mapping[int, DiscoveredRunner],
+) -> ServingGroup | None:
+    model = engine.model(formation.model)
+    if model is None or formation.head_state is not SeatState.open:
+        return None
+    ranks = range(model.group_size)
+    if formation.draining or not members.keys() >= set(ranks):
+        return None
+    listed = tuple(members[rank] for rank in ranks)
+    return ServingGroup(*formation.key, model.name, listed)
 
 
 def _state(runner: DiscoveredRunner | None) -> SeatState | None:
--- a/libs/groups/src/cowslipstep/groups/_group_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_group_choice.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from attrs import field, frozen
 
-from cowslipstep.groups._fleet_decisions import FleetView
-from cowslipstep.groups._load_pace import LoadPace
-from cowslipstep.model import DiscoveredRunner, ServedModel
+from cowslipstep.fleet._decisions import FleetView
+from cowslipstep.fleet._load_pace import LoadPace
+from cowslipstep.fleet._pressure import ModelPressure
+from cowslipstep.fleet._engines import ServedModel
+from cowslipstep.fleet._runners import DiscoveredRunner
 
 # Time to join a group of the model that the runner last served.
 _REJOIN_S = 0.2
-# Demand that is assumed at least, as a part of the published share.
-_LEAST_DEMAND = 0.3
-# While runners still register, a model with less than this part of the
-# greatest pressure leaves them to the model that needs them more.
-_FAIR_PRESSURE = 0.6
 
 
 @frozen
@@ -48,7 +45,7 @@
     claimed
         Names of runners that are not free.
     counts
-        Groups of each model; counted up with each choice.
+        Groups of each model.
     """
 
     def __init__(
@@ -56,11 +53,11 @@
         view: FleetView,
         pace: LoadPace,
         claimed: Collection[str],
-        counts: dict[str, int],
+        counts: Mapping[str, int],
     ) -> None:
         self._view = view
         self._pace = pace
-        self._counts = dict(counts)
+        self._pressure = ModelPressure(view, counts)
         self._free: dict[str, list[DiscoveredRunner]] = defaultdict(list)
         for runner in view.present:
             if runner.name not in claimed and not runner.draining:
@@ -68,42 +65,13 @@
 
     def next_group(self) -> ChosenGroup | None:
         """Return the next group to form; ``None`` if there is none."""
-        models = sorted(
-            self._view.engine.models,
-            key=self._pressure,
-            reverse=True,
-        )
-        for model in self._fair(models):
+        for model in self._pressure.models():
             chosen = self._best(model)
             if chosen is not None:
                 self._take(chosen)
                 return chosen
         return None
 
-    def _fair(self, models: list[ServedModel]) -> list[ServedModel]:
-        if self._view.settled or not models:
-            return models
-        least = _FAIR_PRESSURE * self._pressure(models[0])
-        return [model for model in models if self._pressure(model) >= least]
-
-    def _pressure(self, model: ServedModel) -> float:
-        """Return the groups that are wanted for each group there is."""
-        wanted = max(
-            self._view.demand.get(model.name, 0),
-            _LEAST_DEMAND * self._expected(model),
-        )
-        # Half a group keeps the order of models that have none.
-        return wanted / (self._counts.get(model.name, 0) + 0.5)
-
-    def _expected(self, model: ServedModel) -> float:
-        """Return the part of the demand that the published share means."""
-        models = self._view.engine.models
-        total = sum(self._view.demand.values()) or 1
-        shares = {
-            other.name: other.share / other.group_size for other in models
-        }
-        return total * shares[model.name] / (sum(shares.values()) or 1)
-
     def _best(self, model: ServedModel) -> ChosenGroup | None:
         candidates = [
             self._choose(model, runners)
@@ -137,9 +105,7 @@
         self._free[domain] = [
             runner for runner in self._free[domain] if runner.name not in names
         ]
-        self._counts[chosen.model.name] = (
-            self._counts.get(chosen.model.name, 0) + 1
-        )
+        self._pressure.count(chosen.model)
 
 
 def _must_load(runner: DiscoveredRunner, model: ServedModel) -> bool:
--- a/libs/groups/src/cowslipstep/groups/_load_pace.py
+++ b/libs/fleet/src/cowslipstep/fleet/_load_pace.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cowslipstep.groups._fleet_decisions import FleetView
+from cowslipstep.fleet._decisions import FleetView
 
 # Loads that started are counted against the rate over this window.
 _WINDOW_S = 5
--- /dev/null
+++ b/libs/fleet/src/cowslipstep/fleet/_repeats.py
@@ -0,0 +1,39 @@
+"""Repetition of orders whose effect does not show."""
+
+from __future__ import annotations
+
+from cowslipstep.fleet._decisions import (
+    CloseGroup,
+    FleetDecision,
+    FormGroup,
+    LeaveGroup,
+    OpenGroup,
+    StageModel,
+)
+from cowslipstep.fleet._formations import FormationKey
+
+# An order whose effect does not show is repeated after this time.
+REPEAT_S = 1
+
+
+class Repeats:
+    """Lets an order pass once in a while."""
+
+    def __init__(self) -> None:
+        self._ordered_s: dict[tuple[type, FormationKey, str], float] = {}
+
+    def is_due(self, decision: FleetDecision, now_s: float) -> bool:
+        """Say whether an order is due, and note that it is given."""
+        match decision:
+            case FormGroup() | StageModel():
+                return True
+            case (
+                OpenGroup(key, runner)
+                | CloseGroup(key, runner)
+                | LeaveGroup(key, runner)
+            ):
+                order = (type(decision), key, runner.name)
+        if now_s - self._ordered_s.get(order, -REPEAT_S) < REPEAT_S:
+            return False
+        self._ordered_s[order] = now_s
+        return True
--- a/libs/model/src/cowslipstep/model/_serving_requests.py
+++ b/libs/fleet/src/cowslipstep/fleet/_requests.py
@@ -1,13 +1,11 @@
-"""Requests, answers and orders as decisions see them, without encoding."""
+"""Requests and answers as decisions see them, without encoding."""
 
 from __future__ import annotations
 
-import enum
-
 from attrs import frozen
 
-from cowslipstep.model._discovered import DiscoveredRunner
-from cowslipstep.model._verdicts import MayHaveRun, NotRun
+from cowslipstep.fleet._runners import DiscoveredRunner
+from cowslipstep.model import MayHaveRun, NotRun
 
 Header = tuple[str, str]
 
@@ -120,61 +118,3 @@
     def succeeded(self) -> bool:
         """Whether the upstream ran the request with success."""
         return self.refusal is None and self.status // 100 == 2
-
-
-class OrderOutcome(enum.StrEnum):
-    """What a runner said to an order."""
-
-    accepted = 'accepted'
-    unfit = 'unfit'
-    outdated = 'outdated'
-    misdirected = 'misdirected'
-    unknown = 'unknown'
-
-
-@frozen
-class Joining:
-    """Order to become a member of a group; its first member leads."""
-
-    group: str
-    epoch: int
-    model: str
-    members: tuple[str, ...]
-
-
-@frozen
-class Opening:
-    """Order to the first member of a whole group to serve requests."""
-
-    group: str
-    epoch: int
-
-
-@frozen
-class Closing:
-    """Order to the first member to take no more requests.
-
-    ``cancel`` ends those that run.
-    """
-
-    group: str
-    epoch: int
-    cancel: bool = False
-
-
-@frozen
-class Leaving:
-    """Order to leave a group at once."""
-
-    group: str
-    epoch: int
-
-
-@frozen
-class Staging:
-    """Order to load the weights of a model onto the runner's host."""
-
-    model: str
-
-
-GroupOrder = Joining | Opening | Closing | Leaving | Staging
--- a/libs/model/src/cowslipstep/model/_discovered.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from cowslipstep.model._fleet import Address
+from cowslipstep.model import Address
 
 
 class SeatState(enum.StrEnum):
--- a/libs/groups/src/cowslipstep/groups/__init__.py
+++ b/libs/groups/src/cowslipstep/groups/__init__.py
@@ -5,22 +5,6 @@
 """
 
 from cowslipstep.groups._dark import DarkWatch
-from cowslipstep.groups._fleet_decisions import (
-    CloseGroup,
-    FleetDecision,
-    FleetView,
-    FormGroup,
-    LeaveGroup,
-    OpenGroup,
-    StageModel,
-)
-from cowslipstep.groups._fleet_keeper import FleetKeeper
-from cowslipstep.groups._formations import (
-    Formation,
-    FormationKey,
-    formations,
-    serving_groups,
-)
 from cowslipstep.groups._health import (
     Records,
     count_running,
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from cowslipstep.model import (
+from cowslipstep.model.loads import (
     LoadMessage,
     LoadReport,
     ModelDemand,
--- a/libs/peers/src/cowslipstep/peers/_dialer.py
+++ b/libs/peers/src/cowslipstep/peers/_dialer.py
@@ -51,11 +51,6 @@
         self._connection: FrameConnection | None = None
         self._connected = Event()
 
-    @property
-    def is_connected(self) -> bool:
-        """Whether the connection is open."""
-        return self._connection is not None
-
     def run(self, on_down: Callable[[], None]) -> None:
         """Connect again and again; ``on_down`` follows each connection."""
         while True:
--- a/libs/peers/src/cowslipstep/peers/_encode.py
+++ b/libs/peers/src/cowslipstep/peers/_encode.py
@@ -9,7 +9,8 @@
 
 from typing import Any
 
-from cowslipstep.model import GrantMessage, LoadMessage, Message, OrderMessage
+from cowslipstep.model import GrantMessage, Message, OrderMessage
+from cowslipstep.model.loads import LoadMessage
 from cowslipstep.peers._encode_grants import write_grant_message
 from cowslipstep.peers._encode_loads import write_load_message
 from cowslipstep.peers._encode_membership import write_membership_message
--- a/libs/peers/src/cowslipstep/peers/_link.py
+++ b/libs/peers/src/cowslipstep/peers/_link.py
@@ -34,11 +34,6 @@
         """The other daemon."""
         return self._callee
 
-    @property
-    def connected(self) -> bool:
-        """Whether the link is up just now."""
-        return self._dialer.is_connected
-
     def run(self) -> None:
         """Keep the link connected until the task is ended."""
         self._dialer.run(self._pending.fail_all)
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -18,8 +18,9 @@
     KindChanges,
     ObjectChange,
     ObjectPage,
+    StoreAnswers,
+    StoreCalls,
     StoreDialect,
-    TextDialect,
 )
 from cowslipstep.platform._host_list import HostList, read_host_list
 from cowslipstep.platform._objects import (
--- a/libs/platform/src/cowslipstep/platform/_client.py
+++ b/libs/platform/src/cowslipstep/platform/_client.py
@@ -9,7 +9,8 @@
 from cowslipstep.platform._budgets import CallBudgets
 from cowslipstep.platform._caller import CallObserver, PlatformCaller
 from cowslipstep.platform._calls import CallRecord, PlatformCall
-from cowslipstep.platform._dialect import StoreDialect, TextDialect
+from cowslipstep.platform._dialect import StoreDialect
+from cowslipstep.platform._text_dialect import TEXT_DIALECT
 from cowslipstep.platform._objects import ObjectKey
 from cowslipstep.platform._change import Change
 from cowslipstep.platform._proof import change_with_proof
@@ -44,13 +45,12 @@
         sender: str = 'cowslipstep',
         limits: PlatformLimits | None = None,
         on_call: CallObserver = ignore_call,
-        dialect: StoreDialect | None = None,
+        dialect: StoreDialect = TEXT_DIALECT,
     ) -> None:
-        spoken = dialect or TextDialect()
-        transport = PlatformTransport(address, sender, spoken)
+        transport = PlatformTransport(address, sender, dialect.answers)
         self._budgets = CallBudgets(limits or PlatformLimits(), time.monotonic)
         caller = PlatformCaller(transport, self._budgets, on_call)
-        super().__init__(caller, spoken)
+        super().__init__(caller, dialect)
 
     def change_limits(self, limits: PlatformLimits) -> None:
         """Use other limits of calls from now on."""
@@ -67,7 +67,7 @@
             If there was no answer; its verdict says whether the change may
             have taken effect.
         """
-        return self._change(key, self._dialect.create(key, body))
+        return self._change(key, self._dialect.calls.create(key, body))
 
     def update(self, key: ObjectKey, version: int, body: str) -> int:
         """Replace an object that still has ``version``; return the new one.
@@ -80,7 +80,7 @@
             If there was no answer; its verdict says whether the change may
             have taken effect.
         """
-        return self._change(key, self._dialect.update(key, version, body))
+        return self._change(key, self._dialect.calls.update(key, version, body))
 
     def update_with_proof(
         self,
@@ -122,8 +122,8 @@
         PlatformUnavailable
             If there was no answer.
         """
-        self._caller.call(self._dialect.delete(key, version))
+        self._caller.call(self._dialect.calls.delete(key, version))
 
     def _change(self, key: ObjectKey, call: PlatformCall) -> int:
         document = self._caller.call(call).json()
-        return self._dialect.stored(key, document).version
+        return self._dialect.answers.stored(key, document).version
--- a/libs/platform/src/cowslipstep/platform/_dialect.py
+++ b/libs/platform/src/cowslipstep/platform/_dialect.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, Protocol
 
 from attrs import frozen
 
-from cowslipstep.model import MayHaveRun, NotRun, Reason
-from cowslipstep.platform._calls import CALL_TIMEOUT_S, PlatformCall
+from cowslipstep.model import MayHaveRun, NotRun
+from cowslipstep.platform._calls import PlatformCall
 from cowslipstep.platform._objects import ObjectKey, StoredObject
 
-_READ = 'GET'
-_SERVER_ERROR = 500
-
 
 @frozen
 class ObjectPage:
@@ -23,7 +19,7 @@
     ``revision`` is that of the whole store when the page was read.
     """
 
-    objects: tuple[StoredObject, ...]
+    stored: tuple[StoredObject, ...]
     next_name: str
     revision: int
 
@@ -44,8 +40,8 @@
     revision: int
 
 
-class StoreDialect(Protocol):
-    """Calls of one kind of object API; sends and waits for nothing."""
+class StoreCalls(Protocol):
+    """Writes the calls of an object API; sends none."""
 
     def create(self, key: ObjectKey, body: str) -> PlatformCall:
         """Return the call that creates an object."""
@@ -70,89 +66,26 @@
     ) -> PlatformCall:
         """Return the call that waits for changes behind a revision."""
 
-    def stored(self, key: ObjectKey, document: Any) -> StoredObject:
-        """Read an object from an answer."""
-
-    def page(self, kind: str, document: Any) -> ObjectPage:
-        """Read a part of a list from an answer."""
-
-    def changes(self, kind: str, document: Any) -> KindChanges:
-        """Read changes from the answer to a watch."""
-
-    def refusal(self, status: int) -> NotRun | MayHaveRun:
-        """Return what an error status says of a change."""
-
-
-class TextDialect:
-    """The object API whose objects are texts with a version."""
 
-    def create(self, key: ObjectKey, body: str) -> PlatformCall:
-        """Return the call that creates an object."""
-        return PlatformCall('POST', key.kind, f'/objects/{key}', _body(body))
-
-    def update(self, key: ObjectKey, version: int, body: str) -> PlatformCall:
-        """Return the call that replaces an object of that version."""
-        path = f'/objects/{key}?version={version}'
-        return PlatformCall('PUT', key.kind, path, _body(body))
-
-    def delete(self, key: ObjectKey, version: int) -> PlatformCall:
-        """Return the call that deletes an object of that version."""
-        path = f'/objects/{key}?version={version}'
-        return PlatformCall('DELETE', key.kind, path)
-
-    def read(self, key: ObjectKey) -> PlatformCall:
-        """Return the call that reads an object."""
-        return PlatformCall(_READ, key.kind, f'/objects/{key}')
-
-    def read_page(self, kind: str, after: str) -> PlatformCall:
-        """Return the call that lists all objects of a kind."""
-        return PlatformCall(_READ, kind, f'/objects/{kind}')
-
-    def watch(
-        self,
-        kind: str,
-        revision: int,
-        wait_s: float,
-    ) -> PlatformCall:
-        """Return the call that waits for a change of one object.
-
-        Here ``kind`` is the key of the object, since this API has no
-        watches of a whole kind.
-        """
-        return PlatformCall(
-            _READ,
-            kind.partition('/')[0],
-            f'/objects/{kind}?after={revision}&wait_s={wait_s}',
-            timeout_s=wait_s + CALL_TIMEOUT_S,
-        )
+class StoreAnswers(Protocol):
+    """Reads the answers of an object API."""
 
     def stored(self, key: ObjectKey, document: Any) -> StoredObject:
-        """Read an object from an answer."""
-        return StoredObject(key, document['version'], document.get('body', ''))
+        """Read an object."""
 
     def page(self, kind: str, document: Any) -> ObjectPage:
-        """Read the list of a kind, which comes in one part."""
-        objects = tuple(
-            self.stored(ObjectKey(kind, entry['name']), entry)
-            for entry in document['objects']
-        )
-        newest = max((stored.version for stored in objects), default=0)
-        return ObjectPage(objects, '', newest)
+        """Read a part of a list."""
 
     def changes(self, kind: str, document: Any) -> KindChanges:
-        """Read the object that a watch told of."""
-        name = kind.partition('/')[2]
-        stored = self.stored(ObjectKey(kind, name), document)
-        return KindChanges(
-            (ObjectChange(stored, removed=False),), stored.version
-        )
+        """Read changes from the answer to a watch."""
 
     def refusal(self, status: int) -> NotRun | MayHaveRun:
         """Return what an error status says of a change."""
-        if status >= _SERVER_ERROR:
-            return MayHaveRun(Reason.platform_down)
-        return NotRun(Reason.platform_down)
 
 
-def _body(body: str) -> str:
-    return json.dumps({'body': body})
+@frozen
+class StoreDialect:
+    """One kind of object API: how it is called and how it answers."""
+
+    calls: StoreCalls
+    answers: StoreAnswers
--- a/libs/platform/src/cowslipstep/platform/_transport.py
+++ b/libs/platform/src/cowslipstep/platform/_transport.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import urllib3
 
-from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
+from cowslipstep.model import (
+    Address,
+    CowslipstepError,
+    MayHaveRun,
+    NotRun,
+    Reason,
+)
 from cowslipstep.platform._calls import PlatformCall
-from cowslipstep.platform._dialect import StoreDialect, TextDialect
+from cowslipstep.platform._dialect import StoreAnswers
 from cowslipstep.platform._objects import (
     HistoryGone,
     ObjectMissing,
@@ -18,10 +26,10 @@
 
 _CONNECT_TIMEOUT_S = 1
 _MAX_IDLE_CONNECTIONS = 4
-_NOT_FOUND = 404
-_GONE = 410
-_CONFLICT = 409
 _CALLER_ERROR = 400
+_ERRORS: Mapping[int, type[CowslipstepError]] = MappingProxyType(
+    {404: ObjectMissing, 409: VersionConflict, 410: HistoryGone},
+)
 # A connection that went silent is closed after three of these periods.
 _KEEPALIVE_PERIOD_S = 1
 _KEEPALIVE_PROBES = 2
@@ -43,7 +51,7 @@
         Address of the object API.
     sender
         Name in the ``User-Agent`` header.
-    dialect
+    answers
         Says what error statuses mean.
     """
 
@@ -51,9 +59,9 @@
         self,
         address: Address,
         sender: str,
-        dialect: StoreDialect | None = None,
+        answers: StoreAnswers,
     ) -> None:
-        self._dialect = dialect or TextDialect()
+        self._answers = answers
         self._pool = urllib3.HTTPConnectionPool(
             address.ip,
             address.port,
@@ -111,17 +119,12 @@
         answer: urllib3.BaseHTTPResponse,
         call: PlatformCall,
     ) -> urllib3.BaseHTTPResponse:
-        match answer.status:
-            case status if status == _CONFLICT:
-                raise VersionConflict(str(call))
-            case status if status == _NOT_FOUND:
-                raise ObjectMissing(str(call))
-            case status if status == _GONE:
-                raise HistoryGone(str(call))
-            case status if status >= _CALLER_ERROR:
-                raise PlatformUnavailable(
-                    self._dialect.refusal(status),
-                    f'{call}: status {status}',
-                )
-            case _:
-                return answer
+        error = _ERRORS.get(answer.status)
+        if error is not None:
+            raise error(str(call))
+        if answer.status >= _CALLER_ERROR:
+            raise PlatformUnavailable(
+                self._answers.refusal(answer.status),
+                f'{call}: status {answer.status}',
+            )
+        return answer
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -4,6 +4,13 @@
 passed in.
 """
 
+from cowslipstep.routing._admissions import (
+    Admission,
+    OnTime,
+    Overloaded,
+    RequestDemand,
+    Standby,
+)
 from cowslipstep.routing._affinity import PrefixMap
 from cowslipstep.routing._cell_slots import CellSlots
 from cowslipstep.routing._cells import CellChoice, CellTry, order_cells
@@ -27,14 +34,6 @@
     first_event_s,
     group_seconds,
 )
-from cowslipstep.routing._overload import (
-    STANDBY_URGENCY,
-    Admission,
-    OnTime,
-    Overloaded,
-    RequestDemand,
-    Standby,
-    admit_request,
-)
+from cowslipstep.routing._overload import STANDBY_URGENCY, admit_request
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
 from cowslipstep.routing._upstream_loads import UpstreamLoads
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -4,12 +4,8 @@
 
 from attrs import frozen
 
-from cowslipstep.model import (
-    EngineProfile,
-    ServedModel,
-    ServingGroup,
-    UpstreamLoad,
-)
+from cowslipstep.model.loads import UpstreamLoad
+from cowslipstep.fleet import EngineProfile, ServedModel, ServingGroup
 from cowslipstep.routing._usual_requests import UsualRequest
 
 # A request waits for the step in progress before its prompt is read.
@@ -57,6 +53,11 @@
         """Return the time of one token step, without the model's pace."""
         return self.engine.step_s + self.engine.sequence_step_s * batch
 
+    def entry_s(self, batch: int) -> float:
+        """Return the time from admission to a batch until the first event."""
+        step_s = self.step_s(min(batch, self.engine.slots))
+        return _MEAN_STRIDES * self.engine.stride * step_s
+
     def prefill_s(self, prompt_tokens: float) -> float:
         """Return the time to read a prompt, without the model's pace."""
         return prompt_tokens / self.engine.prefill_tokens_per_s
@@ -93,15 +94,11 @@
     float
         Seconds.
     """
-    engine = times.engine
-    ahead = view.load.requests - view.load.behind(urgency)
-    waiting = max(0, ahead + 1 - engine.slots)
-    step_s = times.step_s(min(ahead + 1, engine.slots))
-    own_s = times.prefill_s(prompt_tokens) + (
-        _MEAN_STRIDES * engine.stride * step_s
-    )
-    delay_s = 2 * view.distance_s
-    return times.model.pace * (waiting * times.slot_s + own_s) + delay_s
+    batch = view.load.requests - view.load.behind(urgency) + 1
+    waiting = max(0, batch - times.engine.slots)
+    own_s = times.prefill_s(prompt_tokens) + times.entry_s(batch)
+    distance_s = 2 * view.distance_s
+    return distance_s + times.model.pace * (waiting * times.slot_s + own_s)
 
 
 def group_seconds(
--- a/libs/routing/src/cowslipstep/routing/_overload.py
+++ b/libs/routing/src/cowslipstep/routing/_overload.py
@@ -13,9 +13,14 @@
 import random
 from collections.abc import Iterable
 
-from attrs import frozen
-
-from cowslipstep.model import EngineProfile
+from cowslipstep.fleet import EngineProfile
+from cowslipstep.routing._admissions import (
+    Admission,
+    OnTime,
+    Overloaded,
+    RequestDemand,
+    Standby,
+)
 from cowslipstep.routing._first_event import (
     GroupView,
     ModelTimes,
@@ -38,54 +43,6 @@
 _RETRY_SPREAD = 0.5
 
 
-@frozen
-class RequestDemand:
-    """What a request needs of a group.
-
-    Parameters
-    ----------
-    prompt_tokens
-        Length of the prompt.
-    urgency
-        Its place among the requests that are on time; 0 goes first.
-    objective_s
-        Time that is left to begin the answer in time.
-    remaining_s
-        Time that is left at all.
-    """
-
-    prompt_tokens: int
-    urgency: int
-    objective_s: float
-    remaining_s: float
-
-
-@frozen
-class OnTime:
-    """Send the request with the urgency of its rank."""
-
-    view: GroupView
-    expected_s: float
-
-
-@frozen
-class Standby:
-    """Send the request behind all others; it may use what they leave."""
-
-    view: GroupView
-    expected_s: float
-
-
-@frozen
-class Overloaded:
-    """Refuse the request; a slot is likely to be free later."""
-
-    retry_after_s: float
-
-
-Admission = OnTime | Standby | Overloaded
-
-
 def admit_request(
     views: Iterable[GroupView],
     demand: RequestDemand,
--- /dev/null
+++ b/libs/routing/src/cowslipstep/routing/_own_loads.py
@@ -0,0 +1,70 @@
+"""Own requests in progress at each upstream."""
+
+from __future__ import annotations
+
+import contextlib
+from collections import Counter
+from collections.abc import Iterator
+from typing import TypeVar
+
+from cowslipstep.model.loads import UpstreamLoad
+
+# Places in the queue of an upstream.
+URGENCIES = 10
+
+_Key = TypeVar('_Key')
+
+
+class OwnLoads:
+    """Counts requests while they are in progress, and while they wait.
+
+    Examples
+    --------
+    >>> own = OwnLoads()
+    >>> with own.counted('a'), own.waiting('a', 2):
+    ...     own.load('a').waiting[2]
+    1
+    >>> own.load('a').requests
+    0
+    """
+
+    def __init__(self) -> None:
+        self._requests: Counter[str] = Counter()
+        self._waiting: Counter[tuple[str, int]] = Counter()
+
+    @contextlib.contextmanager
+    def counted(self, upstream: str) -> Iterator[None]:
+        """Count a request as in progress while the context lasts."""
+        with _counted_in(self._requests, upstream):
+            yield
+
+    @contextlib.contextmanager
+    def waiting(self, upstream: str, urgency: int) -> Iterator[None]:
+        """Count a request as waiting for its answer meanwhile."""
+        with _counted_in(self._waiting, (upstream, urgency)):
+            yield
+
+    def load(self, upstream: str) -> UpstreamLoad:
+        """Return the requests in progress at an upstream."""
+        return UpstreamLoad(
+            upstream,
+            self._requests[upstream],
+            tuple(
+                self._waiting[upstream, urgency] for urgency in range(URGENCIES)
+            ),
+        )
+
+    def listed(self) -> tuple[UpstreamLoad, ...]:
+        """Return the load of each upstream that has one."""
+        return tuple(map(self.load, self._requests))
+
+
+@contextlib.contextmanager
+def _counted_in(counts: Counter[_Key], key: _Key) -> Iterator[None]:
+    counts[key] += 1
+    try:
+        yield
+    finally:
+        counts[key] -= 1
+        if counts[key] <= 0:
+            counts.pop(key)
--- a/libs/routing/src/cowslipstep/routing/_routes.py
+++ b/libs/routing/src/cowslipstep/routing/_routes.py
@@ -6,12 +6,10 @@
 
 from attrs import frozen
 
-from cowslipstep.model import (
+from cowslipstep.model import NotRun, Reason, RequestError
+from cowslipstep.fleet import (
     CallerRequest,
     KeyHolder,
-    NotRun,
-    Reason,
-    RequestError,
     Route,
     ServingConfiguration,
 )
--- a/libs/routing/src/cowslipstep/routing/_usual_requests.py
+++ b/libs/routing/src/cowslipstep/routing/_usual_requests.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from cowslipstep.model import EngineProfile
+from cowslipstep.fleet import EngineProfile
 
 # Weight of one request in the means: about the last fifty count.
 _WEIGHT = 0.02
