--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -8,7 +8,6 @@
 from attrs import Factory, define, field
 
 from cowslipstep.delivery import RetryBudget
-from cowslipstep.metrics import Counters, Histograms
 from cowslipstep.platform import PlatformClient
 from cowslipstep.routing import UpstreamLoads
 from cowslipstep.serving._configuration_feed import ConfigurationInForce
@@ -96,8 +95,6 @@
     suspicions: Suspicions = field(
         factory=lambda: Suspicions(time.monotonic),
     )
-    counters: Counters = field(factory=Counters)
-    histograms: Histograms = field(factory=Histograms)
     served: bool = False
     is_keeper: bool = False
     model_work_s: defaultdict[str, float] = field(
--- a/libs/fleet/tests/test_keeper.py
+++ b/libs/fleet/tests/test_keeper.py
@@ -183,7 +183,9 @@
     """A head that is only cut from the store serves on."""
     keeper = new_keeper()
     head, member = open_pair()
-    members = {KEY: {0: head, 1: member}}
-    first = evolve(view_of(member, runner(2)), members=members)
-    orders = [keeper.decide(evolve(first, now_s=step)) for step in range(100)]
-    assert not any(map(formed, orders))
+    first = evolve(
+        view_of(member, runner(2)),
+        members={KEY: {0: head, 1: member}},
+    )
+    for step in range(100):
+        assert not formed(keeper.decide(evolve(first, now_s=step)))
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -15,33 +15,18 @@
 
     Parameters
     ----------
-    drain_s
-        Time within which a leaving upstream gets no more requests.
     grace_s
         Time from SIGTERM to SIGKILL.
-    apply_s
-        Time within which a configuration is in force.
-    stall_s
-        Time for which a group stands still after it has lost a member.
     registration_s
         Time in which lapsed entries of upstreams are written again after
         an outage of the platform.
     retry_ratio
         Retries allowed for each request, over all daemons.
-    retry_window_s
-        Window in which retries are counted.
-    retry_slack
-        Retries allowed in a window beside the ratio, over all daemons.
     """
 
-    drain_s: float = field(default=2, validator=_POSITIVE)
     grace_s: float = field(default=8, validator=_POSITIVE)
-    apply_s: float = field(default=2, validator=_POSITIVE)
-    stall_s: float = field(default=4, validator=_POSITIVE)
     registration_s: float = field(default=2, validator=_POSITIVE)
     retry_ratio: float = field(default=0.1, validator=validators.ge(0))
-    retry_window_s: float = field(default=10, validator=_POSITIVE)
-    retry_slack: float = field(default=0, validator=validators.ge(0))
 
 
 @frozen
