--- a/apps/cowslipstepd/src/cowslipstep/daemon/_asks.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_asks.py
@@ -106,7 +106,8 @@
             yield
         finally:
             # An owner may be gone; that must not delay the granted request.
-            for cell in {cell for _, cell in race.open}:
+            cells = {cell for _, cell in race.open}
+            for cell in cells:
                 eventlet.spawn_n(self._withdraw, race, cell)
 
     def _withdraw(self, race: _Race, cell: Cell) -> None:
--- /dev/null
+++ b/tests/site/test_dialects.py
@@ -0,0 +1,152 @@
+"""Requests, orders and calls of the store on the wire."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from cowslipstep.fleet import (
+    DiscoveredRunner,
+    GroupOrder,
+    Joining,
+    Leaving,
+    OrderOutcome,
+    UpstreamRequest,
+)
+from cowslipstep.model import Address, MayHaveRun, NotRun, RequestError
+from cowslipstep.platform import ObjectKey
+from cowslipstep_site import EngineOrders, RequestDialect, decode_settings
+from cowslipstep_site._store import OBJECTS_DIALECT
+
+ID = ('X-Cowslipstep-Request-Id', 'r1')
+SIGNED = ('X-Cowslipstep-Response-Signature', 's')
+RUNNER = DiscoveredRunner(
+    'i-1',
+    'drafting',
+    Address('10.1.2.3', 8080),
+    'north',
+    9,
+)
+SETTINGS = """
+nodeName = "edge-1"
+ip = "10.1.0.40"
+zone = "north"
+internalPorts = [7340, 7355]
+bootstrap = true
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+graceS = 8
+[platform]
+address = "10.200.1.7:8223"
+writesPerS = 400
+readsPerS = 2000
+"""
+
+
+def read(*headers: tuple[str, str]):
+    return RequestDialect().read('POST', '/a/b?c', headers, b'body')
+
+
+def sent() -> UpstreamRequest:
+    request = read(ID, ('Authorization', 'Token k'), ('X-Other', 'kept'))
+    return UpstreamRequest(request, RUNNER, 'sales', 1.5, 2)
+
+
+def test_settings_are_read_into_our_terms() -> None:
+    settings = decode_settings(SETTINGS)
+    assert settings.peer_address == Address('10.1.0.40', 7340)
+    assert settings.first_start
+
+
+@pytest.mark.parametrize('text', ['', 'nodeName = 5', '= ='])
+def test_broken_settings_are_one_error(text: str) -> None:
+    with pytest.raises(ValueError):
+        decode_settings(text)
+
+
+def test_key_stays_and_workspace_is_told() -> None:
+    headers = RequestDialect().headers(sent())
+    assert 'Authorization' not in headers
+    assert headers['X-Cowslipstep-Tenant'] == 'sales'
+    assert headers['X-Cowslipstep-Expect-Instance'] == 'i-1'
+    assert headers['X-Cowslipstep-Deadline-Ms'] == '1500'
+    assert headers['X-Other'] == 'kept'
+
+
+def test_workspace_that_a_caller_names_is_dropped() -> None:
+    request = read(ID, ('X-Cowslipstep-Tenant', 'other'))
+    assert request.headers == (ID,)
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        ('X-Cowslipstep-Token-Usage', 'many'),
+        ('X-Cowslipstep-Deadline-Ms', 'soon'),
+    ],
+)
+def test_malformed_numbers_are_refused(header: tuple[str, str]) -> None:
+    with pytest.raises(RequestError):
+        read(ID, header)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'verdict'),
+    [
+        (200, (ID, SIGNED), type(None)),
+        (500, (ID, SIGNED), type(None)),
+        (503, (ID, ('X-Cowslipstep-Not-Executed', '1')), NotRun),
+        (503, (ID, SIGNED), MayHaveRun),
+        (421, (ID,), NotRun),
+        (200, (ID,), MayHaveRun),
+    ],
+)
+def test_answers_say_what_became_of_a_request(
+    status: int,
+    headers: tuple[tuple[str, str], ...],
+    verdict: type,
+) -> None:
+    head = RequestDialect().answer(sent(), status, headers)
+    assert isinstance(head.refusal, verdict)
+
+
+def test_answer_to_another_request_is_foreign() -> None:
+    other = ('X-Cowslipstep-Request-Id', 'r2')
+    assert RequestDialect().answer(sent(), 200, (other, SIGNED)).foreign
+
+
+def order_fields(order: GroupOrder) -> dict:
+    return json.loads(EngineOrders().body(order, fence=5))
+
+
+def test_orders_carry_their_numbers() -> None:
+    fields = order_fields(Joining('g7', 12, 'pair', ('i-1', 'i-2')))
+    assert fields['epoch'] == 12
+    assert fields['fencingToken'] == 5
+    assert order_fields(Leaving('g7', 12))['group'] == 'g7'
+
+
+def test_refused_fence_is_told() -> None:
+    assert EngineOrders().outcome(412) is OrderOutcome.outdated
+
+
+def test_list_goes_on_behind_the_last_name() -> None:
+    entry = {'metadata': {'name': 'i-1', 'revision': 4}, 'spec': {}}
+    document = {'items': [entry], 'hasMore': True, 'at': 9}
+    page = OBJECTS_DIALECT.answers.page('runners', document)
+    assert (page.next_name, page.revision) == ('i-1', 9)
+    call = OBJECTS_DIALECT.calls.read_page('runners', page.next_name)
+    assert call.path == '/v1/objects/servers?after=i-1'
+
+
+def test_refused_change_was_not_made() -> None:
+    assert isinstance(OBJECTS_DIALECT.answers.refusal(503), NotRun)
+    assert isinstance(OBJECTS_DIALECT.answers.refusal(500), MayHaveRun)
+
+
+def test_change_is_conditional_on_its_version() -> None:
+    call = OBJECTS_DIALECT.calls.update(ObjectKey('ledger', 'f'), 4, '{}')
+    assert json.loads(call.body)['metadata']['revision'] == 4
