Let the keeper probe a group after one silent request

Ruled out: a shorter silence (busy batches reach 0.1 s between events). Change: one silence makes a doubt, which daemons tell the keeper; placement still asks for two. Fields that nothing read are gone.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -91,7 +91,7 @@
         )
         if self._state.is_keeper:
             # One that missed a probe is asked until it answers.
-            suspects = self._state.all_suspects().union(
+            suspects = self._state.all_doubts().union(
                 name for name, misses in self._probes.misses.items() if misses
             )
             doubtful.update(suspected_members(found, suspects))
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
@@ -46,7 +46,7 @@
             configuration_version=state.configuration.version,
             loads=state.loads.own.listed(),
             demands=self._demand.own(),
-            suspects=state.suspicions.names,
+            suspects=state.suspicions.doubts,
             served=state.served,
             keeper=state.is_keeper,
             heard=self._reachability.own_heard,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -109,9 +109,9 @@
         known = self.configuration.table is not None and self.directory.known
         return known and not self.stopping
 
-    def all_suspects(self) -> frozenset[str]:
-        """Return the upstreams that this daemon or a peer suspects."""
-        suspects = set(self.suspicions.names)
+    def all_doubts(self) -> frozenset[str]:
+        """Return the upstreams that this daemon or a peer has doubts of."""
+        suspects = set(self.suspicions.doubts)
         for report in self.loads.reports:
             suspects.update(report.suspects)
         return frozenset(suspects)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
@@ -30,13 +30,20 @@
         self._strikes: dict[str, list[float]] = {}
 
     @property
-    def names(self) -> tuple[str, ...]:
-        """The upstreams that are suspected now."""
+    def doubts(self) -> tuple[str, ...]:
+        """Upstreams that are suspected, or were silent to one request."""
         now_s = self._clock()
-        for name, until_s in tuple(self._until_s.items()):
-            if until_s < now_s:
-                self._until_s.pop(name)
-        return tuple(self._until_s)
+        self._until_s = {
+            name: until_s
+            for name, until_s in self._until_s.items()
+            if until_s > now_s
+        }
+        self._strikes = {
+            name: struck_s
+            for name, struck_s in self._strikes.items()
+            if struck_s[-1] > now_s - _STRIKE_S
+        }
+        return tuple(dict.fromkeys((*self._until_s, *self._strikes)))
 
     def strike(self, name: str, reason: Reason) -> None:
         """Note that a request failed at an upstream, and why."""
--- a/apps/cowslipstepd/tests/test_serving_knowledge.py
+++ b/apps/cowslipstepd/tests/test_serving_knowledge.py
@@ -24,7 +24,7 @@
 from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
 from cowslipstep.serving._suspicions import Suspicions
 
-LIMITS = CallerLimits(1000, 3, 15)
+LIMITS = CallerLimits(1000)
 ROUTE = Route(
     'quotes',
     'orders.example',
@@ -155,8 +155,9 @@
     suspicions = Suspicions(clock)
     suspicions.strike('a', Reason.upstream_timeout)
     assert not suspicions.holds('a')
+    assert suspicions.doubts == ('a',)
     suspicions.strike('a', Reason.upstream_timeout)
-    assert suspicions.names == ('a',)
+    assert suspicions.holds('a')
     suspicions.clear('a')
     assert not suspicions.holds('a')
 
--- a/libs/fleet/src/cowslipstep/fleet/_configuration.py
+++ b/libs/fleet/src/cowslipstep/fleet/_configuration.py
@@ -13,17 +13,14 @@
     """A service of upstreams; one with an engine runs models."""
 
     name: str
-    max_connections: int
     engine: EngineProfile | None = None
 
 
 @frozen
 class CallerLimits:
-    """What a caller may send, and how long it may stay idle."""
+    """What a caller may send."""
 
     max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
 
 
 @frozen
--- a/libs/fleet/src/cowslipstep/fleet/_engines.py
+++ b/libs/fleet/src/cowslipstep/fleet/_engines.py
@@ -55,8 +55,6 @@
         Loads of weights that may start in a second.
     loads_at_once
         Loads of weights that do not slow each other down.
-    form_s
-        Time from the order to open a group until it serves.
     usual_output_tokens
         Mean number of tokens of an answer.
     """
@@ -69,7 +67,6 @@
     stride: int
     loads_per_s: float
     loads_at_once: int
-    form_s: float
     usual_output_tokens: float
 
     def model(self, name: str) -> ServedModel | None:
--- a/libs/fleet/src/cowslipstep/fleet/_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -72,8 +72,6 @@
         Models whose weights lie on its host.
     seat
         Its place in a group, if it has one.
-    started_ms
-        When it started, Unix time in milliseconds.
     """
 
     name: str
@@ -86,7 +84,6 @@
     loaded: tuple[str, ...] = ()
     staged: tuple[str, ...] = ()
     seat: Seat | None = None
-    started_ms: int = 0
 
 
 @frozen
--- a/libs/fleet/tests/test_keeper.py
+++ b/libs/fleet/tests/test_keeper.py
@@ -30,7 +30,6 @@
     stride=5,
     loads_per_s=5,
     loads_at_once=7,
-    form_s=0.3,
     usual_output_tokens=150,
 )
 KEY = ('g1', 1)
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -83,7 +83,7 @@
     demands
         Groups that its requests keep busy.
     suspects
-        Upstreams that its requests found silent.
+        Upstreams that were silent to its requests, be it to one.
     served
         Whether it has received any request from a caller.
     keeper
--- a/libs/routing/src/cowslipstep/routing/_usual_requests.py
+++ b/libs/routing/src/cowslipstep/routing/_usual_requests.py
@@ -54,8 +54,8 @@
 
         Examples
         --------
-        >>> from cowslipstep.model import EngineProfile
-        >>> engine = EngineProfile(9, (), 0.008, 0, 45900, 5, 5, 7, 0, 150)
+        >>> from cowslipstep.fleet import EngineProfile
+        >>> engine = EngineProfile(9, (), 0.008, 0, 45900, 5, 5, 7, 150)
         >>> UsualRequests().usual('any', engine).output_tokens
         150
         """
