--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
@@ -5,8 +5,6 @@
 import random
 from collections.abc import Callable
 
-from loguru import logger
-
 from cowslipstep.fleet import ServingConfiguration
 from cowslipstep.model import DocumentError
 from cowslipstep.platform import (
@@ -16,6 +14,7 @@
     StoredObject,
 )
 from cowslipstep.routing import RouteTable
+from loguru import logger
 
 _NO_VERSION = 0
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_front.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_front.py
@@ -8,21 +8,20 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from loguru import logger
-
 from cowslipstep.daemon._hangup import CallerGone, raise_on_hangup
 from cowslipstep.daemon._http import (
+    REQUEST_ID,
     Environ,
     StartResponse,
-    REQUEST_ID,
     error_document,
     status_line,
 )
 from cowslipstep.daemon._intake import read_body
-from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.fleet import AnswerHead, CallerRequest, Header
+from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.serving._delivery import RouteDelivery
 from cowslipstep.serving._state import ServingState
+from loguru import logger
 
 _OK = 200
 _NOT_FOUND = 404
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -5,7 +5,6 @@
 from collections.abc import Collection, Iterable, Mapping
 
 import eventlet
-
 from cowslipstep.fleet import (
     DiscoveredRunner,
     Formation,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_probe.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_probe.py
@@ -5,8 +5,8 @@
 import time
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
-from cowslipstep.model import NotRun, Reason
 from cowslipstep.fleet import DiscoveredRunner, OrderOutcome
+from cowslipstep.model import NotRun, Reason
 from cowslipstep.serving._dialects import RunnerOrders
 from cowslipstep.serving._exchange import Exchange, open_answer
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
@@ -5,11 +5,10 @@
 import time
 
 from attrs import define, field
-
 from cowslipstep.daemon._streams import StreamProgress
 from cowslipstep.delivery import combine_tries
-from cowslipstep.model import MayHaveRun, NotRun
 from cowslipstep.fleet import RequestKind
+from cowslipstep.model import MayHaveRun, NotRun
 from cowslipstep.routing import RoutedRequest
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -5,8 +5,6 @@
 import random
 
 from attrs import frozen
-
-from cowslipstep.model import NotRun, Reason
 from cowslipstep.fleet import (
     DiscoveredRunner,
     EngineProfile,
@@ -14,6 +12,7 @@
     ServedService,
     ServingGroup,
 )
+from cowslipstep.model import NotRun, Reason
 from cowslipstep.routing import (
     STANDBY_URGENCY,
     GroupView,
@@ -33,7 +32,8 @@
 # A first event that takes this much longer than predicted is lost.
 _PATIENCE_FACTOR = 2
 _PATIENCE_SLACK_S = 0.4
-# Urgencies of requests that are on time come before those that stand by.
+# Ranks from here on share a place, so that all of them stay before requests
+# that stand by.
 _MAX_RANK = 4
 # When a request for which there is no upstream may find one.
 _RETRY_AFTER_S = 0.5
@@ -148,9 +148,10 @@
 
 def _demand(run: ServingRun) -> RequestDemand:
     route = run.routed.route
-    # A stream that has begun goes on within its longest pause.
-    begun_s = run.arrived_s + route.objective_s - run.now_s
-    objective_s = route.objective_s if run.begun else begun_s
+    # The objective ends with the first event; a stream that goes on after a
+    # failure competes like a new one, so that it is not refused midway.
+    left_s = run.arrived_s + route.objective_s - run.now_s
+    objective_s = route.objective_s if run.begun else left_s
     return RequestDemand(
         run.routed.request.prompt_tokens,
         _urgency(run),
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -5,9 +5,8 @@
 from collections.abc import Mapping
 
 from attrs import field, frozen
-
-from cowslipstep.fleet._formations import FormationKey
 from cowslipstep.fleet._engines import EngineProfile
+from cowslipstep.fleet._formations import FormationKey
 from cowslipstep.fleet._runners import DiscoveredRunner
 
 
--- a/libs/fleet/src/cowslipstep/fleet/_formations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_formations.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Mapping
 
 from attrs import frozen
-
 from cowslipstep.fleet._engines import EngineProfile
 from cowslipstep.fleet._runners import (
     DiscoveredRunner,
--- a/libs/fleet/src/cowslipstep/fleet/_group_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_group_choice.py
@@ -6,11 +6,10 @@
 from collections.abc import Collection, Mapping
 
 from attrs import field, frozen
-
 from cowslipstep.fleet._decisions import FleetView
+from cowslipstep.fleet._engines import ServedModel
 from cowslipstep.fleet._load_pace import LoadPace
 from cowslipstep.fleet._pressure import ModelPressure
-from cowslipstep.fleet._engines import ServedModel
 from cowslipstep.fleet._runners import DiscoveredRunner
 
 # Time to join a group of the model that the runner last served.
--- a/libs/fleet/src/cowslipstep/fleet/_judgements.py
+++ b/libs/fleet/src/cowslipstep/fleet/_judgements.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from attrs import field, frozen
-
 from cowslipstep.fleet._decisions import FleetDecision
 
 
--- a/libs/fleet/src/cowslipstep/fleet/_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -5,7 +5,6 @@
 import enum
 
 from attrs import field, frozen
-
 from cowslipstep.model import Address
 
 
--- a/libs/fleet/tests/test_keeper.py
+++ b/libs/fleet/tests/test_keeper.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from attrs import evolve
-
-from cowslipstep.model import Address
 from cowslipstep.fleet import (
     CloseGroup,
     DiscoveredRunner,
@@ -19,6 +17,7 @@
     ServedModel,
     StageModel,
 )
+from cowslipstep.model import Address
 
 PAIR = ServedModel('pair', group_size=2, load_s=12, warm_s=1)
 ENGINE = EngineProfile(
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from attrs import frozen
-
-from cowslipstep.model.loads import UpstreamLoad
 from cowslipstep.fleet import EngineProfile, ServedModel, ServingGroup
+from cowslipstep.model.loads import UpstreamLoad
 from cowslipstep.routing._usual_requests import UsualRequest
 
 # A request waits for the step in progress before its prompt is read.
--- a/libs/routing/src/cowslipstep/routing/_routes.py
+++ b/libs/routing/src/cowslipstep/routing/_routes.py
@@ -5,14 +5,13 @@
 import random
 
 from attrs import frozen
-
-from cowslipstep.model import NotRun, Reason, RequestError
 from cowslipstep.fleet import (
     CallerRequest,
     KeyHolder,
     Route,
     ServingConfiguration,
 )
+from cowslipstep.model import NotRun, Reason, RequestError
 
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
--- a/libs/routing/tests/test_overload.py
+++ b/libs/routing/tests/test_overload.py
@@ -6,15 +6,14 @@
 import random
 
 from attrs import define, field
-
-from cowslipstep.model import Address
-from cowslipstep.model.loads import UpstreamLoad
 from cowslipstep.fleet import (
     DiscoveredRunner,
     EngineProfile,
     ServedModel,
     ServingGroup,
 )
+from cowslipstep.model import Address
+from cowslipstep.model.loads import UpstreamLoad
 from cowslipstep.routing import (
     GroupView,
     ModelTimes,
--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -5,7 +5,6 @@
 import json
 
 import pytest
-
 from cowslipstep.fleet import (
     DiscoveredRunner,
     GroupOrder,
