Tell a reset from the end of an answer; end no stream that cannot go on

Ruled out: the runner's own framing (no length was sent), the configuration. Change: receives raise on a reset; a stream is cut for silence only if another try is allowed, and a begun stream waits for room.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -12,6 +12,7 @@
 from cowslipstep.serving._serving_run import ServingRun, start_run
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._targets import Target, TargetChoice
+import eventlet
 from loguru import logger
 
 _BAD_GATEWAY = 502
@@ -19,6 +20,8 @@
 _GATEWAY_TIMEOUT = 504
 # Refusals do not count as runs; this many bound the time spent on them.
 _MAX_TRIES = 5
+# Between two looks for room for a stream that has begun.
+_RESUME_WAIT_S = 0.1
 # When a refused request may find a free upstream.
 _RETRY_AFTER_S = 0.4
 
@@ -68,7 +71,7 @@
     def _next_target(self, run: ServingRun) -> Target:
         if run.overdue or run.tries >= _MAX_TRIES:
             raise _end(run)
-        target = self._targets.choose(run)
+        target = self._choose(run)
         match target:
             case NotRun():
                 run.verdict = combine_tries(run.verdict, target)
@@ -78,6 +81,14 @@
                     raise _end(run)
                 return target
 
+    def _choose(self, run: ServingRun) -> Target | NotRun:
+        """Return an upstream; a stream that has begun waits for one."""
+        target = self._targets.choose(run)
+        while run.begun and not run.overdue and isinstance(target, NotRun):
+            eventlet.sleep(_RESUME_WAIT_S)
+            target = self._targets.choose(run)
+        return target
+
     def _may_go_on(self, run: ServingRun) -> bool:
         verdict = run.verdict
         route = run.routed.route
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
+from cowslipstep.serving._resets import ResetReader
 from urllib3.connection import HTTPConnection
 
 # Several times the longest round trip within a deployment.
@@ -127,6 +128,9 @@
             f'{exchange.address}: {error}',
         ) from error
     sock: Any = connection.sock
+    if hasattr(sock, 'fd'):
+        # Only green sockets need it; they keep the plain one in ``fd``.
+        sock.recv_into = ResetReader(sock).recv_into
     with _failure_told():
         # The connection sets this again on its socket before it reads.
         connection.timeout = max(
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_resets.py
@@ -0,0 +1,48 @@
+"""Connections whose reset is told apart from their end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from eventlet.hubs import trampoline
+
+
+class ResetReader:
+    """Receives into buffers; raises if the connection was reset.
+
+    The green socket reads a reset as the end of the connection, so that an
+    answer without a length would look complete.
+
+    Parameters
+    ----------
+    sock
+        Green socket.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+
+    def recv_into(
+        self,
+        buffer: Any,
+        nbytes: int = 0,
+        flags: int = 0,
+    ) -> int:
+        """Wait for bytes and return their number; zero at the end.
+
+        Raises
+        ------
+        OSError
+            If the connection was reset, or nothing came in time.
+        """
+        plain = self._sock.fd
+        while True:
+            try:
+                return plain.recv_into(buffer, nbytes, flags)
+            except BlockingIOError:
+                trampoline(
+                    plain,
+                    read=True,
+                    timeout=self._sock.gettimeout(),
+                    timeout_exc=TimeoutError('timed out'),
+                )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_sending.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_sending.py
@@ -81,19 +81,29 @@
         head: AnswerHead,
         answer: OpenAnswer,
     ) -> Iterator[Piece]:
-        gap_s = run.routed.route.max_gap_s
-        silence_s = max(_SILENT_GAPS * gap_s, _MIN_SILENCE_S)
         run.progress.drop_rest()
         piece = answer.read_piece(min(target.patience_s, run.remaining_s))
         while piece:
             self._state.suspicions.clear(target.runner.name)
             yield from _passed_on(run, head, piece)
-            piece = answer.read_piece(min(silence_s, run.remaining_s))
+            piece = answer.read_piece(self._silence_s(run))
         _check_end(run)
         if not run.begun:
             run.begun = True
             yield head
 
+    def _silence_s(self, run: ServingRun) -> float:
+        """Return how long a stream may be silent before it is cut off.
+
+        One that could not go on elsewhere is not ended for its silence.
+        """
+        route = run.routed.route
+        last = len(run.runs) + 1 >= route.max_tries
+        if last or not self._state.retries(run.routed.service).allows:
+            return run.remaining_s
+        silence_s = max(_SILENT_GAPS * route.max_gap_s, _MIN_SILENCE_S)
+        return min(silence_s, run.remaining_s)
+
 
 def _sent(run: ServingRun, target: Target) -> UpstreamRequest:
     return UpstreamRequest(
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_resets.py
@@ -0,0 +1,53 @@
+"""An answer without a length that is reset is not complete."""
+
+from __future__ import annotations
+
+import subprocess  # noqa: S404
+import sys
+
+import pytest
+
+SCRIPT = r"""
+import eventlet
+eventlet.monkey_patch()
+import socket, struct, sys
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.model import Address
+from cowslipstep.serving._exchange import Exchange, open_answer
+
+listener = eventlet.listen(('127.0.0.1', 0))
+
+def answer():
+    sock, _ = listener.accept()
+    sock.recv(1000)
+    sock.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+    eventlet.sleep(0.2)
+    if sys.argv[1] == 'reset':
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+
+eventlet.spawn(answer)
+address = Address('127.0.0.1', listener.getsockname()[1])
+try:
+    with open_answer(Exchange(address, 'GET', '/', {}, b'', 5)) as got:
+        print(got.read_all(10 ** 9))
+except UpstreamFailure as failure:
+    print(failure.verdict.code)
+"""
+
+
+@pytest.mark.parametrize(
+    ('end', 'seen'),
+    [('reset', 'may_have_run'), ('close', "b'part'")],
+)
+def test_reset_is_told_from_the_end(end: str, seen: str) -> None:
+    command = [sys.executable, '-W', 'ignore', '-c', SCRIPT, end]
+    ran = subprocess.run(  # noqa: S603
+        command,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=60,
+    )
+    assert ran.stdout.strip() == seen
--- a/libs/delivery/src/cowslipstep/delivery/_budget.py
+++ b/libs/delivery/src/cowslipstep/delivery/_budget.py
@@ -36,13 +36,18 @@
         self._max_saved = max_saved
         self._saved = 1 - ratio if saved is None else saved
 
+    @property
+    def allows(self) -> bool:
+        """Whether a retry could be taken now."""
+        return self._saved >= 1
+
     def add_first_try(self) -> None:
         """Note a first try."""
         self._saved = min(self._max_saved, self._saved + self._ratio)
 
     def take(self) -> bool:
         """Take one retry if the budget allows it."""
-        if self._saved < 1:
+        if not self.allows:
             return False
         self._saved -= 1
         return True
