Use the JSON answer that there is; one type for members by rank

Cause: reading the whole change again. The front built a JSON answer that send_json of the daemon builds already, and carried the time of arrival through the environment; the type of members by rank stood in three places; groups were given a function where the table of runners itself would do; the sorted imports of the new files were not grouped as everywhere else. Ruled out for now: one load report shared by the tasks of all peers (each makes its own 12 times a second), which changes when reports are made. Change: these, no behaviour.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -76,7 +76,7 @@
         return self._state.groups.serving(
             service,
             engine,
-            lambda: self._state.directory.runners,
+            self._state.directory.runners,
         )
 
     def _plain_order(self, runner: DiscoveredRunner) -> tuple[float, float]:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import eventlet
+from loguru import logger
+
 from cowslipstep.model import ConfigurationCopy, ConfigurationQuery, Message
 from cowslipstep.model.loads import LoadReport, RunnersCopy, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable
 from cowslipstep.serving._state import ServingState
-from loguru import logger
 
 _COPY_TIMEOUT_S = 1
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+from loguru import logger
+
 from cowslipstep.fleet import ServingConfiguration
 from cowslipstep.model import DocumentError
 from cowslipstep.platform import (
@@ -14,7 +16,6 @@
     StoredObject,
 )
 from cowslipstep.routing import RouteTable
-from loguru import logger
 
 _NO_VERSION = 0
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Iterator
 
+import eventlet
+from loguru import logger
+
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.delivery import combine_tries, may_resume, may_retry
 from cowslipstep.fleet import CallerRequest
@@ -12,8 +15,6 @@
 from cowslipstep.serving._serving_run import ServingRun, start_run
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._targets import Target, TargetChoice
-import eventlet
-from loguru import logger
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
--- a/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from attrs import frozen
+
 from cowslipstep.fleet import (
     AnswerHead,
     CallerRequest,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_exchange.py
@@ -10,10 +10,11 @@
 
 import urllib3
 from attrs import frozen
+from urllib3.connection import HTTPConnection
+
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.serving._resets import ResetReader
-from urllib3.connection import HTTPConnection
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
--- a/apps/cowslipstepd/src/cowslipstep/serving/_front.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_front.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import time
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+from loguru import logger
+
 from cowslipstep.daemon._hangup import CallerGone, raise_on_hangup
 from cowslipstep.daemon._http import (
     REQUEST_ID,
     Environ,
+    JsonAnswer,
     StartResponse,
     error_document,
+    send_json,
     status_line,
 )
 from cowslipstep.daemon._intake import read_body
@@ -21,7 +24,6 @@
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.serving._delivery import RouteDelivery
 from cowslipstep.serving._state import ServingState
-from loguru import logger
 
 _OK = 200
 _NOT_FOUND = 404
@@ -89,7 +91,6 @@
         return self._refuse(failure, _id(environ), start_response)
 
     def _read(self, environ: Environ) -> CallerRequest:
-        arrived_s = time.monotonic()
         table = self._state.configuration.table
         if table is None or not self._state.directory.known:
             raise RequestError(
@@ -98,7 +99,6 @@
                 _UNAVAILABLE,
             )
         limits = table.configuration.limits
-        environ['cowslipstep.arrived_s'] = arrived_s
         return self._dialect.read(
             environ['REQUEST_METHOD'],
             _target(environ),
@@ -111,12 +111,10 @@
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
+        arrived_s = time.monotonic()
         request = self._read(environ)
         environ[REQUEST_ID] = request.request_id
-        pieces = self._delivery.deliver(
-            request,
-            environ['cowslipstep.arrived_s'],
-        )
+        pieces = self._delivery.deliver(request, arrived_s)
         with raise_on_hangup(environ):
             head = next(pieces)
         match head:
@@ -130,7 +128,7 @@
         request_id: str,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
-        headers: list[Header] = [('Content-Type', 'application/json')]
+        headers: list[Header] = []
         if request_id:
             headers.extend(self._dialect.own_headers(request_id))
         match error.verdict:
@@ -143,14 +141,8 @@
             status=error.status,
         ).info('request not served: {}', error)
         document = error_document(error.verdict, str(error), request_id)
-        payload = _encoded(document)
-        headers.append(('Content-Length', str(len(payload))))
-        start_response(status_line(error.status), headers)
-        return [payload]
-
-
-def _encoded(document: Any) -> bytes:
-    return json.dumps(document).encode()
+        answer = JsonAnswer(error.status, document, tuple(headers))
+        return send_json(start_response, answer)
 
 
 def _id(environ: Environ) -> str:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_groups_view.py
@@ -2,31 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 from cowslipstep.fleet import (
     DiscoveredRunner,
     EngineProfile,
-    FormationKey,
+    MembersByRank,
     ServingGroup,
     serving_groups,
 )
 
-Vanished = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
-
 
 class GroupsView:
     """Keeps the serving groups of each service until an entry changes."""
 
     def __init__(self) -> None:
         self._by_service: dict[str, tuple[ServingGroup, ...]] = {}
-        self._vanished: Vanished = {}
+        self._vanished: MembersByRank = {}
 
     def forget(self) -> None:
         """Work the groups out again when they are next asked for."""
         self._by_service.clear()
 
-    def note_vanished(self, vanished: Vanished) -> None:
+    def note_vanished(self, vanished: MembersByRank) -> None:
         """Take members by rank that vanished and still answer."""
         if vanished != self._vanished:
             self._vanished = vanished
@@ -36,13 +34,13 @@
         self,
         service: str,
         engine: EngineProfile,
-        runners: Callable[[], Mapping[str, DiscoveredRunner]],
+        runners: Mapping[str, DiscoveredRunner],
     ) -> tuple[ServingGroup, ...]:
         """Return the groups of a service that serve requests."""
         groups = self._by_service.get(service)
         if groups is None:
             groups = serving_groups(
-                _of_service(runners().values(), service),
+                _of_service(runners.values(), service),
                 engine,
                 self._vanished,
             )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -7,6 +7,8 @@
 import uuid
 
 import eventlet
+from loguru import logger
+
 from cowslipstep.daemon._ledgers import PlatformLedger
 from cowslipstep.fleet import EngineProfile, FleetKeeper
 from cowslipstep.groups import (
@@ -22,7 +24,6 @@
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._order_sender import OrderSender
 from cowslipstep.serving._state import ServingState
-from loguru import logger
 
 _SCOPE = 'fleet'
 _STEP_S = 0.1
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 
 import eventlet
+from loguru import logger
+
 from cowslipstep.platform import (
     HistoryGone,
     KindChanges,
@@ -13,7 +15,6 @@
     PlatformClient,
     PlatformUnavailable,
 )
-from loguru import logger
 
 # Keep-alive probes find a silent connection; a store that takes calls and
 # never answers is only found at the end of a watch.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
@@ -6,6 +6,8 @@
 
 import eventlet
 from attrs import frozen
+from loguru import logger
+
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import (
     CloseGroup,
@@ -25,7 +27,6 @@
 )
 from cowslipstep.serving._exchange import Exchange, open_answer
 from cowslipstep.serving._state import ServingState
-from loguru import logger
 
 # An order is repeated when its effect does not show in time.
 _ANSWER_TIMEOUT_S = 1
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -6,6 +6,8 @@
 
 import eventlet
 from attrs import define
+from loguru import logger
+
 from cowslipstep.daemon._tasks import start_task
 from cowslipstep.model import (
     Acknowledgement,
@@ -20,7 +22,6 @@
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._reports import ReportMaker, is_news
 from cowslipstep.serving._state import ServingState
-from loguru import logger
 
 # A choice of a group by counts of this age collides rarely at the rates
 # of one daemon.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_probes.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_probes.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 import eventlet
+
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import DiscoveredRunner
 from cowslipstep.serving._dialects import RunnerOrders
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -5,17 +5,17 @@
 from collections.abc import Collection, Iterable, Mapping
 
 import eventlet
+
 from cowslipstep.fleet import (
     DiscoveredRunner,
     Formation,
     FormationKey,
+    MembersByRank,
     formations,
 )
 from cowslipstep.serving._probes import PROBE_PERIOD_S, Probes
 from cowslipstep.serving._state import ServingState
 
-Members = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
-
 # One lost packet does not make a runner unreachable.
 _MISSES = 2
 
@@ -38,7 +38,7 @@
         self._members: dict[FormationKey, dict[int, DiscoveredRunner]] = {}
 
     @property
-    def members(self) -> Members:
+    def members(self) -> MembersByRank:
         """Members by rank of each group that some runner reports."""
         return self._members
 
@@ -97,7 +97,9 @@
         return doubtful
 
 
-def vanished_members(members: Members, heard: frozenset[str]) -> Members:
+def vanished_members(
+    members: MembersByRank, heard: frozenset[str]
+) -> MembersByRank:
     """Return those members that are among ``heard``."""
     if not heard:
         return {}
@@ -114,7 +116,7 @@
 
 
 def remembered(
-    members: Members,
+    members: MembersByRank,
     found: Mapping[FormationKey, Formation],
 ) -> dict[FormationKey, dict[int, DiscoveredRunner]]:
     """Return the members by rank of each group that is still reported."""
@@ -125,7 +127,7 @@
 
 
 def doubtful_members(
-    members: Members,
+    members: MembersByRank,
     registered: Collection[str],
 ) -> dict[str, DiscoveredRunner]:
     """Return the members that are registered no more, by name."""
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
@@ -6,6 +6,8 @@
 import time
 
 import eventlet
+from loguru import logger
+
 from cowslipstep.model import Address, CowslipstepError, DaemonEntry
 from cowslipstep.platform import (
     ObjectKey,
@@ -14,7 +16,6 @@
     VersionConflict,
 )
 from cowslipstep.settings import ServingSettings
-from loguru import logger
 
 DAEMONS_KIND = 'daemons'
 _RETRY_S = 0.5
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from loguru import logger
+
 from cowslipstep.model import DaemonEntry
 from cowslipstep.platform import KindChanges, ObjectPage, StoredObject
 from cowslipstep.serving._registration import decode_daemon
-from loguru import logger
 
 
 class DaemonRegistry:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
@@ -5,6 +5,7 @@
 import itertools
 
 from attrs import evolve
+
 from cowslipstep.model.loads import LoadReport
 from cowslipstep.serving._demand import DemandWatch
 from cowslipstep.serving._reachability import Reachability
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -8,13 +8,14 @@
 
 import eventlet
 from attrs import evolve
+from loguru import logger
+
 from cowslipstep.daemon._server import CallerServer, stop_event
 from cowslipstep.platform import BudgetLimits, PlatformClient, PlatformLimits
 from cowslipstep.serving._assembly import start_daemon
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
-from loguru import logger
 
 # Daemons that start at once share the platform's rates by this guess.
 _EXPECTED_DAEMONS = 9
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_follower.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_follower.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 import eventlet
+
 from cowslipstep.fleet import DiscoveredRunner
 from cowslipstep.platform import KindChanges, ObjectPage
 from cowslipstep.serving._runner_table import RunnerEntries
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 
 from attrs import define, field
+from loguru import logger
+
 from cowslipstep.fleet import DiscoveredRunner
 from cowslipstep.model import DocumentError
 from cowslipstep.model.loads import RunnerDocument, RunnersCopy
-from loguru import logger
 
 
 @define
--- a/apps/cowslipstepd/src/cowslipstep/serving/_sending.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_sending.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from attrs import evolve
+
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import AnswerHead, UpstreamRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason
--- a/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
@@ -5,6 +5,7 @@
 import time
 
 from attrs import define, field
+
 from cowslipstep.daemon._streams import StreamProgress
 from cowslipstep.delivery import combine_tries
 from cowslipstep.fleet import RequestKind
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 
 from attrs import Factory, define, field
+
 from cowslipstep.delivery import RetryBudget
 from cowslipstep.platform import PlatformClient
 from cowslipstep.routing import UpstreamLoads
--- a/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_targets.py
@@ -5,6 +5,7 @@
 import random
 
 from attrs import frozen
+
 from cowslipstep.fleet import (
     DiscoveredRunner,
     EngineProfile,
--- a/apps/cowslipstepd/tests/test_serving_knowledge.py
+++ b/apps/cowslipstepd/tests/test_serving_knowledge.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+
 from cowslipstep.fleet import (
     Backend,
     CallerLimits,
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -23,6 +23,7 @@
 from cowslipstep.fleet._formations import (
     Formation,
     FormationKey,
+    MembersByRank,
     formations,
     serving_groups,
 )
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -5,8 +5,9 @@
 from collections.abc import Mapping
 
 from attrs import field, frozen
+
 from cowslipstep.fleet._engines import EngineProfile
-from cowslipstep.fleet._formations import FormationKey
+from cowslipstep.fleet._formations import FormationKey, MembersByRank
 from cowslipstep.fleet._runners import DiscoveredRunner
 
 
@@ -41,9 +42,7 @@
     now_s: float
     demand: Mapping[str, float] = field(factory=dict)
     lost: frozenset[str] = field(factory=frozenset)
-    members: Mapping[FormationKey, Mapping[int, DiscoveredRunner]] = field(
-        factory=dict,
-    )
+    members: MembersByRank = field(factory=dict)
     heard: frozenset[str] = field(factory=frozenset)
     paced: bool = True
     settled: bool = True
--- a/libs/fleet/src/cowslipstep/fleet/_formations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_formations.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from attrs import frozen
+
 from cowslipstep.fleet._engines import EngineProfile
 from cowslipstep.fleet._runners import (
     DiscoveredRunner,
@@ -14,6 +15,7 @@
 )
 
 FormationKey = tuple[str, int]
+MembersByRank = Mapping[FormationKey, Mapping[int, DiscoveredRunner]]
 
 
 @frozen
@@ -88,7 +90,7 @@
 def serving_groups(
     runners: Iterable[DiscoveredRunner],
     engine: EngineProfile,
-    vanished: Mapping[FormationKey, Mapping[int, DiscoveredRunner]],
+    vanished: MembersByRank,
 ) -> tuple[ServingGroup, ...]:
     """Return the whole groups whose head takes requests.
 
--- a/libs/fleet/src/cowslipstep/fleet/_group_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_group_choice.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Mapping
 
 from attrs import field, frozen
+
 from cowslipstep.fleet._decisions import FleetView
 from cowslipstep.fleet._engines import ServedModel
 from cowslipstep.fleet._load_pace import LoadPace
--- a/libs/fleet/src/cowslipstep/fleet/_judgements.py
+++ b/libs/fleet/src/cowslipstep/fleet/_judgements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import field, frozen
+
 from cowslipstep.fleet._decisions import FleetDecision
 
 
--- a/libs/fleet/src/cowslipstep/fleet/_keeper.py
+++ b/libs/fleet/src/cowslipstep/fleet/_keeper.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator, Mapping
 
 from attrs import evolve
+
 from cowslipstep.fleet._decisions import FleetDecision, FleetView, FormGroup
 from cowslipstep.fleet._formations import (
     Formation,
--- a/libs/fleet/src/cowslipstep/fleet/_pending.py
+++ b/libs/fleet/src/cowslipstep/fleet/_pending.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from attrs import frozen
+
 from cowslipstep.fleet._decisions import FleetView, FormGroup, OpenGroup
 from cowslipstep.fleet._formations import Formation, FormationKey
 from cowslipstep.fleet._runners import SeatState
--- a/libs/fleet/src/cowslipstep/fleet/_requests.py
+++ b/libs/fleet/src/cowslipstep/fleet/_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import frozen
+
 from cowslipstep.fleet._runners import DiscoveredRunner
 from cowslipstep.model import MayHaveRun, NotRun
 
--- a/libs/fleet/src/cowslipstep/fleet/_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -5,6 +5,7 @@
 import enum
 
 from attrs import field, frozen
+
 from cowslipstep.model import Address
 
 
--- a/libs/fleet/tests/test_keeper.py
+++ b/libs/fleet/tests/test_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import evolve
+
 from cowslipstep.fleet import (
     CloseGroup,
     DiscoveredRunner,
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import frozen
+
 from cowslipstep.fleet import EngineProfile, ServedModel, ServingGroup
 from cowslipstep.model.loads import UpstreamLoad
 from cowslipstep.routing._usual_requests import UsualRequest
--- a/libs/routing/src/cowslipstep/routing/_usual_requests.py
+++ b/libs/routing/src/cowslipstep/routing/_usual_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import define, field, frozen
+
 from cowslipstep.fleet import EngineProfile
 
 # Weight of one request in the means: about the last fifty count.
--- a/libs/routing/tests/test_overload.py
+++ b/libs/routing/tests/test_overload.py
@@ -6,6 +6,7 @@
 import random
 
 from attrs import define, field
+
 from cowslipstep.fleet import (
     DiscoveredRunner,
     EngineProfile,
--- a/tests/site/test_documents.py
+++ b/tests/site/test_documents.py
@@ -7,11 +7,12 @@
 from types import MappingProxyType
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from cowslipstep.fleet import RequestKind, SeatState
 from cowslipstep.model import DocumentError
 from cowslipstep_site import decode_configuration, decode_runner
-from hypothesis import given
-from hypothesis import strategies as st
 
 NUMBERS = (st.integers(), st.floats())
 PLAIN = (st.none(), st.booleans(), st.text(), *NUMBERS)
