--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES := libs apps standins platform tests bench conftest.py
 STAMP := .venv/.installed
 
-.PHONY: setup demo serve test lint format bench
+.PHONY: setup demo serve test lint format bench bench-day
 
 setup: $(STAMP)
 
@@ -34,3 +34,7 @@
 
 bench: setup
 	$(BIN)/python bench/run.py $(if $(BENCH),--only $(BENCH))
+
+# Plays a day of a site on the users' bench, for those who have it.
+bench-day:
+	$(FLEETBENCH) run $(SITE) $(DAY) --why "$(or $(WHY),make bench-day)"
