--- a/apps/cowslipstepd/src/cowslipstep/daemon/_logs.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_logs.py
@@ -6,7 +6,7 @@
 import os
 import sys
 import traceback
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 
@@ -19,7 +19,17 @@
 _LEVEL_VARIABLE = 'COWSLIPSTEP_LOG_LEVEL'
 
 
-def start_logging(level: str, stream: TextIO | None = None) -> None:
+class LineStream(Protocol):
+    """Takes log lines."""
+
+    def write(self, line: str, /) -> object:
+        """Take one line."""
+
+    def flush(self) -> None:
+        """Write what was kept back."""
+
+
+def start_logging(level: str, stream: LineStream | None = None) -> None:
     """Write log lines to a stream, by default to standard error.
 
     Parameters
