Tell load reports on through one relay in each failure domain

Change: more than 12 daemons choose roles from their entries: one relay in each failure domain (most cores, then longest running), the others follow it. Followers report to their relay; relays tell each other the sum of their followers and tell followers the sum of all others. A follower whose relay is heard asks the store nothing: its relay tells it of revisions and versions and copies what changed. A silent relay is replaced after 1.2 s. Only daemons without a relay take the lease and probe vanished runners. First lists may be stale; the watch from their revision tells the rest. A daemon whose watch is a second behind a peer copies from it. Limits of all daemons together (calls, retries at once) are shared by the number that is known; a raised limit of calls no longer leaves all of them reserved for urgent kinds.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from cowslipstep.daemon._listening import listen_http, listening_on
 from cowslipstep.daemon._server import CallerServer
 from cowslipstep.daemon._tasks import start_task
@@ -11,12 +13,11 @@
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._front import CallerFront, ReadinessFront
 from cowslipstep.serving._keeper import GroupKeeper
-from cowslipstep.serving._kind_watch import KindWatch
+from cowslipstep.serving._kind_watch import KindWatch, WatchPace
 from cowslipstep.serving._peers import PeerReports
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registration import (
     DAEMONS_KIND,
-    own_entry,
     register_daemon,
 )
 from cowslipstep.serving._registry import DaemonRegistry
@@ -28,7 +29,7 @@
 _KEEPER_PAUSE_S = 0.1
 _RUNNERS_PAUSE_S = 0.3
 _CONFIGURATION_PAUSE_S = 0.3
-_DAEMONS_PAUSE_S = 0.5
+_DAEMONS_PAUSE_S = 1
 
 
 def start_daemon(state: ServingState) -> CallerServer:
@@ -39,11 +40,14 @@
     ListenError
         If an address is taken.
     """
-    registry = DaemonRegistry(own_entry(state.settings))
+    registry = DaemonRegistry(state.own_entry)
     reachability = Reachability(state)
     demand = DemandWatch(state)
     reports = ReportMaker(state, demand, reachability)
-    _start_peers(state, PeerReports(state, registry, reports))
+    _start_peers(
+        state,
+        PeerReports(state, registry, reports, state.share_limits),
+    )
     _start_watches(state, registry)
     start_task('reachability', reachability.run)
     views = FleetViews(state, demand, reachability)
@@ -66,24 +70,27 @@
     def runners_pause_s() -> float:  # noqa: WPS430
         return _KEEPER_PAUSE_S if state.is_keeper else _RUNNERS_PAUSE_S
 
+    def pace(pause_s: Callable[[], float]) -> WatchPace:  # noqa: WPS430
+        return WatchPace(pause_s, lambda: state.role.fed)
+
     watches = (
         KindWatch(
             state.platform,
             key.kind,
             ConfigurationFollower(state.configuration, key),
-            lambda: _CONFIGURATION_PAUSE_S,
+            pace(lambda: _CONFIGURATION_PAUSE_S),
         ),
         KindWatch(
             state.platform,
             state.dialects.runners_kind,
             RunnerFollower(state.entries, bounds.registration_s),
-            runners_pause_s,
+            pace(runners_pause_s),
         ),
         KindWatch(
             state.platform,
             DAEMONS_KIND,
             registry,
-            lambda: _DAEMONS_PAUSE_S,
+            pace(lambda: _DAEMONS_PAUSE_S),
         ),
     )
     for watch in watches:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import eventlet
 from loguru import logger
 
@@ -11,6 +13,9 @@
 from cowslipstep.serving._state import ServingState
 
 _COPY_TIMEOUT_S = 1
+# A watch that is this far behind a peer may hang; it is told of changes
+# within a third of this time otherwise.
+_HANGING_S = 1
 
 
 class CatchingUp:
@@ -25,6 +30,8 @@
     def __init__(self, state: ServingState) -> None:
         self._state = state
         self._asking = False
+        self._behind_at = 0
+        self._behind_s: float = 0
 
     def start(self, report: LoadReport, link: PeerLink) -> None:
         """Ask the sender of a report if it knows more."""
@@ -39,11 +46,22 @@
         if report.configuration_version > version:
             return ConfigurationQuery(version)
         directory = self._state.directory
-        # A daemon that reaches the platform is told by it.
-        if directory.lost and report.runners_revision > directory.revision:
+        if report.runners_revision <= directory.revision:
+            return None
+        if directory.lost or self._state.role.fed or self._hangs():
             return RunnersQuery(directory.revision)
+        # A daemon that reaches the platform is told by it.
         return None
 
+    def _hangs(self) -> bool:
+        """Whether no change was told for long while a peer knows of some."""
+        now_s = time.monotonic()
+        revision = self._state.directory.revision
+        if revision != self._behind_at:
+            self._behind_at = revision
+            self._behind_s = now_s
+        return now_s - self._behind_s > _HANGING_S
+
     def _ask(self, query: Message, link: PeerLink) -> None:
         try:
             self._take(link.call(query, _COPY_TIMEOUT_S))
--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -107,6 +107,9 @@
             eventlet.sleep(_STEP_S)
 
     def _is_kept(self) -> bool:
+        if self._state.role.fed:
+            # Its relay takes the lease if no other daemon has it.
+            return True
         reports = self._state.loads.recent(_KEEPER_SILENCE_S)
         return any(report.keeper for report in reports)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import eventlet
+from attrs import frozen
 from loguru import logger
 
 from cowslipstep.platform import (
@@ -20,6 +21,8 @@
 # never answers is only found at the end of a watch.
 _WATCH_S = 5
 _RETRY_S = 0.3
+# Between two looks whether a relay still tells of the kind.
+_REST_S = 0.3
 
 
 class Follower(Protocol):
@@ -35,6 +38,23 @@
         """Note that the platform cannot be reached."""
 
 
+@frozen
+class WatchPace:
+    """When the platform is asked.
+
+    Parameters
+    ----------
+    pause_s
+        Returns the wait between two watches, so that changes come several
+        at once.
+    is_fed
+        Whether a peer tells of changes, so that no watch is needed.
+    """
+
+    pause_s: Callable[[], float]
+    is_fed: Callable[[], bool]
+
+
 class KindWatch:
     """Follows a kind of objects; lists it again when changes were missed.
 
@@ -46,9 +66,8 @@
         Kind of objects.
     follower
         Is told of objects and changes.
-    pause_s
-        Returns the wait between two watches, so that changes come several
-        at once.
+    pace
+        When the platform is asked.
     """
 
     def __init__(
@@ -56,12 +75,13 @@
         client: PlatformClient,
         kind: str,
         follower: Follower,
-        pause_s: Callable[[], float],
+        pace: WatchPace,
     ) -> None:
         self._client = client
         self._kind = kind
         self._follower = follower
-        self._pause_s = pause_s
+        self._pace = pace
+        self._listed = False
         self._lost = False
 
     @property
@@ -72,6 +92,8 @@
     def run(self) -> None:
         """Follow until the task is ended."""
         while True:
+            while self._listed and self._pace.is_fed():
+                eventlet.sleep(_REST_S)
             try:
                 self._follow()
             except HistoryGone:
@@ -81,12 +103,16 @@
                 eventlet.sleep(_RETRY_S)
 
     def _follow(self) -> None:
-        page = self._client.list_kind(self._kind)
+        # The watch from its revision tells what a stale list misses.
+        page = self._client.list_kind(self._kind, stale=not self._listed)
+        self._listed = True
         self._regain()
         self._follower.replace(page)
         revision = page.revision
         while True:
-            eventlet.sleep(self._pause_s())
+            eventlet.sleep(self._pace.pause_s())
+            if self._pace.is_fed():
+                return
             changes = self._client.watch_kind(self._kind, revision, _WATCH_S)
             self._follower.apply(changes)
             revision = changes.revision
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -2,25 +2,25 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
 
 import eventlet
-from attrs import define
 from loguru import logger
 
-from cowslipstep.daemon._tasks import start_task
 from cowslipstep.model import (
     Acknowledgement,
     ConfigurationCopy,
     ConfigurationQuery,
-    DaemonEntry,
     Message,
 )
 from cowslipstep.model.loads import LoadReport, RunnersQuery
-from cowslipstep.peers import Callee, PeerLink, PeerUnreachable, Reply, Traffic
+from cowslipstep.peers import PeerLink, PeerUnreachable, Reply, Traffic
+from cowslipstep.routing import Relay
 from cowslipstep.serving._catching_up import CatchingUp
+from cowslipstep.serving._peer_links import PeerLinks
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._reports import ReportMaker, is_news
+from cowslipstep.serving._runner_copies import copy_runners
 from cowslipstep.serving._state import ServingState
 
 # A choice of a group by counts of this age collides rarely at the rates
@@ -30,21 +30,8 @@
 _IDLE_REPORT_S = 0.4
 
 
-@define
-class _Peer:
-    entry: DaemonEntry
-    link: PeerLink
-    tasks: list[Any]
-
-    def close(self) -> None:
-        """End the tasks and the connection."""
-        for task in self.tasks:
-            task.kill()
-        self.link.reset()
-
-
 class PeerReports:
-    """Tells the other daemons of loads and hears theirs.
+    """Tells other daemons of loads and hears theirs, as the role says.
 
     Parameters
     ----------
@@ -54,6 +41,8 @@
         The other daemons.
     reports
         Makes the reports of this daemon.
+    on_count
+        Called with the number of daemons when it has changed.
     """
 
     def __init__(
@@ -61,13 +50,16 @@
         state: ServingState,
         registry: DaemonRegistry,
         reports: ReportMaker,
+        on_count: Callable[[int], None],
     ) -> None:
         self._state = state
         self._registry = registry
         self._reports = reports
+        self._on_count = on_count
+        self._count = 0
         self._catching_up = CatchingUp(state)
         self._traffic = Traffic()
-        self._peers: dict[str, _Peer] = {}
+        self._links = PeerLinks(registry, self._traffic, self._tell_all)
 
     @property
     def traffic(self) -> Traffic:
@@ -75,59 +67,71 @@
         return self._traffic
 
     def run(self) -> None:
-        """Keep a link to each known daemon until the task is ended."""
+        """Keep a link to each peer until the task is ended."""
         while True:
-            self._connect()
+            self._follow_registry()
+            self._links.keep(_wanted(self._state))
             eventlet.sleep(_IDLE_REPORT_S)
 
     def take(self, message: Message, reply: Reply) -> None:
         """Take a message of a peer."""
         match message:
-            case LoadReport(daemon=daemon):
-                self._state.loads.note(message)
-                peer = self._peers.get(daemon)
-                if peer is not None:
-                    self._catching_up.start(message, peer.link)
+            case LoadReport():
+                self._take_report(message)
             case ConfigurationQuery():
                 feed = self._state.configuration
                 reply(ConfigurationCopy(feed.version, feed.document))
-            case RunnersQuery():
-                reply(self._state.entries.copy())
+            case RunnersQuery(known_revision):
+                reply(copy_runners(self._state.directory, known_revision))
             case _:
                 reply(Acknowledgement())
 
-    def _tell_all(self, link: PeerLink) -> None:
+    def _take_report(self, report: LoadReport) -> None:
+        if self._state.role.hear(report):
+            self._state.loads.note_only(report)
+        elif not self._state.role.fed:
+            self._state.loads.note(report)
+        link = self._links.get(report.daemon)
+        if link is not None:
+            self._catching_up.start(report, link)
+
+    def _tell_all(self, name: str, link: PeerLink) -> None:
         """Send a peer each report that tells something new."""
         told: LoadReport | None = None
         idle_s: float = 0
         while True:
             eventlet.sleep(_REPORT_S)
             idle_s += _REPORT_S
-            report = self._reports.make()
+            report = self._reports.for_peer(name)
             if idle_s >= _IDLE_REPORT_S or is_news(told, report):
                 told = report if _is_told(link, report) else None
                 idle_s = 0
 
-    def _connect(self) -> None:
+    def _follow_registry(self) -> None:
         others = self._registry.others
-        for name, peer in tuple(self._peers.items()):
-            if others.get(name) != peer.entry:
-                self._peers.pop(name).close()
-        for missing in others.keys() - self._peers.keys():
-            self._peers[missing] = self._open(others[missing])
-
-    def _open(self, entry: DaemonEntry) -> _Peer:
-        link = PeerLink(
-            Callee(entry.address, self._registry.own, self._traffic),
-        )
-        tasks = [
-            start_task(f'link to {entry.name}', link.run),
-            start_task(
-                f'reports to {entry.name}',
-                lambda: self._tell_all(link),
-            ),
-        ]
-        return _Peer(entry, link, tasks)
+        # Without others the registry may just not be known yet.
+        if others and len(others) + 1 != self._count:
+            self._count = len(others) + 1
+            self._on_count(self._count)
+        if self._state.role.choose(others.values()):
+            logger.bind(daemons=self._count).info(
+                'reports loads as {}',
+                type(self._state.role.current).__name__,
+            )
+
+
+def _wanted(state: ServingState) -> set[str]:
+    """Return the daemons that are told of loads."""
+    role = state.role.current
+    wanted = set(role.peers)
+    match role:
+        case Relay():
+            wanted.update(
+                report.daemon
+                for report in state.loads.reports
+                if not report.relayed
+            )
+    return wanted
 
 
 def _is_told(link: PeerLink, report: LoadReport) -> bool:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -23,8 +23,8 @@
 class Reachability:
     """Probes members of groups that vanished or were found silent.
 
-    Every daemon probes members whose entries are gone, since each of them
-    may reach others; the keeper also probes members of suspected groups.
+    Every daemon without a relay probes members whose entries are gone, since
+    each may reach others; the keeper also probes those of suspected groups.
 
     Parameters
     ----------
@@ -84,6 +84,9 @@
         self,
         found: Iterable[Formation],
     ) -> dict[str, DiscoveredRunner]:
+        if self._state.role.fed:
+            # Its relay probes for all of its followers.
+            return {}
         doubtful = doubtful_members(
             self._members,
             self._state.directory.runners.keys(),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
@@ -28,6 +28,7 @@
         settings.peer_address,
         settings.failure_domain,
         time.time_ns(),
+        settings.cores,
     )
 
 
@@ -54,6 +55,7 @@
         Address.parse(document['address']),
         document['failureDomain'],
         document['incarnation'],
+        document.get('cores', 1),
     )
 
 
@@ -73,6 +75,7 @@
             'address': str(entry.address),
             'failureDomain': entry.failure_domain,
             'incarnation': entry.incarnation,
+            'cores': entry.cores,
         },
     )
     try:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import itertools
+import time
 
 from attrs import evolve
 
 from cowslipstep.model.loads import LoadReport
+from cowslipstep.routing import Relay, sum_reports
 from cowslipstep.serving._demand import DemandWatch
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._state import ServingState
 
+# Reports to several peers at about the same time are made once.
+_SAME_S = 0.02
+
 
 class ReportMaker:
     """Makes load reports.
@@ -35,11 +40,34 @@
         self._demand = demand
         self._reachability = reachability
         self._numbers = itertools.count(1)
+        self._made: LoadReport | None = None
+        self._made_s: float = 0
+
+    def for_peer(self, name: str) -> LoadReport:
+        """Return what a peer is told now."""
+        own = self._own()
+        match self._state.role.current:
+            case Relay(peers):
+                told = self._state.loads.reports
+                if name in peers:
+                    passed_on = [entry for entry in told if not entry.relayed]
+                else:
+                    passed_on = [
+                        entry for entry in told if entry.daemon != name
+                    ]
+                return sum_reports(own, passed_on)
+            case _:
+                return own
+
+    def _own(self) -> LoadReport:
+        now_s = time.monotonic()
+        if self._made is None or now_s - self._made_s > _SAME_S:
+            self._made = self._make()
+            self._made_s = now_s
+        return self._made
 
-    def make(self) -> LoadReport:
-        """Return a report of what holds now."""
+    def _make(self) -> LoadReport:
         state = self._state
-        directory = state.directory
         return LoadReport(
             daemon=state.settings.name,
             sequence=next(self._numbers),
@@ -50,7 +78,7 @@
             served=state.served,
             keeper=state.is_keeper,
             heard=self._reachability.own_heard,
-            runners_revision=0 if directory.lost else directory.revision,
+            runners_revision=state.directory.revision,
         )
 
 
@@ -58,10 +86,8 @@
     """Whether a report says more than that time has passed."""
     if told is None:
         return True
-    same = evolve(
-        report,
-        sequence=told.sequence,
-        demands=told.demands,
-        runners_revision=told.runners_revision,
-    )
+    same = evolve(report, sequence=told.sequence, demands=told.demands)
+    if not report.relayed:
+        # Only followers of a relay learn of runners from reports.
+        same = evolve(same, runners_revision=told.runners_revision)
     return same != told
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -11,14 +11,11 @@
 from loguru import logger
 
 from cowslipstep.daemon._server import CallerServer, stop_event
-from cowslipstep.platform import BudgetLimits, PlatformClient, PlatformLimits
 from cowslipstep.serving._assembly import start_daemon
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
 
-# Daemons that start at once share the platform's rates by this guess.
-_EXPECTED_DAEMONS = 9
 # The balancer stops sending new connections after two readings.
 _UNREADY_S = 2.5
 # Left of the grace for the process to end.
@@ -46,7 +43,7 @@
     """
     stop = stop_event()
     settings = load_settings()
-    state = ServingState(settings, dialects, _client(settings, dialects))
+    state = ServingState(settings, dialects)
     signal.signal(
         signal.SIGHUP,
         lambda _number, _frame: reload_settings(state, load_settings),
@@ -70,17 +67,6 @@
     logger.info('settings reloaded')
 
 
-def _client(settings: ServingSettings, dialects: Dialects) -> PlatformClient:
-    reads_per_s = settings.platform_reads_per_s / _EXPECTED_DAEMONS
-    writes_per_s = settings.platform_writes_per_s / _EXPECTED_DAEMONS
-    return PlatformClient(
-        settings.platform_address,
-        settings.name,
-        PlatformLimits(BudgetLimits(reads_per_s), BudgetLimits(writes_per_s)),
-        dialect=dialects.store,
-    )
-
-
 def _stop(server: CallerServer, state: ServingState) -> None:
     """Finish the requests in progress within the grace."""
     begun_s = time.monotonic()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_follower.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_follower.py
@@ -38,6 +38,10 @@
     def replace(self, page: ObjectPage) -> None:
         """Take all entries; after an outage missing ones get some time."""
         table = self._entries.table
+        if page.revision < table.revision:
+            # A peer has told of more; a watch goes on from the page.
+            return
+        table.advance(page.revision)
         missing = dict(table.runners)
         for stored in page.stored:
             missing.pop(stored.key.name, None)
@@ -48,21 +52,24 @@
         for entry in page.stored:
             self._entries.take(entry.key.name, entry.body)
         table.lost = False
-        self._entries.advance(page.revision)
 
     def apply(self, changes: KindChanges) -> None:
         """Take changes of entries."""
+        table = self._entries.table
+        if changes.revision < table.revision:
+            # A peer has told of these.
+            return
+        table.advance(changes.revision)
         for change in changes.changes:
             name = change.stored.key.name
             if change.removed:
                 self._entries.remove(name)
             else:
                 self._entries.take(name, change.stored.body)
-        self._entries.advance(changes.revision)
 
     def _drop(self, missing: Mapping[str, DiscoveredRunner]) -> None:
         """Forget runners that have not registered again since."""
         runners = self._entries.table.runners
         for name, runner in missing.items():
             if runners.get(name) is runner:
-                self._entries.remove(name)
+                self._entries.drop(name)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
@@ -9,7 +9,7 @@
 
 from cowslipstep.fleet import DiscoveredRunner
 from cowslipstep.model import DocumentError
-from cowslipstep.model.loads import RunnerDocument, RunnersCopy
+from cowslipstep.model.loads import RunnersCopy
 
 
 @define
@@ -24,6 +24,10 @@
         Their entries as the platform holds them.
     revision
         Revision of the platform up to which changes are known.
+    changed
+        Revision at which each entry last changed or was removed.
+    complete_from
+        Revision since which ``changed`` tells of all changes.
     known
         Whether the entries were read at least once.
     lost
@@ -33,9 +37,22 @@
     runners: dict[str, DiscoveredRunner] = field(factory=dict)
     documents: dict[str, str] = field(factory=dict)
     revision: int = 0
+    changed: dict[str, int] = field(factory=dict)
+    complete_from: int = 0
     known: bool = False
     lost: bool = False
 
+    def advance(self, revision: int) -> None:
+        """Begin to take changes up to a revision."""
+        if not self.known:
+            self.complete_from = revision
+        self.revision = max(self.revision, revision)
+        self.known = True
+
+    def note_changed(self, name: str, revision: int | None = None) -> None:
+        """Note that an entry has changed, by default with this revision."""
+        self.changed[name] = self.revision if revision is None else revision
+
 
 class RunnerEntries:
     """Puts entries into the table, and copies them for peers.
@@ -67,6 +84,8 @@
 
     def take(self, name: str, document: str) -> None:
         """Take the entry of a runner; one that is broken names none."""
+        if self._table.documents.get(name) == document:
+            return
         try:
             runner = self._decode(name, document)
         except DocumentError as error:
@@ -75,38 +94,33 @@
             return
         self._table.runners[name] = runner
         self._table.documents[name] = document
+        self._table.note_changed(name)
         self._on_change()
 
     def remove(self, name: str) -> None:
         """Forget a runner."""
-        self._table.documents.pop(name, None)
+        if self._table.documents.pop(name, None) is not None:
+            self._table.note_changed(name)
         if self._table.runners.pop(name, None) is not None:
             logger.info('runner {} is gone', name)
             self._on_change()
 
-    def advance(self, revision: int) -> None:
-        """Note that all changes up to a revision are in the table."""
-        self._table.revision = revision
-        self._table.known = True
-
-    def copy(self) -> RunnersCopy:
-        """Return all entries, for a peer that cannot reach the platform."""
-        return RunnersCopy(
-            self._table.revision,
-            tuple(
-                RunnerDocument(name, document)
-                for name, document in self._table.documents.items()
-            ),
-        )
+    def drop(self, name: str) -> None:
+        """Forget a runner that the platform has not told of again."""
+        self.remove(name)
+        # Peers that know this revision shall learn of it with the next one.
+        self._table.note_changed(name, self._table.revision + 1)
 
     def take_copy(self, copy: RunnersCopy) -> None:
         """Take the entries of a peer if they are newer than the own ones."""
         if copy.revision <= self._table.revision:
             return
+        self._table.advance(copy.revision)
         told = {entry.name: entry.document for entry in copy.entries}
-        for missing in self._table.runners.keys() - told.keys():
+        removed = set(copy.removed)
+        if copy.whole:
+            removed.update(self._table.runners.keys() - told.keys())
+        for missing in removed:
             self.remove(missing)
         for name, document in told.items():
-            if self._table.documents.get(name) != document:
-                self.take(name, document)
-        self.advance(copy.revision)
+            self.take(name, document)
--- a/apps/cowslipstepd/tests/test_serving_knowledge.py
+++ b/apps/cowslipstepd/tests/test_serving_knowledge.py
@@ -18,13 +18,21 @@
 )
 from cowslipstep.model import Address, DocumentError, Reason, RequestError
 from cowslipstep.model.loads import RunnerDocument, RunnersCopy
-from cowslipstep.platform import ObjectKey, ObjectPage, StoredObject
+from cowslipstep.platform import (
+    KindChanges,
+    ObjectChange,
+    ObjectKey,
+    ObjectPage,
+    StoredObject,
+)
 from cowslipstep.serving._configuration_feed import ConfigurationInForce
+from cowslipstep.serving._runner_copies import copy_runners
 from cowslipstep.serving._runner_follower import RunnerFollower
 from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
 from cowslipstep.serving._suspicions import Suspicions
 
 LIMITS = CallerLimits(1000)
+DOCUMENT_B = RunnerDocument('b', 'drafting')
 ROUTE = Route(
     'quotes',
     'orders.example',
@@ -60,6 +68,10 @@
     return ObjectPage(listed, '', revision)
 
 
+def follow(entries: RunnerEntries) -> RunnerFollower:
+    return RunnerFollower(entries, registration_s=60)
+
+
 @pytest.fixture
 def entries() -> RunnerEntries:
     return RunnerEntries(RunnerTable(), decode, list)
@@ -90,13 +102,56 @@
 
 def test_copy_of_a_peer_is_taken_only_if_newer(entries: RunnerEntries) -> None:
     RunnerFollower(entries, registration_s=60).replace(page(5, 'a'))
-    entries.take_copy(RunnersCopy(4, ()))
+    entries.take_copy(RunnersCopy(4, (), whole=True))
     assert set(entries.table.runners) == {'a'}
-    entries.take_copy(RunnersCopy(6, (RunnerDocument('b', 'drafting'),)))
+    entries.take_copy(RunnersCopy(6, (DOCUMENT_B,), whole=True))
     assert set(entries.table.runners) == {'b'}
     assert entries.table.revision == 6
 
 
+def test_copy_tells_what_a_peer_misses(entries: RunnerEntries) -> None:
+    follow(entries).replace(page(5, 'a', 'c'))
+    entries.take_copy(RunnersCopy(8, (DOCUMENT_B,), ('c',)))
+    assert set(entries.table.runners) == {'a', 'b'}
+    assert copy_runners(entries.table, 5) == RunnersCopy(
+        8,
+        (DOCUMENT_B,),
+        ('c',),
+    )
+    assert copy_runners(entries.table, 8) == RunnersCopy(8)
+
+
+def test_copy_is_whole_for_a_peer_that_knows_less(
+    entries: RunnerEntries,
+) -> None:
+    follow(entries).replace(page(5, 'b'))
+    for known_revision in (0, 4):
+        copy = copy_runners(entries.table, known_revision)
+        assert copy == RunnersCopy(5, (DOCUMENT_B,), whole=True)
+
+
+def test_late_drop_is_told_with_the_next_revision(
+    entries: RunnerEntries,
+) -> None:
+    follower = RunnerFollower(entries, registration_s=60)
+    follower.replace(page(5, 'a'))
+    entries.drop('a')
+    follower.apply(KindChanges((), 6))
+    assert copy_runners(entries.table, 5).removed == ('a',)
+
+
+def test_changes_that_a_peer_told_are_not_undone(
+    entries: RunnerEntries,
+) -> None:
+    follower = RunnerFollower(entries, registration_s=60)
+    follower.replace(page(5, 'a'))
+    entries.take_copy(RunnersCopy(8, (), ('a',)))
+    stored = StoredObject(ObjectKey('runners', 'a'), 6, 'drafting')
+    follower.apply(KindChanges((ObjectChange(stored, removed=False),), 7))
+    follower.replace(page(7, 'a'))
+    assert not entries.table.runners
+
+
 def configuration(text: str) -> ServingConfiguration:
     version = json.loads(text)
     if not isinstance(version, int):
--- a/libs/delivery/src/cowslipstep/delivery/_budget.py
+++ b/libs/delivery/src/cowslipstep/delivery/_budget.py
@@ -41,6 +41,11 @@
         """Whether a retry could be taken now."""
         return self._saved >= 1
 
+    def change_limit(self, max_saved: float) -> None:
+        """Save up another number of retries from now on."""
+        self._max_saved = max_saved
+        self._saved = min(self._saved, max_saved)
+
     def add_first_try(self) -> None:
         """Note a first try."""
         self._saved = min(self._max_saved, self._saved + self._ratio)
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -52,10 +52,24 @@
 
 @frozen
 class RunnersCopy:
-    """Entries of runners up to a revision of the platform."""
+    """Entries of runners up to a revision of the platform.
+
+    Parameters
+    ----------
+    revision
+        Revision of the platform.
+    entries
+        Entries that changed since the revision that was asked for.
+    removed
+        Names of runners whose entries were removed since then.
+    whole
+        Whether ``entries`` are all that there are.
+    """
 
     revision: int
     entries: tuple[RunnerDocument, ...] = ()
+    removed: tuple[str, ...] = ()
+    whole: bool = False
 
 
 @frozen
@@ -70,6 +84,8 @@
 class LoadReport:
     """Report of one daemon to its peers; each replaces the one before.
 
+    A relay's report also tells what daemons that report to it have told.
+
     Parameters
     ----------
     daemon
@@ -91,8 +107,9 @@
     heard
         Runners that are registered no more and answer the sender.
     runners_revision
-        Revision of the platform up to which it knows entries of runners;
-        zero while it cannot reach the platform.
+        Revision of the platform up to which it knows entries of runners.
+    relayed
+        Whether the sender is a relay.
     """
 
     daemon: str
@@ -105,6 +122,7 @@
     keeper: bool = False
     heard: tuple[str, ...] = ()
     runners_revision: int = 0
+    relayed: bool = False
 
 
 LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/model/src/cowslipstep/model/_membership.py
+++ b/libs/model/src/cowslipstep/model/_membership.py
@@ -76,12 +76,15 @@
         Failure domain of its host.
     incarnation
         Start that the entry is of; zero for one from settings.
+    cores
+        Processor cores that its host gives it.
     """
 
     name: str
     address: Address
     failure_domain: str
     incarnation: int = 0
+    cores: float = 1
 
 
 @frozen
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -33,6 +33,8 @@
         tuple(
             RunnerDocument(entry.name, entry.document) for entry in raw.entries
         ),
+        tuple(raw.removed),
+        raw.whole,
     )
 
 
@@ -50,6 +52,7 @@
         keeper=raw.keeper,
         heard=tuple(raw.heard),
         runners_revision=raw.runnersRevision,
+        relayed=raw.relayed,
     )
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -8,7 +8,6 @@
     LoadMessage,
     LoadReport,
     ModelDemand,
-    RunnerDocument,
     RunnersCopy,
     RunnersQuery,
     UpstreamLoad,
@@ -22,19 +21,18 @@
             _write_report(frame.init('loadReport'), message)
         case RunnersQuery(known_revision):
             frame.runnersQuery = known_revision
-        case RunnersCopy(revision, entries):
-            copy = frame.init('runnersCopy')
-            copy.revision = revision
-            _write_entries(copy.init('entries', len(entries)), entries)
+        case RunnersCopy():
+            _write_copy(frame.init('runnersCopy'), message)
 
 
-def _write_entries(
-    builder: Any,
-    entries: tuple[RunnerDocument, ...],
-) -> None:
-    for index, entry in enumerate(entries):
-        builder[index].name = entry.name
-        builder[index].document = entry.document
+def _write_copy(builder: Any, copy: RunnersCopy) -> None:
+    builder.revision = copy.revision
+    builder.whole = copy.whole
+    _write_names(builder, 'removed', copy.removed)
+    listed = builder.init('entries', len(copy.entries))
+    for index, entry in enumerate(copy.entries):
+        listed[index].name = entry.name
+        listed[index].document = entry.document
 
 
 def _write_report(builder: Any, report: LoadReport) -> None:
@@ -44,6 +42,7 @@
     builder.configurationVersion = report.configuration_version
     builder.served = report.served
     builder.keeper = report.keeper
+    builder.relayed = report.relayed
     builder.runnersRevision = report.runners_revision
     _write_loads(builder, report.loads)
     _write_demands(builder, report.demands)
@@ -55,14 +54,14 @@
     if not loads:
         return
     listed = builder.init('loads', len(loads))
-    for index, load in enumerate(loads):
-        listed[index].upstream = load.upstream
-        listed[index].requests = load.requests
-        _write_waiting(listed[index], load.waiting)
+    for written, load in zip(listed, loads, strict=True):
+        written.upstream = load.upstream
+        written.requests = load.requests
+        _write_waiting(written, load.waiting)
 
 
 def _write_waiting(builder: Any, waiting: tuple[int, ...]) -> None:
-    if not waiting:
+    if not any(waiting):
         return
     listed = builder.init('waiting', len(waiting))
     for urgency, count in enumerate(waiting):
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -184,6 +184,7 @@
   keeper @7 :Bool;
   heard @8 :List(Text);
   runnersRevision @9 :UInt64;
+  relayed @10 :Bool;
 }
 
 struct RunnerDocument {
@@ -194,4 +195,6 @@
 struct RunnersCopy {
   revision @0 :UInt64;
   entries @1 :List(RunnerDocument);
+  removed @2 :List(Text);
+  whole @3 :Bool;
 }
--- a/libs/platform/src/cowslipstep/platform/_budget.py
+++ b/libs/platform/src/cowslipstep/platform/_budget.py
@@ -109,8 +109,9 @@
     def change_limits(self, limits: BudgetLimits) -> None:
         """Use other limits from now on."""
         self._fill()
+        # The room kept for urgent calls grows with the burst.
+        self._tokens *= limits.burst / self._limits.burst
         self._limits = limits
-        self._tokens = min(self._tokens, limits.burst)
 
     def take(self, priority: Priority) -> bool:
         """Take a token for one call; false if none is left for it."""
--- a/libs/platform/src/cowslipstep/platform/_dialect.py
+++ b/libs/platform/src/cowslipstep/platform/_dialect.py
@@ -55,8 +55,17 @@
     def read(self, key: ObjectKey) -> PlatformCall:
         """Return the call that reads an object."""
 
-    def read_page(self, kind: str, after: str) -> PlatformCall:
-        """Return the call that lists objects behind a name."""
+    def read_page(
+        self,
+        kind: str,
+        after: str,
+        *,
+        stale: bool = False,
+    ) -> PlatformCall:
+        """Return the call that lists objects behind a name.
+
+        A stale answer may be seconds old and costs the store less.
+        """
 
     def watch(
         self,
--- a/libs/platform/src/cowslipstep/platform/_kind_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_kind_reader.py
@@ -25,22 +25,23 @@
         self._caller = caller
         self._dialect = dialect
 
-    def list_kind(self, kind: str) -> ObjectPage:
+    def list_kind(self, kind: str, *, stale: bool = False) -> ObjectPage:
         """Read all objects of a kind and the revision from which to watch.
 
         The revision is that of the first part, so that a change between
-        two parts is told again by the watch.
+        two parts is told again by the watch. A stale list may be seconds
+        old; a watch from its revision tells the rest.
 
         Raises
         ------
         PlatformUnavailable
             If there was no answer.
         """
-        first = self._read_page(kind, '')
+        first = self._read_page(kind, '', stale=stale)
         listed = list(first.stored)
         page = first
         while page.next_name:
-            page = self._read_page(kind, page.next_name)
+            page = self._read_page(kind, page.next_name, stale=stale)
             listed.extend(page.stored)
         return ObjectPage(tuple(listed), '', first.revision)
 
@@ -63,6 +64,7 @@
         answer = self._caller.call(call).json()
         return self._dialect.answers.changes(kind, answer)
 
-    def _read_page(self, kind: str, after: str) -> ObjectPage:
-        answer = self._caller.call(self._dialect.calls.read_page(kind, after))
+    def _read_page(self, kind: str, after: str, *, stale: bool) -> ObjectPage:
+        call = self._dialect.calls.read_page(kind, after, stale=stale)
+        answer = self._caller.call(call)
         return self._dialect.answers.page(kind, answer.json())
--- a/libs/platform/src/cowslipstep/platform/_text_dialect.py
+++ b/libs/platform/src/cowslipstep/platform/_text_dialect.py
@@ -40,8 +40,17 @@
         """Return the call that reads an object."""
         return PlatformCall(_READ, key.kind, f'/objects/{key}')
 
-    def read_page(self, kind: str, after: str) -> PlatformCall:
-        """Return the call that lists all objects of a kind."""
+    def read_page(
+        self,
+        kind: str,
+        after: str,
+        *,
+        stale: bool = False,
+    ) -> PlatformCall:
+        """Return the call that lists all objects of a kind.
+
+        This API has no stale answers.
+        """
         return PlatformCall(_READ, kind, f'/objects/{kind}')
 
     def watch(
--- a/libs/platform/tests/test_budget.py
+++ b/libs/platform/tests/test_budget.py
@@ -67,3 +67,9 @@
     breaker.fail()
     breaker.fail()
     assert breaker.admit()
+
+
+def test_larger_limits_leave_room_for_all_calls():
+    budget = CallBudget(BudgetLimits(calls_per_s=1), Clock())
+    budget.change_limits(LIMITS)
+    assert budget.take(Priority.status)
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -35,5 +35,14 @@
     group_seconds,
 )
 from cowslipstep.routing._overload import STANDBY_URGENCY, admit_request
+from cowslipstep.routing._relays import (
+    RELAY_SILENCE_S,
+    Follower,
+    MeshMember,
+    Relay,
+    RelayChoice,
+    Role,
+)
+from cowslipstep.routing._report_sums import sum_reports
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
 from cowslipstep.routing._upstream_loads import UpstreamLoads
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from attrs import define
 
 from cowslipstep.model.loads import LoadReport, UpstreamLoad
 from cowslipstep.routing._own_loads import OwnLoads
+from cowslipstep.routing._report_sums import add_loads
 
 # Reports come several times a second; one this old is of a dead daemon.
 REPORT_LIFETIME_S = 1.5
@@ -67,6 +67,11 @@
         loads = {load.upstream: load for load in report.loads}
         self._heard[report.daemon] = _Heard(report, loads, self._clock())
 
+    def note_only(self, report: LoadReport) -> None:
+        """Replace what all peers have told: the report holds all of it."""
+        self._heard.clear()
+        self.note(report)
+
     def total(self, upstream: str) -> UpstreamLoad:
         """Return the requests in progress at an upstream, over all daemons."""
         oldest_s = self._clock() - REPORT_LIFETIME_S
@@ -74,12 +79,4 @@
         for heard in self._heard.values():
             if upstream in heard.loads and heard.heard_s >= oldest_s:
                 loads.append(heard.loads[upstream])
-        return UpstreamLoad(
-            upstream,
-            sum(load.requests for load in loads),
-            _summed(load.waiting for load in loads),
-        )
-
-
-def _summed(listed: Iterable[tuple[int, ...]]) -> tuple[int, ...]:
-    return tuple(map(sum, itertools.zip_longest(*listed, fillvalue=0)))
+        return add_loads(upstream, loads)
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -22,11 +22,14 @@
         an outage of the platform.
     retry_ratio
         Retries allowed for each request, over all daemons.
+    retry_slack
+        Retries allowed at once beside these, over all daemons.
     """
 
     grace_s: float = field(default=8, validator=_POSITIVE)
     registration_s: float = field(default=2, validator=_POSITIVE)
     retry_ratio: float = field(default=0.1, validator=validators.ge(0))
+    retry_slack: float = field(default=10, validator=validators.ge(0))
 
 
 @frozen
@@ -53,6 +56,8 @@
         Reads that the platform takes from all daemons together.
     platform_writes_per_s
         Changes that the platform takes from all daemons together.
+    cores
+        Processor cores that the host gives the daemon.
     first_start
         Whether the whole deployment starts for the first time.
     bounds
@@ -70,6 +75,7 @@
     platform_address: Address
     platform_reads_per_s: float = field(validator=_POSITIVE)
     platform_writes_per_s: float = field(validator=_POSITIVE)
+    cores: float = field(default=1, validator=_POSITIVE)
     first_start: bool = False
     bounds: ServingBounds = ServingBounds()
     log_level: str = 'INFO'
