Serve counters and latency histograms of requests on routes

Cause: a daemon on the users' platform told nothing of itself but log lines, which are now a sample in a flood.

Before and after: nothing was served; test_serving_metrics reads the series. Its memory was not measured by itself.

Conclusion: rates and latencies no longer depend on log lines.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -11,6 +11,7 @@
 from cowslipstep.delivery import combine_tries, may_resume, may_retry
 from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
+from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._sending import Piece, UpstreamSender
 from cowslipstep.serving._serving_run import ServingRun, start_run
 from cowslipstep.serving._state import ServingState
@@ -34,10 +35,13 @@
     ----------
     state
         State of the daemon.
+    metrics
+        Counts how requests end.
     """
 
-    def __init__(self, state: ServingState) -> None:
+    def __init__(self, state: ServingState, metrics: RequestMetrics) -> None:
         self._state = state
+        self._metrics = metrics
         self._targets = TargetChoice(state)
         self._sender = UpstreamSender(state)
 
@@ -59,6 +63,10 @@
         run = start_run(table.route(request), arrived_s)
         self._state.retries(run.routed.service).add_first_try()
         self._targets.note_demand(run)
+        with self._metrics.followed(run):
+            yield from self._tries(run)
+
+    def _tries(self, run: ServingRun) -> Iterator[Piece]:
         while True:
             target = self._next_target(run)
             run.tries += 1
@@ -113,6 +121,7 @@
     ) -> None:
         name = target.runner.name
         run.note_failure(name, failure.verdict)
+        self._metrics.note_failure(run, failure)
         self._state.suspicions.strike(name, failure.verdict.reason)
         logger.bind(
             request_id=run.routed.request.request_id,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_front.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_front.py
@@ -23,6 +23,7 @@
 from cowslipstep.fleet import AnswerHead, CallerRequest, Header
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.serving._delivery import RouteDelivery
+from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._state import ServingState
 
 _OK = 200
@@ -59,12 +60,14 @@
     ----------
     state
         State of the daemon.
+    metrics
+        Counts how requests end.
     """
 
-    def __init__(self, state: ServingState) -> None:
+    def __init__(self, state: ServingState, metrics: RequestMetrics) -> None:
         self._state = state
         self._dialect = state.dialects.requests
-        self._delivery = RouteDelivery(state)
+        self._delivery = RouteDelivery(state, metrics)
 
     def __call__(
         self,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_sending.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_sending.py
@@ -51,7 +51,7 @@
             head = self._dialect.answer(sent, answer.status, answer.headers)
             _check(head)
             waiting.close()
-            if run.streaming and head.succeeded:
+            if run.routed.route.streaming and head.succeeded:
                 yield from self._stream(run, target, head, answer)
             else:
                 yield from _whole(run, head, answer)
@@ -90,7 +90,7 @@
             piece = answer.read_piece(self._silence_s(run))
         _check_end(run)
         if not run.begun:
-            run.begun = True
+            run.begin()
             yield head
 
     def _silence_s(self, run: ServingRun) -> float:
@@ -126,7 +126,7 @@
     if not whole:
         return
     if not run.begun:
-        run.begun = True
+        run.begin()
         yield head
     yield whole
 
@@ -165,7 +165,7 @@
             MayHaveRun(Reason.upstream_failed),
             f'the stream was not resumed: status {head.status}',
         )
-    run.begun = True
+    run.begin()
     length = ('Content-Length', str(len(body)))
     yield evolve(head, headers=(*head.headers, length))
     yield body
--- a/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_run.py
@@ -8,7 +8,6 @@
 
 from cowslipstep.daemon._streams import StreamProgress
 from cowslipstep.delivery import combine_tries
-from cowslipstep.fleet import RequestKind
 from cowslipstep.model import MayHaveRun, NotRun
 from cowslipstep.routing import RoutedRequest
 
@@ -31,8 +30,9 @@
         Upstreams that failed it.
     verdict
         What is known over all tries; ``None`` before the first failure.
-    begun
-        Whether the caller was sent a part of the answer.
+    begun_s
+        Clock reading at which the caller was sent the first part of the
+        answer; zero before.
     progress
         What was passed on of a stream.
     """
@@ -44,7 +44,7 @@
     avoided: set[str] = field(factory=set)
     tries: int = 0
     verdict: NotRun | MayHaveRun | None = None
-    begun: bool = False
+    begun_s: float = 0
     progress: StreamProgress = field(factory=StreamProgress)
 
     @property
@@ -52,6 +52,11 @@
         """Reading of the clock by which the times are told."""
         return time.monotonic()
 
+    @property
+    def begun(self) -> bool:
+        """Whether the caller was sent a part of the answer."""
+        return self.begun_s > 0
+
     @property
     def remaining_s(self) -> float:
         """Time that is left."""
@@ -62,17 +67,16 @@
         """Whether no time is left."""
         return self.remaining_s <= 0
 
-    @property
-    def streaming(self) -> bool:
-        """Whether the answer is a stream of events."""
-        return self.routed.route.kind is RequestKind.streaming
-
     @property
     def last_event_id(self) -> str:
         """Event after which the next try goes on."""
         passed_on = self.progress.last_id.decode()
         return passed_on or self.routed.request.last_event_id
 
+    def begin(self) -> None:
+        """Note that the caller is sent the first part of the answer."""
+        self.begun_s = self.now_s
+
     def note_failure(self, name: str, verdict: NotRun | MayHaveRun) -> None:
         """Note what became of a try at an upstream."""
         self.avoided.add(name)
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_serving_metrics.py
@@ -0,0 +1,67 @@
+"""Counters and histograms of requests on routes."""
+
+from __future__ import annotations
+
+import pytest
+
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.fleet import Backend, CallerRequest, RequestKind, Route
+from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
+from cowslipstep.routing import RoutedRequest
+from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._serving_run import ServingRun
+
+ROUTE = Route(
+    'quotes',
+    'orders.example',
+    '/quotes/',
+    RequestKind.idempotent,
+    (Backend('drafting'),),
+    timeout_s=6,
+    objective_s=0.25,
+)
+REQUEST = CallerRequest('r1', 'orders.example', 'GET', '/quotes/', (), b'')
+
+
+@pytest.fixture(name='run')
+def run_fixture() -> ServingRun:
+    return ServingRun(
+        RoutedRequest(REQUEST, ROUTE, 'firm', 0, 'drafting'), 1, 9
+    )
+
+
+def test_answered_request_is_counted_and_timed(run: ServingRun) -> None:
+    metrics = RequestMetrics()
+    with metrics.followed(run):
+        run.tries = 2
+        run.begun_s = 1.5
+    text = '\n'.join(metrics.render())
+    labels = 'outcome="completed",rank="0",service="drafting"'
+    assert f'requests_total{{{labels}}} 1' in text
+    assert f'cowslipstep_tries_total{{{labels}}} 2' in text
+    count = 'first_piece_seconds_count{workspace="firm",rank="0"} 1'
+    assert count in text
+
+
+def test_refused_request_tells_its_reason(run: ServingRun) -> None:
+    metrics = RequestMetrics()
+    with pytest.raises(RequestError), metrics.followed(run):
+        raise RequestError(NotRun(Reason.queue_full), 'not run', 503)
+    text = '\n'.join(metrics.render())
+    assert 'outcome="queue_full"' in text
+    assert '_seconds' not in text
+
+
+def test_caller_that_hangs_up_is_no_failure(run: ServingRun) -> None:
+    metrics = RequestMetrics()
+    with pytest.raises(GeneratorExit), metrics.followed(run):
+        raise GeneratorExit
+    assert 'outcome="hung_up"' in '\n'.join(metrics.render())
+
+
+def test_failed_try_is_counted(run: ServingRun) -> None:
+    metrics = RequestMetrics()
+    failure = UpstreamFailure(MayHaveRun(Reason.upstream_cut), 'reset')
+    metrics.note_failure(run, failure)
+    text = '\n'.join(metrics.render())
+    assert 'failed_tries_total{reason="upstream_cut"' in text
--- a/libs/fleet/src/cowslipstep/fleet/_routes.py
+++ b/libs/fleet/src/cowslipstep/fleet/_routes.py
@@ -76,6 +76,11 @@
     resumable: bool = False
     max_gap_s: float = 0
 
+    @property
+    def streaming(self) -> bool:
+        """Whether answers are streams of events."""
+        return self.kind is RequestKind.streaming
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/libs/routing/src/cowslipstep/routing/_own_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_own_loads.py
@@ -32,6 +32,11 @@
         self._requests: Counter[str] = Counter()
         self._waiting: Counter[tuple[str, int]] = Counter()
 
+    @property
+    def requests(self) -> int:
+        """Requests in progress at all upstreams."""
+        return self._requests.total()
+
     @contextlib.contextmanager
     def counted(self, upstream: str) -> Iterator[None]:
         """Count a request as in progress while the context lasts."""
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -56,6 +56,8 @@
         Reads that the platform takes from all daemons together.
     platform_writes_per_s
         Changes that the platform takes from all daemons together.
+    metrics_address
+        Where metrics are served; ``None`` for nowhere.
     cores
         Processor cores that the host gives the daemon.
     first_start
@@ -75,6 +77,7 @@
     platform_address: Address
     platform_reads_per_s: float = field(validator=_POSITIVE)
     platform_writes_per_s: float = field(validator=_POSITIVE)
+    metrics_address: Address | None = None
     cores: float = field(default=1, validator=_POSITIVE)
     first_start: bool = False
     bounds: ServingBounds = ServingBounds()
