Tell the story of a request from log lines

Cause: on the users' platform no status is written, so explain request knew nothing of a failed request there, and an engineer had to grep and sort.

Before and after: exit 4 without the product's own statuses; test_explain_logs tells the story of a refused request with its cause.

Conclusion: one command goes from id to cause as long as lines are kept.

--- a/apps/cowslipstep/src/cowslipstep/cli/_explain.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_explain.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from typing import Annotated
 
+import click
 import typer
 
 from cowslipstep.cli._explain_config import explain_config
 from cowslipstep.cli._explain_groups import explain_group, explain_host
+from cowslipstep.cli._explain_logs import explain_from_logs
 from cowslipstep.cli._explain_request import explain_request
 from cowslipstep.cli._explanations import Explanation
-from cowslipstep.cli._exits import ExitCode
+from cowslipstep.cli._exits import ExitCode, WrongUse
 from cowslipstep.cli._options import (
     DEFAULT_PLATFORM,
     JsonOption,
@@ -19,6 +22,14 @@
 )
 from cowslipstep.cli._output import print_json, print_lines
 
+LogsOption = Annotated[
+    list[str] | None,
+    typer.Option(
+        '--logs',
+        metavar='FILE',
+        help='log lines of daemons; - for standard input; may be repeated',
+    ),
+]
 NameArgument = Annotated[str, typer.Argument(metavar='NAME')]
 
 explain = typer.Typer(
@@ -67,17 +78,25 @@
 def request(
     name: NameArgument,
     platform: PlatformOption = DEFAULT_PLATFORM,
+    logs: LogsOption = None,
     *,
     as_json: JsonOption = False,
 ) -> None:
-    """Say why a request was refused, or is uncertain, by its X-Request-Id.
+    """Say why a request was refused, or is uncertain, by its id.
+
+    With --logs its story is told from the log lines of the daemons, and
+    the platform is not asked.
 
     Exit codes: 0 known, 1 not among the refused and uncertain requests in
-    the status objects, 4 platform does not answer.
+    the status objects or not in the logs, 4 platform does not answer.
 
-    Example: cowslipstep explain request 1f0c...
+    Example: cowslipstep explain request 1f0c... --logs d1.log --logs d2.log
     """
-    _show(explain_request(connect(platform), name), as_json=as_json)
+    if logs:
+        explanation = explain_from_logs(_read_lines(logs), name)
+    else:
+        explanation = explain_request(connect(platform), name)
+    _show(explanation, as_json=as_json)
 
 
 @explain.command()
@@ -97,6 +116,16 @@
     _show(explain_config(connect(platform), name), as_json=as_json)
 
 
+def _read_lines(paths: Iterable[str]) -> Iterator[str]:
+    for path in paths:
+        try:
+            # Standard input for a dash, as in other tools.
+            with click.open_file(path, errors='replace') as stream:
+                yield from stream
+        except OSError as error:
+            raise WrongUse(f'--logs: {path}: {error.strerror}') from None
+
+
 def _show(explanation: Explanation, *, as_json: bool) -> None:
     if as_json:
         print_json(explanation)
