Know the other daemons before asking for what a relay tells; log each try

Cause: until a daemon knew the others it watched runners and looked for the lease like a relay, 85 at once at a start.

Ruled out: a longer pause between watches (a small deployment needs them short).

Change: the registry is first read 0.6 s after the start, when all that start together have registered; until then a daemon lists runners and configuration once and waits. A line tells of each try with what decided it; lines carry the daemon's name. Relays and their followers report every 0.2 s, since decoding a relay's report of all upstreams is the largest cost of a follower.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -31,6 +31,8 @@
 _RUNNERS_PAUSE_S = 0.3
 _CONFIGURATION_PAUSE_S = 0.3
 _DAEMONS_PAUSE_S = 1
+# Daemons that start together have registered by then.
+_REGISTRATION_S = 0.6
 
 
 def start_daemon(state: ServingState) -> CallerServer:
@@ -91,14 +93,18 @@
             state.platform,
             DAEMONS_KIND,
             registry,
-            pace(lambda: _DAEMONS_PAUSE_S),
+            WatchPace(
+                lambda: _DAEMONS_PAUSE_S,
+                lambda: state.role.known and state.role.fed,
+                _REGISTRATION_S,
+            ),
         ),
     )
     for watch in watches:
         start_task(f'watch of {watch.kind}', watch.run)
     start_task(
         'registration',
-        lambda: register_daemon(state.platform, registry.own),
+        lambda: register_daemon(state.platform, state.own_entry),
     )
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery.py
@@ -5,13 +5,13 @@
 from collections.abc import Iterator
 
 import eventlet
-from loguru import logger
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.delivery import combine_tries, may_resume, may_retry
 from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._request_log import log_failure, log_try
 from cowslipstep.serving._sending import Piece, UpstreamSender
 from cowslipstep.serving._serving_run import ServingRun, start_run
 from cowslipstep.serving._state import ServingState
@@ -70,6 +70,7 @@
         while True:
             target = self._next_target(run)
             run.tries += 1
+            log_try(self._state, run, target)
             try:
                 yield from self._sender.send(run, target)
             except UpstreamFailure as failure:
@@ -123,15 +124,7 @@
         run.note_failure(name, failure.verdict)
         self._metrics.note_failure(run, failure)
         self._state.suspicions.strike(name, failure.verdict.reason)
-        logger.bind(
-            request_id=run.routed.request.request_id,
-            upstream=name,
-            verdict=failure.verdict.code,
-            reason=failure.verdict.reason.value,
-            begun=run.begun,
-            expected_s=round(target.expected_s, 3),
-            elapsed_s=round(run.now_s - run.arrived_s, 3),
-        ).info('try failed: {}', failure)
+        log_failure(run, target, failure)
 
 
 def _end(run: ServingRun) -> RequestError:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -49,10 +49,13 @@
         at once.
     is_fed
         Whether a peer tells of changes, so that no watch is needed.
+    start_s
+        Wait before the first list.
     """
 
     pause_s: Callable[[], float]
     is_fed: Callable[[], bool]
+    start_s: float = 0
 
 
 class KindWatch:
@@ -91,6 +94,7 @@
 
     def run(self) -> None:
         """Follow until the task is ended."""
+        eventlet.sleep(self._pace.start_s)
         while True:
             while self._listed and self._pace.is_fed():
                 eventlet.sleep(_REST_S)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_links.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_links.py
@@ -33,6 +33,8 @@
 
     Parameters
     ----------
+    own
+        Entry of this daemon, which is told first on each link.
     registry
         The other daemons.
     traffic
@@ -43,11 +45,13 @@
 
     def __init__(
         self,
+        own: DaemonEntry,
         registry: DaemonRegistry,
         traffic: Traffic,
         tell: TellPeer,
     ) -> None:
         self._registry = registry
+        self._own = own
         self._traffic = traffic
         self._tell = tell
         self._peers: dict[str, _Peer] = {}
@@ -67,9 +71,7 @@
             self._peers[missing] = self._open(others[missing])
 
     def _open(self, entry: DaemonEntry) -> _Peer:
-        link = PeerLink(
-            Callee(entry.address, self._registry.own, self._traffic),
-        )
+        link = PeerLink(Callee(entry.address, self._own, self._traffic))
         tasks = [
             start_task(f'link to {entry.name}', link.run),
             start_task(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -15,7 +15,7 @@
 )
 from cowslipstep.model.loads import LoadReport, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable, Reply, Traffic
-from cowslipstep.routing import Relay
+from cowslipstep.routing import MeshMember, Relay, Role
 from cowslipstep.serving._catching_up import CatchingUp
 from cowslipstep.serving._peer_links import PeerLinks
 from cowslipstep.serving._registry import DaemonRegistry
@@ -26,6 +26,9 @@
 # A choice of a group by counts of this age collides rarely at the rates
 # of one daemon.
 _REPORT_S = 0.08
+# A relay's report tells of all upstreams, so that reading it costs more; by
+# this age few requests have gone to the same one of many groups.
+_RELAYED_REPORT_S = 0.2
 # Without any news a report still shows that the daemon lives.
 _IDLE_REPORT_S = 0.4
 
@@ -59,7 +62,12 @@
         self._count = 0
         self._catching_up = CatchingUp(state)
         self._traffic = Traffic()
-        self._links = PeerLinks(registry, self._traffic, self._tell_all)
+        self._links = PeerLinks(
+            state.own_entry,
+            registry,
+            self._traffic,
+            self._tell_all,
+        )
 
     @property
     def traffic(self) -> Traffic:
@@ -88,7 +96,7 @@
 
     def _take_report(self, report: LoadReport) -> None:
         if self._state.role.hear(report):
-            self._state.loads.note_only(report)
+            self._state.loads.note(report, alone=True)
         elif not self._state.role.fed:
             self._state.loads.note(report)
         link = self._links.get(report.daemon)
@@ -100,17 +108,19 @@
         told: LoadReport | None = None
         idle_s: float = 0
         while True:
-            eventlet.sleep(_REPORT_S)
-            idle_s += _REPORT_S
+            period_s = _period_s(self._state.role.current)
+            eventlet.sleep(period_s)
+            idle_s += period_s
             report = self._reports.for_peer(name)
             if idle_s >= _IDLE_REPORT_S or is_news(told, report):
                 told = report if _is_told(link, report) else None
                 idle_s = 0
 
     def _follow_registry(self) -> None:
+        if not self._registry.known:
+            return
         others = self._registry.others
-        # Without others the registry may just not be known yet.
-        if others and len(others) + 1 != self._count:
+        if len(others) + 1 != self._count:
             self._count = len(others) + 1
             self._on_count(self._count)
         if self._state.role.choose(others.values()):
@@ -120,6 +130,14 @@
             )
 
 
+def _period_s(role: Role) -> float:
+    match role:
+        case MeshMember():
+            return _REPORT_S
+        case _:
+            return _RELAYED_REPORT_S
+
+
 def _wanted(state: ServingState) -> set[str]:
     """Return the daemons that are told of loads."""
     role = state.role.current
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
@@ -21,11 +21,12 @@
     def __init__(self, own: DaemonEntry) -> None:
         self._own = own
         self._others: dict[str, DaemonEntry] = {}
+        self._known = False
 
     @property
-    def own(self) -> DaemonEntry:
-        """The entry of this daemon."""
-        return self._own
+    def known(self) -> bool:
+        """Whether the entries were read at least once."""
+        return self._known
 
     @property
     def others(self) -> dict[str, DaemonEntry]:
@@ -34,6 +35,7 @@
 
     def replace(self, page: ObjectPage) -> None:
         """Take all entries."""
+        self._known = True
         self._others.clear()
         for stored in page.stored:
             self._take(stored)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_relay_role.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_relay_role.py
@@ -36,6 +36,7 @@
             time.monotonic(),
         )
         self._role: Role = MeshMember(frozenset())
+        self._known = False
         self._fed_s: float = 0
 
     @property
@@ -43,9 +44,19 @@
         """The role, as last chosen."""
         return self._role
 
+    @property
+    def known(self) -> bool:
+        """Whether the other daemons are known."""
+        return self._known
+
     @property
     def fed(self) -> bool:
-        """Whether a relay tells what the platform would be asked for."""
+        """Whether a relay tells what the platform would be asked for.
+
+        A daemon that does not know the others yet waits for a relay.
+        """
+        if not self._known:
+            return True
         match self._role:
             case Follower():
                 return time.monotonic() - self._fed_s < _UNFED_S
@@ -57,7 +68,8 @@
         before = self._role
         now_s = time.monotonic()
         self._role = self._choice.role(others, now_s)
-        changed = not isinstance(self._role, type(before))
+        changed = not (self._known and isinstance(self._role, type(before)))
+        self._known = True
         if changed:
             # Its relay has some time to be heard.
             self._fed_s = now_s
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -53,6 +53,14 @@
         """The newest report of each peer that is not too old."""
         return self.recent(REPORT_LIFETIME_S)
 
+    @property
+    def oldest_s(self) -> float:
+        """Age of the oldest report that counts; zero without any."""
+        now_s = self._clock()
+        ages_s = (now_s - heard.heard_s for heard in self._heard.values())
+        counted = (age_s for age_s in ages_s if age_s <= REPORT_LIFETIME_S)
+        return max(counted, default=0)
+
     def recent(self, age_s: float) -> tuple[LoadReport, ...]:
         """Return the newest report of each peer, if it is not older."""
         oldest_s = self._clock() - age_s
@@ -62,16 +70,13 @@
             if heard.heard_s >= oldest_s
         )
 
-    def note(self, report: LoadReport) -> None:
-        """Replace what a peer has told before."""
+    def note(self, report: LoadReport, *, alone: bool = False) -> None:
+        """Replace what a peer, or if ``alone`` any peer, has told before."""
+        if alone:
+            self._heard.clear()
         loads = {load.upstream: load for load in report.loads}
         self._heard[report.daemon] = _Heard(report, loads, self._clock())
 
-    def note_only(self, report: LoadReport) -> None:
-        """Replace what all peers have told: the report holds all of it."""
-        self._heard.clear()
-        self.note(report)
-
     def total(self, upstream: str) -> UpstreamLoad:
         """Return the requests in progress at an upstream, over all daemons."""
         oldest_s = self._clock() - REPORT_LIFETIME_S
