--- a/apps/cowslipstepd/src/cowslipstep/daemon/_past_prefixes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_past_prefixes.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Iterable, Iterator
 from typing import Any
 
 import urllib3
+from loguru import logger
 
 from cowslipstep.model import Address
 from cowslipstep.routing import GroupSlots, PrefixMap
@@ -26,9 +26,17 @@
     """
     http = urllib3.PoolManager(retries=False)
     for group in groups:
-        with contextlib.suppress(urllib3.exceptions.HTTPError, ValueError):
-            for prefix_hash in parse_prefixes(_events(http, group.address)):
-                prefixes.hint(prefix_hash, group.group)
+        for prefix_hash in _read(http, group.address):
+            prefixes.hint(prefix_hash, group.group)
+
+
+def _read(http: urllib3.PoolManager, address: Address) -> list[int]:
+    try:
+        return list(parse_prefixes(_events(http, address)))
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        # Without hints prompts are only read again.
+        logger.info('cache events of {} not read: {!r}', address, error)
+        return []
 
 
 def parse_prefixes(events: Any) -> Iterator[int]:
