--- a/apps/cowslipstepd/tests/test_serving_knowledge.py
+++ b/apps/cowslipstepd/tests/test_serving_knowledge.py
@@ -5,15 +5,13 @@
 import json
 
 import pytest
+from _route_cases import ROUTE
 
 from cowslipstep.fleet import (
-    Backend,
     CallerLimits,
     CallerRequest,
     DiscoveredRunner,
     KeyHolder,
-    RequestKind,
-    Route,
     ServingConfiguration,
 )
 from cowslipstep.model import Address, DocumentError, Reason, RequestError
@@ -33,15 +31,6 @@
 
 LIMITS = CallerLimits(1000)
 DOCUMENT_B = RunnerDocument('b', 'drafting')
-ROUTE = Route(
-    'quotes',
-    'orders.example',
-    '/quotes/',
-    RequestKind.idempotent,
-    (Backend('drafting'),),
-    timeout_s=6,
-    objective_s=0.25,
-)
 
 
 class Clock:
--- a/apps/cowslipstepd/tests/test_serving_metrics.py
+++ b/apps/cowslipstepd/tests/test_serving_metrics.py
@@ -3,23 +3,15 @@
 from __future__ import annotations
 
 import pytest
+from _route_cases import ROUTE
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
-from cowslipstep.fleet import Backend, CallerRequest, RequestKind, Route
+from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.routing import RoutedRequest
 from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._serving_run import ServingRun
 
-ROUTE = Route(
-    'quotes',
-    'orders.example',
-    '/quotes/',
-    RequestKind.idempotent,
-    (Backend('drafting'),),
-    timeout_s=6,
-    objective_s=0.25,
-)
 REQUEST = CallerRequest('r1', 'orders.example', 'GET', '/quotes/', (), b'')
 
 
