Serve metrics last, and go on without them if their port is taken

Change: metrics are the last to listen; an address that is taken leaves a warning.

Before and after: ListenError ended the daemon; the test goes on.

Conclusion: figures never stand in the way of requests.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -14,7 +14,11 @@
 from cowslipstep.serving._front import CallerFront, ReadinessFront
 from cowslipstep.serving._keeper import GroupKeeper
 from cowslipstep.serving._kind_watch import KindWatch, WatchPace
-from cowslipstep.serving._metrics import MetricsFront, RequestMetrics
+from cowslipstep.serving._metrics import (
+    MetricsFront,
+    RequestMetrics,
+    serve_metrics,
+)
 from cowslipstep.serving._peers import PeerReports
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registration import (
@@ -117,16 +121,12 @@
     )
     balancer.start()
     metrics = RequestMetrics()
-    if settings.metrics_address is not None:
-        CallerServer(
-            listen_http(settings.metrics_address),
-            MetricsFront(state, metrics),
-            bool,
-        ).start()
     callers = CallerServer(
         listen_http(settings.caller_address),
         CallerFront(state, metrics),
         lambda: state.stopping,
     )
     callers.start()
+    # Last, so that it never takes an address that callers need.
+    serve_metrics(MetricsFront(state, metrics), settings.metrics_address)
     return callers
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -6,11 +6,14 @@
 from collections.abc import Iterable, Iterator
 
 from eventlet import sleep
+from loguru import logger
 
 from cowslipstep.daemon._http import Environ, StartResponse, status_line
+from cowslipstep.daemon._listening import ListenError, listen_http
+from cowslipstep.daemon._server import CallerServer
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.metrics import CounterKey, Counters, Gauges, Histograms, Series
-from cowslipstep.model import RequestError
+from cowslipstep.model import Address, RequestError
 from cowslipstep.serving._serving_run import ServingRun
 from cowslipstep.serving._state import ServingState
 
@@ -125,3 +128,16 @@
         for name, figure in figures.items():
             gauges.set(CounterKey(name), figure)
         return gauges
+
+
+def serve_metrics(front: MetricsFront, address: Address | None) -> None:
+    """Serve metrics on an address; without one that is free, go on."""
+    if address is None:
+        return
+    try:
+        listener = listen_http(address)
+    except ListenError as error:
+        # Requests are worth more than figures on them.
+        logger.warning('metrics are not served: {}', error)
+        return
+    CallerServer(listener, front, bool).start()
--- a/apps/cowslipstepd/tests/test_serving_metrics.py
+++ b/apps/cowslipstepd/tests/test_serving_metrics.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import socket
+from typing import Any
+
 import pytest
 from _route_cases import ROUTE
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import CallerRequest
-from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
+from cowslipstep.model import Address, MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.routing import RoutedRequest
-from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._metrics import RequestMetrics, serve_metrics
 from cowslipstep.serving._serving_run import ServingRun
 
 REQUEST = CallerRequest('r1', 'orders.example', 'GET', '/quotes/', (), b'')
@@ -57,3 +60,11 @@
     metrics.note_failure(run, failure)
     text = '\n'.join(metrics.render())
     assert 'failed_tries_total{reason="upstream_cut"' in text
+
+
+def test_taken_address_does_not_end_the_daemon() -> None:
+    unused: Any = None
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        port = taken.getsockname()[1]
+        serve_metrics(unused, Address('127.0.0.1', port))
+        serve_metrics(unused, None)
