Render metrics in one place; let peers use the count that the state holds

The serving daemon's metrics repeated the slow rendering of histograms and the answer's headers of the product's daemon; both use daemon/_metrics_text now. The number of daemons was kept twice, beside a callback that passed it on; the state alone holds it.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+import itertools
+from collections.abc import Iterable
 
 from attrs import asdict
-from eventlet import sleep
 
 from cowslipstep.daemon._http import JsonAnswer, StartResponse
+from cowslipstep.daemon._metrics_text import render_slowly, send_lines
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.metrics import CounterKey, Histograms
+from cowslipstep.metrics import CounterKey
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -25,26 +26,18 @@
     return JsonAnswer(_OK if state.ready else _UNAVAILABLE, document)
 
 
-def _render_slowly(histograms: Histograms) -> Iterator[str]:
-    for text in histograms.render():
-        yield text
-        # Finding the quantiles of all series at once would hold up streams.
-        sleep(0)
-
-
 def send_metrics(
     start_response: StartResponse,
     state: DaemonState,
 ) -> Iterable[bytes]:
     """Answer with all metrics in the text format of Prometheus."""
-    start_response('200 OK', [('Content-Type', 'text/plain; version=0.0.4')])
     _gauge_daemon(state)
-    lines = [
-        *state.counters.render(),
-        *state.gauges.render(),
-        *_render_slowly(state.histograms),
-    ]
-    return [f'{line}\n'.encode() for line in lines]
+    lines = itertools.chain(
+        state.counters.render(),
+        state.gauges.render(),
+        render_slowly(state.histograms),
+    )
+    return send_lines(start_response, lines)
 
 
 def _gauge_daemon(state: DaemonState) -> None:
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_metrics_text.py
@@ -0,0 +1,27 @@
+"""Metrics as text in the format of Prometheus."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from eventlet import sleep
+
+from cowslipstep.daemon._http import StartResponse
+from cowslipstep.metrics import Histograms
+
+
+def render_slowly(histograms: Histograms) -> Iterator[str]:
+    """Yield the text of all histograms; other tasks run in between."""
+    for text in histograms.render():
+        yield text
+        # Finding the quantiles of all series at once would hold up streams.
+        sleep(0)
+
+
+def send_lines(
+    start_response: StartResponse,
+    lines: Iterable[str],
+) -> Iterable[bytes]:
+    """Answer with lines of metrics."""
+    start_response('200 OK', [('Content-Type', 'text/plain; version=0.0.4')])
+    return [f'{line}\n'.encode() for line in lines]
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -51,10 +51,7 @@
     reachability = Reachability(state)
     demand = DemandWatch(state)
     reports = ReportMaker(state, demand, reachability)
-    _start_peers(
-        state,
-        PeerReports(state, registry, reports, state.share_limits),
-    )
+    _start_peers(state, PeerReports(state, registry, reports))
     _start_watches(state, registry)
     start_task('reachability', reachability.run)
     views = FleetViews(state, demand, reachability)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from collections.abc import Iterable, Iterator
 
-from eventlet import sleep
 from loguru import logger
 
 from cowslipstep.daemon._http import Environ, StartResponse, status_line
 from cowslipstep.daemon._listening import ListenError, listen_http
+from cowslipstep.daemon._metrics_text import render_slowly, send_lines
 from cowslipstep.daemon._server import CallerServer
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.metrics import CounterKey, Counters, Gauges, Histograms, Series
@@ -17,7 +18,6 @@
 from cowslipstep.serving._serving_run import ServingRun
 from cowslipstep.serving._state import ServingState
 
-_OK = 200
 _NOT_FOUND = 404
 _PATH = '/metrics'
 _COMPLETED = 'completed'
@@ -58,10 +58,7 @@
     def render(self) -> Iterator[str]:
         """Yield lines in the text format of Prometheus."""
         yield from self._counters.render()
-        for text in self._histograms.render():
-            yield text
-            # Finding the quantiles of all series at once holds up streams.
-            sleep(0)
+        yield from render_slowly(self._histograms)
 
     def _note_end(self, run: ServingRun, outcome: str) -> None:
         routed = run.routed
@@ -105,12 +102,11 @@
         if environ['PATH_INFO'] != _PATH:
             start_response(status_line(_NOT_FOUND), [('Content-Length', '0')])
             return [b'']
-        start_response(
-            status_line(_OK),
-            [('Content-Type', 'text/plain; version=0.0.4')],
+        lines = itertools.chain(
+            self._requests.render(),
+            self._gauges().render(),
         )
-        lines = [*self._requests.render(), *self._gauges().render()]
-        return [f'{line}\n'.encode() for line in lines]
+        return send_lines(start_response, lines)
 
     def _gauges(self) -> Gauges:
         state = self._state
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import eventlet
 from loguru import logger
 
@@ -46,8 +44,6 @@
         The other daemons.
     reports
         Makes the reports of this daemon.
-    on_count
-        Called with the number of daemons when it has changed.
     """
 
     def __init__(
@@ -55,13 +51,10 @@
         state: ServingState,
         registry: DaemonRegistry,
         reports: ReportMaker,
-        on_count: Callable[[int], None],
     ) -> None:
         self._state = state
         self._registry = registry
         self._reports = reports
-        self._on_count = on_count
-        self._count = 0
         self._catching_up = CatchingUp(state)
         self._traffic = Traffic()
         self._links = PeerLinks(
@@ -123,11 +116,10 @@
         if not self._registry.known:
             return
         others = self._registry.others
-        if len(others) + 1 != self._count:
-            self._count = len(others) + 1
-            self._on_count(self._count)
+        if len(others) + 1 != self._state.daemons:
+            self._state.share_limits(len(others) + 1)
         if self._state.role.choose(others.values()):
-            logger.bind(daemons=self._count).info(
+            logger.bind(daemons=self._state.daemons).info(
                 'reports loads as {}',
                 type(self._state.role.current).__name__,
             )
