Begin a scenario on orders only once the platform answers each daemon

Cause: the scenario before it takes the platform down. A daemon whose calls failed three times backs off for up to 2 s, and refuses orders meanwhile (platform_down, Retry-After 1). Where that outage took long enough on a busy machine, the next scenario began within the back-off of its daemons.

Ruled out: a wrong verdict. The refusals are true and say when to come back. Waiting for readiness did not help: daemons are ready without the platform. An order through each daemon as the sign (tried) is none either: another daemon may have written it, and its answer's write was taken for the claim that another scenario waits for.

Change: the clean-up after each scenario waits until the platform has answered each daemon anew. No check is changed.

Conclusion: the test began too early, the daemons were right.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -22,7 +22,10 @@
 from cowslipstep_standins._outcomes import Call, Outcome
 from cowslipstep_standins._plan import FleetShape
 from cowslipstep_standins._processes import LocalProcess, wait_until
-from cowslipstep_standins._records import service_calls
+from cowslipstep_standins._records import (
+    service_calls,
+    wait_platform_answers,
+)
 
 scenarios('orders.feature')
 
@@ -103,6 +106,7 @@
         if not order_fleet.daemon(daemon.name).running:
             order_fleet.start_daemon(daemon.name)
     order_fleet.wait_serving()
+    wait_platform_answers(order_fleet)
 
 
 def set_runners(fleet: LocalFleet, faults: dict) -> None:
