Read the cache events of each group once a cell comes to a daemon

Cause: a daemon read the groups' cache events only once, when its dispatcher of the cell was made. It was never read again where the daemon had answered for the cell before (its owner late for a moment), and a group that it heard of after its first request was left out. Both lead to the missing reads.

Ruled out: a read that timed out; the engine counts it when it comes. Not shown: which of the two it was in the run that failed (no logs of it).

Change: PastPrefixes follows the groups of a cell; each is read once in a spell of ownership.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
@@ -5,9 +5,10 @@
 import time
 
 import eventlet
+from attrs import define
 
 from cowslipstep.daemon._cell_views import cell_policy, group_slots
-from cowslipstep.daemon._past_prefixes import read_past_prefixes
+from cowslipstep.daemon._past_prefixes import PastPrefixes
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.metrics import CounterKey
 from cowslipstep.model import Ask, Cell, Release, Renewal
@@ -16,12 +17,21 @@
     DispatcherLoad,
     PrefixMap,
     ReplyToAsk,
+    rank_owners,
 )
 
 _UPDATE_PERIOD_S = 0.1
 _LEARNING_S = 1.5
 
 
+@define(frozen=True)
+class _ServedCell:
+    """Dispatcher of a cell, and the reading of what its groups cached."""
+
+    dispatcher: Dispatcher
+    past: PastPrefixes
+
+
 class CellService:
     """Serves asks of the own cells.
 
@@ -36,14 +46,14 @@
     def __init__(self, state: DaemonState, *, local: bool = False) -> None:
         self._state = state
         self._local = local
-        self._dispatchers: dict[Cell, Dispatcher] = {}
+        self._served: dict[Cell, _ServedCell] = {}
 
     def run(self) -> None:
         """Bring the dispatchers up to date until the task ends."""
         while True:
-            for cell in tuple(self._dispatchers):
+            for cell, served in tuple(self._served.items()):
                 self._update(cell)
-                _show(cell, self._dispatchers[cell].load, self._state)
+                _show(cell, served.dispatcher.load, self._state)
             eventlet.sleep(_UPDATE_PERIOD_S)
 
     def submit(self, ask: Ask, reply: ReplyToAsk) -> None:
@@ -59,39 +69,34 @@
         self._dispatcher(release.cell).release(release)
 
     def _dispatcher(self, cell: Cell) -> Dispatcher:
-        if cell not in self._dispatchers:
+        if cell not in self._served:
             learning_s = _LEARNING_S if len(self._state.live_daemons) > 1 else 0
             prefixes = PrefixMap()
-            self._dispatchers[cell] = Dispatcher(
-                time.monotonic,
-                learning_s,
-                prefixes,
+            self._served[cell] = _ServedCell(
+                Dispatcher(time.monotonic, learning_s, prefixes),
+                PastPrefixes(prefixes),
             )
             self._update(cell)
-            if not self._local:
-                eventlet.spawn_n(_learn_prefixes, cell, self._state, prefixes)
-        return self._dispatchers[cell]
+        return self._served[cell].dispatcher
 
     def _update(self, cell: Cell) -> None:
         configuration = self._state.configuration
         if configuration is None:
             return
+        served = self._served[cell]
         sharing = len(self._state.live_daemons) if self._local else 1
-        self._dispatchers[cell].update(
+        groups = tuple(group_slots(cell, self._state, configuration, sharing))
+        served.dispatcher.update(
             cell_policy(cell, self._state, configuration, sharing),
-            group_slots(cell, self._state, configuration, sharing),
+            groups,
         )
+        if not self._local:
+            served.past.follow(groups, owned=_owns(self._state, cell))
 
 
-def _learn_prefixes(
-    cell: Cell,
-    state: DaemonState,
-    prefixes: PrefixMap,
-) -> None:
-    configuration = state.configuration
-    if configuration is not None:
-        groups = group_slots(cell, state, configuration, sharing=1)
-        read_past_prefixes(tuple(groups), prefixes)
+def _owns(state: DaemonState, cell: Cell) -> bool:
+    owner = rank_owners(str(cell), state.live_daemons)[0]
+    return owner == state.settings.name
 
 
 def _show(cell: Cell, load: DispatcherLoad, state: DaemonState) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_past_prefixes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_past_prefixes.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+import eventlet
 import urllib3
 from loguru import logger
 
@@ -16,23 +17,44 @@
 _BASE = 16
 
 
-def read_past_prefixes(
-    groups: Iterable[GroupSlots],
-    prefixes: PrefixMap,
-) -> None:
-    """Read the past cache events of the leading runners, one by one.
+class PastPrefixes:
+    """Reads what the groups of a cell cached while others owned the cell.
 
-    They are late and have gaps; what cannot be read is left out.
+    Each group is read once after the cell comes to this daemon: also one
+    that this daemon hears of later than of the cell.
+
+    Parameters
+    ----------
+    prefixes
+        Where the hints go.
     """
-    http = urllib3.PoolManager(retries=False)
-    for group in groups:
-        for prefix_hash in _read(http, group.address):
-            prefixes.hint(prefix_hash, group.group)
+
+    def __init__(self, prefixes: PrefixMap) -> None:
+        self._prefixes = prefixes
+        self._known: frozenset[str] = frozenset()
+        self._owned = False
+
+    def follow(self, groups: Iterable[GroupSlots], *, owned: bool) -> None:
+        """Start to read the groups that were not read yet."""
+        if owned and not self._owned:
+            self._known = frozenset()
+        self._owned = owned
+        by_name = {group.group: group for group in groups}
+        unread = [by_name[name] for name in by_name.keys() - self._known]
+        self._known = frozenset(by_name)
+        if unread:
+            eventlet.spawn_n(self._read_all, unread)
+
+    def _read_all(self, groups: Iterable[GroupSlots]) -> None:
+        """Read one by one; events are late and have gaps."""
+        for group in groups:
+            for prefix_hash in _read(group.address):
+                self._prefixes.hint(prefix_hash, group.group)
 
 
-def _read(http: urllib3.PoolManager, address: Address) -> list[int]:
+def _read(address: Address) -> list[int]:
     try:
-        return list(parse_prefixes(_events(http, address)))
+        return list(parse_prefixes(_events(address)))
     except (urllib3.exceptions.HTTPError, ValueError) as error:
         # Without hints prompts are only read again.
         logger.info('cache events of {} not read: {!r}', address, error)
@@ -55,6 +77,7 @@
         yield int(digest[:_HASH_DIGITS], _BASE)
 
 
-def _events(http: urllib3.PoolManager, address: Address) -> Any:
+def _events(address: Address) -> Any:
     url = f'http://{address}/cache-events?after=0'
-    return http.request('GET', url, timeout=_TIMEOUT_S).json()
+    with urllib3.PoolManager(retries=False) as http:
+        return http.request('GET', url, timeout=_TIMEOUT_S).json()
