End groups of one model for another that is busier

Cause: the model of four runners had 5 groups at the start and 2 from 20 s on, that of two runners 20 and 13 (from the orders of the keeper). Survivors of a broken group of four were too few for another one and went to pairs; nothing ever went the other way. The same holds for groups of eight.

Ruled out: loads of weights; both models lie on nearly all hosts, and a group of survivors is ready in 1.6 s. Demand did not change.

Change: libs/fleet exchanges. One exchange at a time. The keeper logs the demand on which the layout changes.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -10,7 +10,13 @@
 from loguru import logger
 
 from cowslipstep.daemon._ledgers import PlatformLedger
-from cowslipstep.fleet import EngineProfile, FleetKeeper
+from cowslipstep.fleet import (
+    CloseGroup,
+    EngineProfile,
+    FleetKeeper,
+    FleetView,
+    FormGroup,
+)
 from cowslipstep.groups import (
     Author,
     DomainLease,
@@ -39,6 +45,9 @@
 )
 # A keeper that is not heard for two of its reports may be gone.
 _KEEPER_SILENCE_S = 0.9
+# Decisions that change which groups there are.
+_LAYOUT = (CloseGroup, FormGroup)
+_DECIMALS = 2
 # Daemons that start together do not all ask at the same moment.
 _FIRST_LOOK_S = 0.3
 
@@ -138,5 +147,21 @@
         term: int,
     ) -> None:
         keeper = self._keepers.setdefault(service, FleetKeeper(term))
-        for decision in keeper.decide(self._views.view(service, engine)):
+        view = self._views.view(service, engine)
+        decisions = keeper.decide(view)
+        if any(isinstance(step, _LAYOUT) for step in decisions):
+            _log_layout(view, term)
+        for decision in decisions:
             self._orders.carry_out(decision, term)
+
+
+def _log_layout(view: FleetView, term: int) -> None:
+    logger.bind(
+        term=term,
+        runners=len(view.runners),
+        lost=len(view.lost),
+        demand={
+            model: round(groups, _DECIMALS)
+            for model, groups in view.demand.items()
+        },
+    ).info('layout of groups changes')
--- /dev/null
+++ b/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
@@ -0,0 +1,82 @@
+"""Choice of the exchange that helps the busiest model most."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterator, Mapping
+
+from cowslipstep.fleet._decisions import FleetView
+from cowslipstep.fleet._engines import ServedModel
+from cowslipstep.fleet._possible_exchanges import (
+    Exchange,
+    Formations,
+    PossibleExchanges,
+)
+
+# Groups that are less busy than this serve their model well.
+_BUSY = 0.6
+# The busier of the two models has to become this much less busy.
+_GAIN = 0.85
+
+
+class ExchangeChoice:
+    """Looks for the exchange that helps the busiest model most.
+
+    Parameters
+    ----------
+    view
+        The fleet.
+    found
+        Groups as their members report them.
+    claimed
+        Names of runners that are not free.
+    counts
+        Groups of each model that serve, or will soon.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        found: Formations,
+        claimed: Collection[str],
+        counts: Mapping[str, int],
+    ) -> None:
+        self._view = view
+        self._counts = counts
+        self._possible = PossibleExchanges(view, found, claimed)
+
+    def best(self) -> Exchange | None:
+        """Return the best exchange; ``None`` if none is worth its cost."""
+        models = self._view.engine.models
+        wanting = max(models, key=self._busy, default=None)
+        if wanting is None or not self._view.settled:
+            return None
+        busy = self._busy(wanting)
+        if busy < _BUSY:
+            return None
+        after, exchange = min(
+            self._rated(wanting),
+            key=lambda rating: (rating[0], len(rating[1].ending)),
+            default=(math.inf, None),
+        )
+        return exchange if after < _GAIN * busy else None
+
+    def _rated(self, wanting: ServedModel) -> Iterator[tuple[float, Exchange]]:
+        """Yield exchanges, and how busy the busier model is after each."""
+        for giving in self._view.engine.models:
+            if giving is wanting:
+                continue
+            for exchange in self._possible.between(wanting, giving):
+                busy = (
+                    self._busy(wanting, exchange.gained),
+                    self._busy(giving, -len(exchange.ending)),
+                )
+                yield max(busy), exchange
+
+    def _busy(self, model: ServedModel, more: int = 0) -> float:
+        """Return the part of its groups that a model's requests fill."""
+        groups = self._counts.get(model.name, 0) + more
+        demand = self._view.demand.get(model.name, 0)
+        if groups > 0:
+            return demand / groups
+        return math.inf if demand else 0
--- a/libs/fleet/src/cowslipstep/fleet/_group_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_group_choice.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Collection, Mapping
 
 from attrs import field, frozen
 
 from cowslipstep.fleet._decisions import FleetView
 from cowslipstep.fleet._engines import ServedModel
+from cowslipstep.fleet._free_runners import (
+    free_by_domain,
+    must_load,
+    ready_s,
+)
 from cowslipstep.fleet._load_pace import LoadPace
 from cowslipstep.fleet._pressure import ModelPressure
 from cowslipstep.fleet._runners import DiscoveredRunner
 
-# Time to join a group of the model that the runner last served.
-_REJOIN_S = 0.2
-
 
 @frozen
 class ChosenGroup:
@@ -58,10 +59,7 @@
         self._view = view
         self._pace = pace
         self._pressure = ModelPressure(view, counts)
-        self._free: dict[str, list[DiscoveredRunner]] = defaultdict(list)
-        for runner in view.present:
-            if runner.name not in claimed and not runner.draining:
-                self._free[runner.fabric_domain].append(runner)
+        self._free = free_by_domain(view, claimed)
 
     def next_group(self) -> ChosenGroup | None:
         """Return the next group to form; ``None`` if there is none."""
@@ -90,13 +88,13 @@
         model: ServedModel,
         runners: list[DiscoveredRunner],
     ) -> ChosenGroup:
-        ordered = sorted(runners, key=lambda runner: _ready_s(runner, model))
+        ordered = sorted(runners, key=lambda runner: ready_s(runner, model))
         members = tuple(ordered[: model.group_size])
         return ChosenGroup(
             model,
             members,
-            tuple(runner for runner in members if _must_load(runner, model)),
-            max(_ready_s(runner, model) for runner in members),
+            tuple(runner for runner in members if must_load(runner, model)),
+            max(ready_s(runner, model) for runner in members),
         )
 
     def _take(self, chosen: ChosenGroup) -> None:
@@ -106,15 +104,3 @@
             runner for runner in self._free[domain] if runner.name not in names
         ]
         self._pressure.count(chosen.model)
-
-
-def _must_load(runner: DiscoveredRunner, model: ServedModel) -> bool:
-    return model.name not in (*runner.loaded, *runner.staged)
-
-
-def _ready_s(runner: DiscoveredRunner, model: ServedModel) -> float:
-    if model.name in runner.loaded:
-        return _REJOIN_S
-    if model.name in runner.staged:
-        return model.warm_s
-    return model.load_s
--- a/libs/fleet/src/cowslipstep/fleet/_keeper.py
+++ b/libs/fleet/src/cowslipstep/fleet/_keeper.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 
 from cowslipstep.fleet._decisions import FleetDecision, FleetView, FormGroup
+from cowslipstep.fleet._exchanges import Exchanges
 from cowslipstep.fleet._formations import (
     Formation,
     FormationKey,
@@ -17,17 +18,15 @@
 from cowslipstep.fleet._judgement import judge
 from cowslipstep.fleet._load_pace import LoadPace
 from cowslipstep.fleet._pending import PendingGroups
+from cowslipstep.fleet._registrations import Registrations
 from cowslipstep.fleet._repeats import Repeats
 from cowslipstep.fleet._runners import SeatState
 from cowslipstep.fleet._staging import stage_models
 
-# A group that is not ready after this many of its load times has failed.
-_OVERDUE_FACTOR = 3
-_MIN_PATIENCE_S = 4
 # Leaves room for the numbers of all groups of a term.
 _EPOCHS_PER_TERM = 10000
-# Runners that start together register within this time of each other.
-_SETTLED_S = 1.5
+# Groups that are ready within this time count as if they served, seconds.
+_SOON_S = 3
 
 
 class FleetKeeper:
@@ -45,18 +44,19 @@
         self._headless_s: dict[FormationKey, float] = {}
         self._repeats = Repeats()
         self._pace = LoadPace()
-        self._known: frozenset[str] = frozenset()
-        self._registered_s: float = -_SETTLED_S
+        self._exchanges = Exchanges()
+        self._registrations = Registrations()
 
     def decide(self, view: FleetView) -> list[FleetDecision]:
         """Return what shall be done now."""
-        view = evolve(view, settled=self._is_settled(view))
+        view = evolve(view, settled=self._registrations.are_settled(view))
         found = formations(view.present)
         self._note(view, found)
-        claimed = set(self._pending.claimed)
+        claimed = {*self._pending.claimed, *self._exchanges.claimed}
         decisions: list[FleetDecision] = []
         decisions.extend(self._pending.openings(found))
         decisions.extend(self._keep(view, found, claimed))
+        decisions.extend(self._exchange(view, found, claimed))
         decisions.extend(self._form(view, found, claimed))
         decisions.extend(stage_models(view, self._pace))
         return [
@@ -65,13 +65,6 @@
             if self._repeats.is_due(decision, view.now_s)
         ]
 
-    def _is_settled(self, view: FleetView) -> bool:
-        names = frozenset(view.runners)
-        if names - self._known:
-            self._registered_s = view.now_s
-        self._known = names
-        return view.now_s - self._registered_s >= _SETTLED_S
-
     def _note(
         self,
         view: FleetView,
@@ -80,6 +73,7 @@
         """Follow what runners report."""
         self._pace.settle(view)
         self._pending.drop_ended(view, found)
+        self._exchanges.settle(view, found)
         for _, epoch in found:
             self._epoch = max(self._epoch, epoch)
         headless = (
@@ -99,24 +93,38 @@
         for key, formation in found.items():
             if key in self._pending:
                 continue
+            if key in self._exchanges:
+                claimed.update(formation.names)
+                continue
             since_s = self._headless_s.get(key, view.now_s)
             judgement = judge(view, formation, view.now_s - since_s)
             if not judgement.free:
                 claimed.update(formation.names)
             yield from judgement.decisions
 
+    def _exchange(
+        self,
+        view: FleetView,
+        found: Mapping[FormationKey, Formation],
+        claimed: set[str],
+    ) -> Iterator[FleetDecision]:
+        """Yield what ends groups of one model for a group of another."""
+        counts = Counter(self._pending.models(view.now_s + _SOON_S))
+        counts.update(_serving(found))
+        yield from self._exchanges.closings(view, found, claimed, counts)
+        claimed.update(self._exchanges.claimed)
+        chosen = self._exchanges.next_group(view, found)
+        if chosen is not None:
+            yield self._order(view, chosen)
+
     def _form(
         self,
         view: FleetView,
         found: Mapping[FormationKey, Formation],
         claimed: set[str],
     ) -> Iterator[FormGroup]:
-        counts = Counter(self._pending.models)
-        counts.update(
-            formation.model
-            for formation in found.values()
-            if formation.head_state is SeatState.open
-        )
+        counts = Counter(self._pending.models())
+        counts.update(_serving(found))
         choice = GroupChoice(view, self._pace, claimed, counts)
         chosen = choice.next_group()
         while chosen is not None:
@@ -127,8 +135,16 @@
         self._epoch += 1
         key = (f'g{self._epoch}', self._epoch)
         order = FormGroup(key, chosen.model.name, chosen.members)
-        patience_s = max(_MIN_PATIENCE_S, _OVERDUE_FACTOR * chosen.ready_s)
-        self._pending.add(order, view.now_s + patience_s)
+        self._pending.add(order, view.now_s, chosen.ready_s)
         for runner in chosen.loading:
             self._pace.start(view, runner.name, chosen.model.name)
         return order
+
+
+def _serving(found: Mapping[FormationKey, Formation]) -> list[str]:
+    """Return the model of each group that takes requests."""
+    return [
+        formation.model
+        for formation in found.values()
+        if formation.head_state is SeatState.open
+    ]
--- a/libs/fleet/src/cowslipstep/fleet/_pending.py
+++ b/libs/fleet/src/cowslipstep/fleet/_pending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from attrs import frozen
@@ -10,12 +11,16 @@
 from cowslipstep.fleet._formations import Formation, FormationKey
 from cowslipstep.fleet._runners import SeatState
 
+# A group that is not ready after this many of its load times has failed.
+_OVERDUE_FACTOR = 3
+_MIN_PATIENCE_S = 4
 _SERVED = frozenset((SeatState.open, SeatState.closing, SeatState.broken))
 
 
 @frozen
 class _Pending:
     order: FormGroup
+    ready_at_s: float
     until_s: float
 
     @property
@@ -40,14 +45,22 @@
             *(pending.names for pending in self._pending.values()),
         )
 
-    @property
-    def models(self) -> list[str]:
-        """The model of each group."""
-        return [pending.order.model for pending in self._pending.values()]
-
-    def add(self, order: FormGroup, until_s: float) -> None:
-        """Remember a group that has to be ready by that clock reading."""
-        self._pending[order.key] = _Pending(order, until_s)
+    def models(self, ready_by_s: float = math.inf) -> list[str]:
+        """Return the model of each group that is ready by a clock reading."""
+        return [
+            pending.order.model
+            for pending in self._pending.values()
+            if pending.ready_at_s <= ready_by_s
+        ]
+
+    def add(self, order: FormGroup, now_s: float, takes_s: float) -> None:
+        """Remember a group that should be ready after a time."""
+        patience_s = max(_MIN_PATIENCE_S, _OVERDUE_FACTOR * takes_s)
+        self._pending[order.key] = _Pending(
+            order,
+            now_s + takes_s,
+            now_s + patience_s,
+        )
 
     def drop_ended(
         self,
--- /dev/null
+++ b/libs/fleet/tests/test_exchanges.py
@@ -0,0 +1,94 @@
+"""Replays of failures under load that a fixed layout does not survive."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+import pytest
+from _fleet_replay import STEP_S, FleetReplay
+
+from cowslipstep.fleet import CloseGroup, FormGroup
+
+# The share of its groups that requests may fill before they wait long.
+FULL = 1
+# A group that is missed is made up for by this time of a replay.
+SOON_S = 20
+DEMAND = MappingProxyType({'pair': 6, 'quad': 2.6})
+
+
+def start(domains: int = 3, size: int = 10, **demand: float) -> FleetReplay:
+    replay = FleetReplay(domains, size, demand or DEMAND)
+    replay.run_until(8)
+    return replay
+
+
+def test_large_groups_that_break_are_made_up_for():
+    replay = start()
+    for crash_s in (10, 14, 18):
+        replay.crash('quad')
+        replay.run_until(crash_s + 4)
+    replay.run_until(30)
+    assert max(replay.busy().values()) < FULL
+
+
+def test_runners_follow_demand_either_way():
+    replay = start(pair=6, quad=1)
+    replay.demand = {'pair': 3, 'quad': 3.5}
+    replay.run_until(30)
+    assert max(replay.busy().values()) < FULL
+    replay.demand = {'pair': 9, 'quad': 1}
+    replay.run_until(60)
+    assert max(replay.busy().values()) < FULL
+
+
+def test_groups_stay_while_no_model_is_busy():
+    replay = start(pair=3, quad=1)
+    replay.crash('quad')
+    replay.run_until(30)
+    assert not closed(replay)
+
+
+def test_exchange_that_helps_little_is_left_out():
+    replay = start(domains=1, pair=2.4, quad=0.9)
+    replay.run_until(30)
+    assert not closed(replay)
+
+
+def test_exchange_ends_when_a_member_is_lost():
+    replay = start()
+    replay.crash('quad')
+    while not closed(replay) and replay.now_s < SOON_S:
+        replay.run_until(replay.now_s + STEP_S)
+    domain = closed(replay)[0].head.fabric_domain
+    freed = min(free_in(replay, domain))
+    replay.runners.pop(freed)
+    replay.run_until(30)
+    assert max(replay.busy().values()) < FULL
+    assert not free_in(replay, domain)[1:]
+
+
+@pytest.mark.parametrize('domains', [1, 3, 12])
+def test_members_of_a_group_are_of_one_domain(domains):
+    replay = start(domains, pair=2 * domains, quad=domains)
+    for _ in range(domains):
+        replay.crash('quad')
+        replay.run_until(replay.now_s + 3)
+    formed = [step for step in replay.decisions if isinstance(step, FormGroup)]
+    assert formed
+    assert all(len(domains_of(step)) == 1 for step in formed)
+
+
+def domains_of(step: FormGroup) -> set[str]:
+    return {member.fabric_domain for member in step.members}
+
+
+def free_in(replay: FleetReplay, domain: str) -> list[str]:
+    return [
+        runner.name
+        for runner in replay.runners.values()
+        if runner.seat is None and runner.fabric_domain == domain
+    ]
+
+
+def closed(replay: FleetReplay) -> list[CloseGroup]:
+    return [step for step in replay.decisions if isinstance(step, CloseGroup)]
