Let each daemon watch the configuration itself

Cause: followers copied each version from their relay. The document has 58 kB; 22 followers need 10 Mbit for each version, a link may carry 10 Mbit/s, and a storm of changes brings three versions a second. Copies that took more than a second were asked for again, so that the queue at the relay grew ("no reply" of 16 followers at once).

Ruled out: the store (relays knew each version within 0.3 s).

Change: each daemon watches the configuration, for 25 s at a time while a relay is heard (a call in 25 s). A peer is asked only by a daemon whose own watch has told of nothing for a second while a peer knows more. The log line of a configuration tells its size.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -13,7 +13,12 @@
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._front import CallerFront, ReadinessFront
 from cowslipstep.serving._keeper import GroupKeeper
-from cowslipstep.serving._kind_watch import KindWatch, WatchPace
+from cowslipstep.serving._kind_watch import (
+    LONG_WATCH_S,
+    WATCH_S,
+    KindWatch,
+    WatchPace,
+)
 from cowslipstep.serving._metrics import (
     MetricsFront,
     RequestMetrics,
@@ -59,6 +64,10 @@
     return _start_servers(state)
 
 
+def _never() -> bool:
+    return False
+
+
 def _start_peers(state: ServingState, peers: PeerReports) -> None:
     address = state.settings.peer_address
     with listening_on(address):
@@ -82,7 +91,12 @@
             state.platform,
             key.kind,
             ConfigurationFollower(state.configuration, key),
-            pace(lambda: _CONFIGURATION_PAUSE_S),
+            WatchPace(
+                lambda: _CONFIGURATION_PAUSE_S,
+                # A relay would send the same large document to many.
+                is_fed=_never,
+                watch_s=lambda: LONG_WATCH_S if state.role.fed else WATCH_S,
+            ),
         ),
         KindWatch(
             state.platform,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
@@ -18,6 +18,22 @@
 _HANGING_S = 1
 
 
+class _Lag:
+    """For how long a daemon has known one version while peers know more."""
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._since_s: float = 0
+
+    def is_long(self, version: int) -> bool:
+        """Whether a watch would have told of a change by now."""
+        now_s = time.monotonic()
+        if version != self._version:
+            self._version = version
+            self._since_s = now_s
+        return now_s - self._since_s > _HANGING_S
+
+
 class CatchingUp:
     """Asks a peer that knows more, once at a time.
 
@@ -30,8 +46,8 @@
     def __init__(self, state: ServingState) -> None:
         self._state = state
         self._asking = False
-        self._behind_at = 0
-        self._behind_s: float = 0
+        self._configuration = _Lag()
+        self._runners = _Lag()
 
     def start(self, report: LoadReport, link: PeerLink) -> None:
         """Ask the sender of a report if it knows more."""
@@ -44,23 +60,16 @@
     def _query(self, report: LoadReport) -> Message | None:
         version = self._state.configuration.version
         if report.configuration_version > version:
-            return ConfigurationQuery(version)
+            if self._configuration.is_long(version):
+                return ConfigurationQuery(version)
         directory = self._state.directory
         if report.runners_revision <= directory.revision:
             return None
-        if directory.lost or self._state.role.fed or self._hangs():
-            return RunnersQuery(directory.revision)
-        # A daemon that reaches the platform is told by it.
-        return None
-
-    def _hangs(self) -> bool:
-        """Whether no change was told for long while a peer knows of some."""
-        now_s = time.monotonic()
-        revision = self._state.directory.revision
-        if revision != self._behind_at:
-            self._behind_at = revision
-            self._behind_s = now_s
-        return now_s - self._behind_s > _HANGING_S
+        told = not (directory.lost or self._state.role.fed)
+        if told and not self._runners.is_long(directory.revision):
+            # A daemon that reaches the platform is told by it.
+            return None
+        return RunnersQuery(directory.revision)
 
     def _ask(self, query: Message, link: PeerLink) -> None:
         try:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_feed.py
@@ -65,9 +65,10 @@
             return
         self._table = RouteTable(configuration, random.Random())
         self._document = document
-        logger.bind(version=configuration.version).info(
-            'configuration in force',
-        )
+        logger.bind(
+            version=configuration.version,
+            characters=len(document),
+        ).info('configuration in force')
 
 
 class ConfigurationFollower:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -19,7 +19,10 @@
 
 # Keep-alive probes find a silent connection; a store that takes calls and
 # never answers is only found at the end of a watch.
-_WATCH_S = 5
+WATCH_S = 5
+# Where a peer would tell of a store that is silent; the store's own limit is
+# 30 seconds.
+LONG_WATCH_S = 25
 _RETRY_S = 0.3
 # Between two looks whether a relay still tells of the kind.
 _REST_S = 0.3
@@ -51,11 +54,14 @@
         Whether a peer tells of changes, so that no watch is needed.
     start_s
         Wait before the first list.
+    watch_s
+        Returns how long a watch may wait for a change.
     """
 
     pause_s: Callable[[], float]
     is_fed: Callable[[], bool]
     start_s: float = 0
+    watch_s: Callable[[], float] = lambda: WATCH_S
 
 
 class KindWatch:
@@ -117,7 +123,11 @@
             eventlet.sleep(self._pace.pause_s())
             if self._pace.is_fed():
                 return
-            changes = self._client.watch_kind(self._kind, revision, _WATCH_S)
+            changes = self._client.watch_kind(
+                self._kind,
+                revision,
+                self._pace.watch_s(),
+            )
             self._follower.apply(changes)
             revision = changes.revision
 
