Count demand from nothing, not from the first short sample

Cause: the first sample of a model was taken as its rate.

Change: the smoothed rate begins at zero. Test: first request of 61 daemons (before: 610 busy groups from 12 s of work).

--- a/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
@@ -53,8 +53,9 @@
         for model, work_s in self._state.model_work_s.items():
             busy = (work_s - self._counted.get(model, 0)) / passed_s
             self._counted[model] = work_s
+            # The first request in a short sample says nothing of a rate.
             self._rates[model] = _smoothed(
-                self._rates.get(model, busy),
+                self._rates.get(model, 0),
                 busy,
                 passed_s,
             )
