Free members once their head says that it left; exchange only spare groups

Causes, from the layout and orders of the keeper: - Groups closed while both models were asked for more than all groups carry. - Where a runner was partitioned from the store, the keeper told the head to leave, was answered, and went on telling it each second until the partition ended: the head's entry cannot say that it left. The members of eight groups stood idle for 4 to 7 s.

Changes: a model whose groups would be filled to 0.9 or more gives none; an accepted order to leave counts at once (a leave takes effect before it is answered). A head that has closed leaves before its runners join another group, since an order to open it may still come late.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_order_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterator
 
 import eventlet
@@ -14,6 +15,7 @@
     Closing,
     DiscoveredRunner,
     FleetDecision,
+    FormationKey,
     FormGroup,
     GroupOrder,
     Joining,
@@ -30,14 +32,18 @@
 
 # An order is repeated when its effect does not show in time.
 _ANSWER_TIMEOUT_S = 1
+# Entries of runners tell that they have left sooner than this, seconds; while
+# they do not, the order is given again.
+_LEFT_KEPT_S = 60
 
 
 @frozen
 class _Addressed:
-    """An order and the runner that it is for."""
+    """An order, the runner that it is for, and the group that it ends."""
 
     runner: DiscoveredRunner
     order: GroupOrder
+    ends: FormationKey | None = None
 
 
 class OrderSender:
@@ -58,6 +64,18 @@
     ) -> None:
         self._state = state
         self._may_order = may_order
+        self._left_s: dict[FormationKey, float] = {}
+
+    @property
+    def left(self) -> frozenset[FormationKey]:
+        """Groups whose head has lately confirmed that it left."""
+        oldest_s = time.monotonic() - _LEFT_KEPT_S
+        self._left_s = {
+            key: left_s
+            for key, left_s in self._left_s.items()
+            if left_s > oldest_s
+        }
+        return frozenset(self._left_s)
 
     def carry_out(self, decision: FleetDecision, fence: int) -> None:
         """Send the orders that a decision is made of."""
@@ -77,6 +95,9 @@
             outcome=outcome.value,
             term=fence,
         ).info('order {}', addressed.order)
+        if outcome is OrderOutcome.accepted and addressed.ends is not None:
+            # A runner answers an order to leave when it has left.
+            self._left_s[addressed.ends] = time.monotonic()
 
     def _exchange(self, addressed: _Addressed, fence: int) -> OrderOutcome:
         orders = self._state.dialects.orders
@@ -104,6 +125,8 @@
         case CloseGroup(key, head):
             yield _Addressed(head, Closing(*key))
         case LeaveGroup(key, member):
-            yield _Addressed(member, Leaving(*key))
+            seat = member.seat
+            ended = key if seat and seat.rank == 0 else None
+            yield _Addressed(member, Leaving(*key), ended)
         case StageModel(runner, model):
             yield _Addressed(runner, Staging(model))
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -31,6 +31,9 @@
         Members by rank that have ever reported a group.
     heard
         Members that are registered no more and still answer.
+    left
+        Groups whose head has confirmed that it left; its own entry may say
+        so late, or not at all while the store does not hear it.
     paced
         Whether loads of weights count towards the limits of their store.
     settled
@@ -44,6 +47,7 @@
     lost: frozenset[str] = field(factory=frozenset)
     members: MembersByRank = field(factory=dict)
     heard: frozenset[str] = field(factory=frozenset)
+    left: frozenset[FormationKey] = field(factory=frozenset)
     paced: bool = True
     settled: bool = True
 
--- a/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
@@ -17,6 +17,9 @@
 _BUSY = 0.6
 # The busier of the two models has to become this much less busy.
 _GAIN = 0.85
+# A model whose groups would be busier than this has none to give: groups that
+# close serve nobody for seconds, which costs most where all are needed.
+_FULL = 0.9
 
 
 class ExchangeChoice:
@@ -67,11 +70,10 @@
             if giving is wanting:
                 continue
             for exchange in self._possible.between(wanting, giving):
-                busy = (
-                    self._busy(wanting, exchange.gained),
-                    self._busy(giving, -len(exchange.ending)),
-                )
-                yield max(busy), exchange
+                left = self._busy(giving, -len(exchange.ending))
+                if left < _FULL:
+                    gained = self._busy(wanting, exchange.gained)
+                    yield max(left, gained), exchange
 
     def _busy(self, model: ServedModel, more: int = 0) -> float:
         """Return the part of its groups that a model's requests fill."""
--- a/libs/fleet/src/cowslipstep/fleet/_exchanges.py
+++ b/libs/fleet/src/cowslipstep/fleet/_exchanges.py
@@ -11,7 +11,7 @@
 
 from attrs import evolve
 
-from cowslipstep.fleet._decisions import CloseGroup, FleetView
+from cowslipstep.fleet._decisions import CloseGroup, FleetView, LeaveGroup
 from cowslipstep.fleet._exchange_choice import ExchangeChoice
 from cowslipstep.fleet._formations import Formation, FormationKey
 from cowslipstep.fleet._group_choice import ChosenGroup
@@ -45,19 +45,23 @@
         if exchange is None:
             return
         present = frozenset(runner.name for runner in view.present)
-        failed = exchange.until_s <= view.now_s or exchange.names - present
+        failed = exchange.until_s <= view.now_s or exchange.needed - present
         if failed or (exchange.formed and _has_moved(exchange, found)):
             self._exchange = None
             self._rest_until_s = view.now_s + _REST_S
 
-    def closings(
+    def endings(
         self,
         view: FleetView,
         found: Formations,
         claimed: Collection[str],
         counts: Mapping[str, int],
-    ) -> Iterator[CloseGroup]:
-        """Yield the groups that shall close, for a new exchange too."""
+    ) -> Iterator[CloseGroup | LeaveGroup]:
+        """Yield what ends groups, those of a new exchange too.
+
+        A head that has closed leaves as well: an order to open it may still
+        be on its way.
+        """
         if self._exchange is None and view.now_s >= self._rest_until_s:
             self._exchange = ExchangeChoice(
                 view,
@@ -65,13 +69,14 @@
                 claimed,
                 counts,
             ).best()
-        exchange = self._exchange
-        if exchange is None or exchange.formed:
+        if self._exchange is None or self._exchange.formed:
             return
-        for key in exchange.ending:
-            formation = found.get(key)
-            if formation and formation.head_state is SeatState.open:
-                yield CloseGroup(key, formation.members[0])
+        for key, head in self._exchange.ending.items():
+            match _head_state(found.get(key)):
+                case SeatState.open:
+                    yield CloseGroup(key, head)
+                case SeatState.ready:
+                    yield LeaveGroup(key, head)
 
     def next_group(
         self,
@@ -82,7 +87,8 @@
         exchange = self._exchange
         if exchange is None or exchange.formed:
             return None
-        if any(_is_at_work(found.get(key)) for key in exchange.ending):
+        staying = exchange.ending.keys() - view.left
+        if any(map(_head_state, map(found.get, staying))):
             return None
         until_s = view.now_s + _JOINING_S
         self._exchange = evolve(exchange, formed=True, until_s=until_s)
@@ -94,10 +100,9 @@
         )
 
 
-def _is_at_work(formation: Formation | None) -> bool:
-    """Whether a group takes requests, or finishes those that run."""
-    at_work = (SeatState.open, SeatState.closing)
-    return formation is not None and formation.head_state in at_work
+def _head_state(formation: Formation | None) -> SeatState | None:
+    """Return the state of a head that has not left its group."""
+    return formation.head_state if formation else None
 
 
 def _has_moved(exchange: Exchange, found: Formations) -> bool:
--- a/libs/fleet/src/cowslipstep/fleet/_keeper.py
+++ b/libs/fleet/src/cowslipstep/fleet/_keeper.py
@@ -16,6 +16,7 @@
 )
 from cowslipstep.fleet._group_choice import ChosenGroup, GroupChoice
 from cowslipstep.fleet._judgement import judge
+from cowslipstep.fleet._judgements import Judgement
 from cowslipstep.fleet._load_pace import LoadPace
 from cowslipstep.fleet._pending import PendingGroups
 from cowslipstep.fleet._registrations import Registrations
@@ -91,16 +92,14 @@
     ) -> Iterator[FleetDecision]:
         """Yield what keeps or ends groups; claim members that are not free."""
         for key, formation in found.items():
-            if key in self._pending:
-                continue
             if key in self._exchanges:
                 claimed.update(formation.names)
-                continue
-            since_s = self._headless_s.get(key, view.now_s)
-            judgement = judge(view, formation, view.now_s - since_s)
-            if not judgement.free:
-                claimed.update(formation.names)
-            yield from judgement.decisions
+            elif key not in self._pending:
+                since_s = self._headless_s.get(key, view.now_s)
+                judgement = _judge(view, formation, view.now_s - since_s)
+                if not judgement.free:
+                    claimed.update(formation.names)
+                yield from judgement.decisions
 
     def _exchange(
         self,
@@ -111,7 +110,7 @@
         """Yield what ends groups of one model for a group of another."""
         counts = Counter(self._pending.models(view.now_s + _SOON_S))
         counts.update(_serving(found))
-        yield from self._exchanges.closings(view, found, claimed, counts)
+        yield from self._exchanges.endings(view, found, claimed, counts)
         claimed.update(self._exchanges.claimed)
         chosen = self._exchanges.next_group(view, found)
         if chosen is not None:
@@ -141,6 +140,17 @@
         return order
 
 
+def _judge(
+    view: FleetView,
+    formation: Formation,
+    headless_s: float,
+) -> Judgement:
+    if formation.key in view.left:
+        # Whatever the entries of its members still say.
+        return Judgement(free=True)
+    return judge(view, formation, headless_s)
+
+
 def _serving(found: Mapping[FormationKey, Formation]) -> list[str]:
     """Return the model of each group that takes requests."""
     return [
--- a/libs/fleet/src/cowslipstep/fleet/_possible_exchanges.py
+++ b/libs/fleet/src/cowslipstep/fleet/_possible_exchanges.py
@@ -32,7 +32,7 @@
     members
         Its members, from the groups that end and from free runners.
     ending
-        Groups that end.
+        Heads of the groups that end.
     gained
         Groups of the model for which there are runners then.
     until_s
@@ -43,7 +43,7 @@
 
     model: ServedModel
     members: tuple[DiscoveredRunner, ...]
-    ending: tuple[FormationKey, ...]
+    ending: Mapping[FormationKey, DiscoveredRunner]
     gained: int
     until_s: float
     formed: bool = False
@@ -53,6 +53,12 @@
         """Names of the members of the new group."""
         return frozenset(member.name for member in self.members)
 
+    @property
+    def needed(self) -> frozenset[str]:
+        """Names of the runners without which it cannot be carried out."""
+        heads = frozenset(head.name for head in self.ending.values())
+        return self.names | heads
+
 
 class PossibleExchanges:
     """Finds exchanges between two models, one for each fabric domain.
@@ -120,7 +126,7 @@
         return Exchange(
             wanting,
             members[: wanting.group_size],
-            tuple(group.key for group in groups),
+            {group.key: group.members[0] for group in groups},
             len(members) // wanting.group_size,
             self._view.now_s + _CLOSING_S,
         )
--- a/libs/fleet/tests/_fleet_replay.py
+++ b/libs/fleet/tests/_fleet_replay.py
@@ -1,10 +1,15 @@
-"""A fleet of runners that obeys the keeper; replays failures under load."""
+"""A fleet of runners that obeys a keeper, with orders that come late or never.
+
+Runners follow the published rules of the engines: a join replaces the
+membership, orders of an older epoch or term are refused, and a head stands
+still once a member has left it.
+"""
 
 from __future__ import annotations
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Mapping
 
 from attrs import define, evolve, field, frozen
 
@@ -25,10 +30,14 @@
 )
 from cowslipstep.model import Address
 
+Key = tuple[str, int]
+
 STEP_S = 0.1
 REJOIN_S = 0.2
 # Requests that run end within this time after their group has closed.
 DRAIN_S = 1.5
+# A head that stands still is broken after this time.
+STALL_S = 4
 # Loads do not count before the first requests come.
 UNPACED_S = 4
 
@@ -45,14 +54,136 @@
     loads_at_once=4,
     usual_output_tokens=150,
 )
+AT_WORK = frozenset((SeatState.open, SeatState.closing))
+
+
+@frozen
+class Ripening:
+    """A runner's own change of state within a group, once it is due."""
+
+    at_s: float
+    name: str
+    key: Key
+    before: SeatState
+    after: SeatState
 
 
 @frozen
-class Change:
-    """What a runner is like from some moment on."""
+class Order:
+    """An order on its way to one runner."""
 
     at_s: float
-    runner: DiscoveredRunner
+    name: str
+    rank: int
+    term: int
+    step: FleetDecision
+
+
+@define
+class Runners:  # noqa: WPS214
+    """The runners as they are, and what they did against the rules."""
+
+    alive: dict[str, DiscoveredRunner] = field(factory=dict)
+    lists: dict[Key, tuple[str, ...]] = field(factory=dict)
+    broken_rules: list[str] = field(factory=list)
+    ripening: list[Ripening] = field(factory=list)
+    _terms: dict[str, int] = field(factory=dict)
+    _been_ready: set[tuple[str, Key]] = field(factory=set)
+    _still_s: dict[Key, float] = field(factory=dict)
+
+    def obey(self, order: Order) -> None:
+        """Carry out an order unless it is for another life or too old."""
+        runner = self.alive.get(order.name)
+        newest = max(order.term, self._terms.get(order.name, 0))
+        if runner is None or order.term < newest:
+            return
+        self._terms[order.name] = newest
+        match order.step:
+            case FormGroup():
+                self._join(runner, order, order.step)
+            case OpenGroup(key, _) if _is_in(runner, key, SeatState.ready):
+                self._open(runner, key)
+            case CloseGroup(key, _) if _is_in(runner, key, SeatState.open):
+                self._set(runner, SeatState.closing)
+                self._begin(order, key, SeatState.closing, DRAIN_S)
+            case LeaveGroup(key, _) if _belongs(runner, key):
+                self.alive[runner.name] = evolve(runner, seat=None)
+            case StageModel(_, model):
+                self.alive[runner.name] = evolve(runner, staged=(model,))
+
+    def pass_time(self, now_s: float) -> None:
+        """Let states change that are due, and heads that stand still break."""
+        due = [change for change in self.ripening if change.at_s <= now_s]
+        self.ripening = [one for one in self.ripening if one not in due]
+        for change in due:
+            self._ripen(change)
+        for key, head in self.heads().items():
+            members = map(self.alive.get, self.lists[key])
+            if all(member and _belongs(member, key) for member in members):
+                self._still_s.pop(key, None)
+            elif now_s - self._still_s.setdefault(key, now_s) >= STALL_S:
+                self._set(head, SeatState.broken)
+
+    def heads(self) -> dict[Key, DiscoveredRunner]:
+        """Return the heads that take or finish requests."""
+        return {
+            runner.seat.key: runner
+            for runner in self.alive.values()
+            if runner.seat and _is_at_work(runner.seat)
+        }
+
+    def _join(
+        self,
+        runner: DiscoveredRunner,
+        order: Order,
+        step: FormGroup,
+    ) -> None:
+        members = tuple(member.name for member in step.members)
+        if runner.seat and runner.seat.epoch >= step.key[1]:
+            return
+        if runner.seat and runner.seat.key in self.heads():
+            self.broken_rules.append(f'TWO: {runner.name} joins {step.key}')
+        self.lists[step.key] = members
+        seat = Seat(*step.key, order.rank, SeatState.joining)
+        self.alive[runner.name] = evolve(
+            runner,
+            loaded=(step.model,),
+            seat=seat,
+        )
+        takes_s = _join_s(runner, step.model)
+        self._begin(order, step.key, SeatState.joining, takes_s)
+
+    def _open(self, runner: DiscoveredRunner, key: Key) -> None:
+        for name in self.lists[key]:
+            if (name, key) not in self._been_ready:
+                self.broken_rules.append(f'PARTIAL: {key} without {name}')
+        self._set(runner, SeatState.open)
+
+    def _ripen(self, change: Ripening) -> None:
+        runner = self.alive.get(change.name)
+        if runner and _is_in(runner, change.key, change.before):
+            self._set(runner, change.after)
+            self._been_ready.add((change.name, change.key))
+
+    def _begin(
+        self,
+        order: Order,
+        key: Key,
+        before: SeatState,
+        after_s: float,
+    ) -> None:
+        self.ripening.append(
+            Ripening(
+                order.at_s + after_s,
+                order.name,
+                key,
+                before,
+                SeatState.ready,
+            ),
+        )
+
+    def _set(self, runner: DiscoveredRunner, state: SeatState) -> None:
+        self.alive[runner.name] = _seated(runner, state)
 
 
 @define
@@ -67,78 +198,89 @@
         Runners of each.
     demand
         Groups that requests keep busy, by model.
+    delays
+        Returns when an order comes to its runner, seconds after it was
+        given: never, once or several times.
     """
 
     domains: int
     size: int
     demand: Mapping[str, float]
+    delays: Callable[[], tuple[float, ...]] = lambda: (0,)
     now_s: float = 0
-    runners: dict[str, DiscoveredRunner] = field(factory=dict)
+    term: int = 1
+    runners: Runners = field(factory=Runners)
     decisions: list[FleetDecision] = field(factory=list)
     _keeper: FleetKeeper = field(factory=lambda: FleetKeeper(1))
-    _due: list[Change] = field(factory=list)
+    _orders: list[Order] = field(factory=list)
+    _members: dict = field(factory=lambda: defaultdict(dict))
 
     def __attrs_post_init__(self) -> None:
         """Start all runners; each host holds the weights of both models."""
         for number in range(self.domains * self.size):
             added = runner_of(number, number // self.size)
-            self.runners[added.name] = added
+            self.runners.alive[added.name] = added
 
     def run_until(self, end_s: float) -> None:
         """Let time pass."""
         while self.now_s < end_s:
             self.now_s += STEP_S
-            self._settle()
+            due = [order for order in self._orders if order.at_s <= self.now_s]
+            self._orders = [one for one in self._orders if one not in due]
+            for order in due:
+                self.runners.obey(order)
+            self.runners.pass_time(self.now_s)
             for decision in self._keeper.decide(self._view()):
                 self.decisions.append(decision)
-                self._due.extend(effects(decision, self.runners, self.now_s))
+                for delay_s in self.delays():
+                    self.send(decision, self.now_s + delay_s)
 
-    def crash(self, model: str) -> None:
-        """Lose the last member of the first group of a model for good."""
+    def crash(self, model: str, rank: int = 1) -> None:
+        """Lose a member of the first group of a model for good."""
         members = [
             runner.name
-            for runner in self.runners.values()
-            if runner.seat and runner.seat.rank and model in runner.loaded
+            for runner in self.runners.alive.values()
+            if runner.seat
+            and runner.seat.rank == rank
+            and model in runner.loaded
         ]
-        self.runners.pop(min(members))
+        if members:
+            self.runners.alive.pop(min(members))
+
+    def replace_keeper(self) -> None:
+        """Let another daemon take the lease."""
+        self.term += 1
+        self._keeper = FleetKeeper(self.term)
 
     def busy(self) -> dict[str, float]:
         """Return the part of its groups that each model's requests fill."""
-        counts = self.counts()
+        counts = Counter(
+            head.loaded[0] for head in self.runners.heads().values()
+        )
         return {
             model: demand / counts[model] if counts[model] else math.inf
             for model, demand in self.demand.items()
         }
 
-    def counts(self) -> Counter[str]:
-        """Return the number of groups of each model that serve."""
-        return Counter(
-            runner.loaded[0]
-            for runner in self.runners.values()
-            if runner.seat and runner.seat.state is SeatState.open
-        )
+    def send(self, decision: FleetDecision, at_s: float) -> None:
+        """Let a decision come to its runners at a clock reading."""
+        for rank, name in enumerate(_addressed(decision)):
+            self._orders.append(Order(at_s, name, rank, self.term, decision))
 
     def _view(self) -> FleetView:
-        members: dict = defaultdict(dict)
-        for runner in self.runners.values():
+        alive = dict(self.runners.alive)
+        for runner in alive.values():
             if runner.seat:
-                members[runner.seat.key][runner.seat.rank] = runner
+                self._members[runner.seat.key][runner.seat.rank] = runner
         return FleetView(
-            dict(self.runners),
+            alive,
             ENGINE,
             self.now_s,
             self.demand,
-            members=dict(members),
+            members=self._members,
             paced=self.now_s > UNPACED_S,
         )
 
-    def _settle(self) -> None:
-        due = [change for change in self._due if change.at_s <= self.now_s]
-        self._due = [change for change in self._due if change not in due]
-        changed = {change.runner.name: change.runner for change in due}
-        for name in changed.keys() & self.runners.keys():
-            self.runners[name] = changed[name]
-
 
 def runner_of(number: int, domain: int) -> DiscoveredRunner:
     return DiscoveredRunner(
@@ -153,57 +295,38 @@
     )
 
 
-def effects(
-    decision: FleetDecision,
-    runners: Mapping[str, DiscoveredRunner],
-    now_s: float,
-) -> Iterator[Change]:
-    """Yield what a decision makes of runners, and when."""
+def _addressed(decision: FleetDecision) -> tuple[str, ...]:
     match decision:
-        case FormGroup(key, model, members):
-            for rank, member in enumerate(members):
-                seat = Seat(*key, rank, SeatState.joining)
-                yield from join(runners[member.name], model, seat, now_s)
-        case OpenGroup(key, head):
-            yield take_seat(runners[head.name], key, SeatState.open, now_s)
-        case CloseGroup(key, head):
-            closing = runners[head.name]
-            empty_s = now_s + DRAIN_S
-            yield take_seat(closing, key, SeatState.closing, now_s)
-            yield take_seat(closing, key, SeatState.ready, empty_s)
-        case LeaveGroup(_, left):
-            yield Change(now_s, evolve(runners[left.name], seat=None))
-        case StageModel(host, model):
-            yield Change(now_s, evolve(runners[host.name], staged=(model,)))
-
-
-def join(
-    runner: DiscoveredRunner,
-    model: str,
-    seat: Seat,
-    now_s: float,
-) -> Iterator[Change]:
-    """Yield the states of a runner that joins a group."""
+        case FormGroup(_, _, members):
+            return tuple(member.name for member in members)
+        case OpenGroup(_, runner) | CloseGroup(_, runner):
+            return (runner.name,)
+        case LeaveGroup(_, runner) | StageModel(runner, _):
+            return (runner.name,)
+
+
+def _seated(runner: DiscoveredRunner, state: SeatState) -> DiscoveredRunner:
+    assert runner.seat is not None
+    return evolve(runner, seat=evolve(runner.seat, state=state))
+
+
+def _is_at_work(seat: Seat) -> bool:
+    return seat.rank == 0 and seat.state in AT_WORK
+
+
+def _belongs(runner: DiscoveredRunner, key: Key) -> bool:
+    return runner.seat is not None and runner.seat.key == key
+
+
+def _is_in(runner: DiscoveredRunner, key: Key, state: SeatState) -> bool:
+    seat = runner.seat
+    return seat is not None and (seat.key, seat.state) == (key, state)
+
+
+def _join_s(runner: DiscoveredRunner, model: str) -> float:
+    """Return the time to join a group of a model, seconds."""
     served = ENGINE.model(model)
     assert served is not None
-    takes_s = served.load_s
     if model in runner.loaded:
-        takes_s = REJOIN_S
-    elif model in runner.staged:
-        takes_s = served.warm_s
-    joined = evolve(runner, loaded=(model,), seat=seat)
-    yield Change(now_s, joined)
-    ready = evolve(seat, state=SeatState.ready)
-    yield Change(now_s + takes_s, evolve(joined, seat=ready))
-
-
-def take_seat(
-    runner: DiscoveredRunner,
-    key: tuple[str, int],
-    state: SeatState,
-    at_s: float,
-) -> Change:
-    """Return the runner in another state of the group that it reports."""
-    assert runner.seat is not None
-    assert runner.seat.key == key
-    return Change(at_s, evolve(runner, seat=evolve(runner.seat, state=state)))
+        return REJOIN_S
+    return served.warm_s if model in runner.staged else served.load_s
--- a/libs/fleet/tests/test_exchanges.py
+++ b/libs/fleet/tests/test_exchanges.py
@@ -5,9 +5,9 @@
 from types import MappingProxyType
 
 import pytest
-from _fleet_replay import STEP_S, FleetReplay
+from _fleet_replay import DRAIN_S, STEP_S, FleetReplay
 
-from cowslipstep.fleet import CloseGroup, FormGroup
+from cowslipstep.fleet import CloseGroup, FormGroup, OpenGroup
 
 # The share of its groups that requests may fill before they wait long.
 FULL = 1
@@ -61,12 +61,33 @@
         replay.run_until(replay.now_s + STEP_S)
     domain = closed(replay)[0].head.fabric_domain
     freed = min(free_in(replay, domain))
-    replay.runners.pop(freed)
+    replay.runners.alive.pop(freed)
     replay.run_until(30)
     assert max(replay.busy().values()) < FULL
     assert not free_in(replay, domain)[1:]
 
 
+def test_no_group_ends_while_all_are_needed():
+    replay = start(pair=16, quad=6)
+    replay.crash('quad')
+    replay.run_until(30)
+    assert not closed(replay)
+
+
+@pytest.mark.parametrize('late_s', [0.1, 0.3, 0.5])
+def test_late_order_to_open_does_no_harm(late_s):
+    replay = start()
+    replay.crash('quad')
+    while not closed(replay) and replay.now_s < SOON_S:
+        replay.run_until(replay.now_s + STEP_S)
+    ended = closed(replay)[0]
+    late = OpenGroup(ended.key, ended.head)
+    empty_s = replay.now_s + DRAIN_S
+    replay.send(late, empty_s + late_s)
+    replay.run_until(30)
+    assert not replay.runners.broken_rules
+
+
 @pytest.mark.parametrize('domains', [1, 3, 12])
 def test_members_of_a_group_are_of_one_domain(domains):
     replay = start(domains, pair=2 * domains, quad=domains)
@@ -85,7 +106,7 @@
 def free_in(replay: FleetReplay, domain: str) -> list[str]:
     return [
         runner.name
-        for runner in replay.runners.values()
+        for runner in replay.runners.alive.values()
         if runner.seat is None and runner.fabric_domain == domain
     ]
 
--- a/libs/fleet/tests/test_keeper.py
+++ b/libs/fleet/tests/test_keeper.py
@@ -188,3 +188,15 @@
     )
     for step in range(100):
         assert not formed(keeper.decide(evolve(first, now_s=step)))
+
+
+def test_members_of_a_head_that_has_left_are_free() -> None:
+    keeper = new_keeper()
+    head, member = open_pair()
+    seen = evolve(
+        view_of(member, runner(3)),
+        members={KEY: {0: head, 1: member}},
+        heard=frozenset((head.name,)),
+    )
+    assert not formed(keeper.decide(seen))
+    assert formed(keeper.decide(evolve(seen, left=frozenset((KEY,)))))
