Count each request once in what relays tell

Cause: a relay does not hear itself, so that after 1.2 s alone it took all daemons of its failure domain for relays that it had to try. What it told them held the loads of that domain only: each follower knew a third or a quarter of all requests, and placed, refused and kept groups by it.

Ruled out: the smoothing of demand (corrected before); lost reports.

Change: a relay passes a sum of its own domain to relays of other domains, and a sum of all, marked as whole, to daemons of its own domain. A relay takes plain reports of its domain and one sum for each other one; a follower takes whole sums only. The first relay that is heard serves, and those before it in the order are told.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peers.py
@@ -16,6 +16,7 @@
 from cowslipstep.routing import MeshMember, Relay, Role
 from cowslipstep.serving._catching_up import CatchingUp
 from cowslipstep.serving._peer_links import PeerLinks
+from cowslipstep.serving._relay_role import Part, Whole
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._reports import ReportMaker, is_news
 from cowslipstep.serving._runner_copies import copy_runners
@@ -91,10 +92,11 @@
                 reply(Acknowledgement())
 
     def _take_report(self, report: LoadReport) -> None:
-        if self._state.role.hear(report):
-            self._state.loads.note(report, alone=True)
-        elif not self._state.role.fed:
-            self._state.loads.note(report)
+        match self._state.role.hear(report):
+            case Whole():
+                self._state.loads.note(report, alone=True)
+            case Part(source):
+                self._state.loads.note(report, source)
         link = self._links.get(report.daemon)
         if link is not None:
             self._catching_up.start(report, link)
@@ -144,6 +146,8 @@
                 for report in state.loads.reports
                 if not report.relayed
             )
+            # The one that comes later in the order follows once it hears.
+            wanted.update(state.role.near.rivals)
     return wanted
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reports.py
@@ -47,18 +47,22 @@
         """Return what a peer is told now."""
         own = self._own()
         match self._state.role.current:
-            case Relay(peers):
-                told = self._state.loads.reports
-                if name in peers:
-                    passed_on = [entry for entry in told if not entry.relayed]
-                else:
-                    passed_on = [
-                        entry for entry in told if entry.daemon != name
-                    ]
-                return sum_reports(own, passed_on)
+            case Relay():
+                return self._relayed(own, name)
             case _:
                 return own
 
+    def _relayed(self, own: LoadReport, name: str) -> LoadReport:
+        near = self._state.role.near.holds(name)
+        passed_on = [
+            report
+            for report in self._state.loads.reports
+            if report.daemon != name
+            and not report.whole
+            and (near or not report.relayed)
+        ]
+        return sum_reports(own, passed_on, whole=near)
+
     def _own(self) -> LoadReport:
         now_s = time.monotonic()
         if self._made is None or now_s - self._made_s > _SAME_S:
--- a/apps/cowslipstepd/tests/test_relay_role.py
+++ b/apps/cowslipstepd/tests/test_relay_role.py
@@ -9,7 +9,7 @@
 from cowslipstep.model import Address, DaemonEntry
 from cowslipstep.model.loads import LoadReport
 from cowslipstep.routing import Follower, MeshMember, Relay
-from cowslipstep.serving._relay_role import RelayRole
+from cowslipstep.serving._relay_role import RelayRole, Unused, Whole
 
 ANYWHERE = Address('127.0.0.1', 1)
 FLEET = tuple(
@@ -18,6 +18,10 @@
 OTHERS = (*FLEET[:5], *FLEET[6:])
 
 
+def whole_sum(relay: str) -> LoadReport:
+    return LoadReport(relay, 1, 0, relayed=True, whole=True)
+
+
 class Clock:
     """A clock that is set by hand."""
 
@@ -49,7 +53,7 @@
     assert role.current == Follower(frozenset(('d0',)))
     for _ in range(10):
         clock.now_s += 1
-        assert role.hear(LoadReport('d0', 1, 0, relayed=True))
+        assert role.hear(whole_sum('d0')) == Whole()
         assert role.fed
     clock.now_s += 3
     assert not role.fed
@@ -59,8 +63,9 @@
     role = RelayRole(FLEET[5])
     role.choose(OTHERS)
     clock.now_s += 3
-    assert not role.hear(LoadReport('d0', 1, 0))
-    assert not role.hear(LoadReport('d7', 1, 0, relayed=True))
+    assert role.hear(LoadReport('d0', 1, 0)) == Unused()
+    assert role.hear(whole_sum('d7')) == Unused()
+    assert role.hear(LoadReport('d0', 1, 0, relayed=True)) == Unused()
     assert not role.fed
 
 
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -109,7 +109,9 @@
     runners_revision
         Revision of the platform up to which it knows entries of runners.
     relayed
-        Whether the sender is a relay.
+        Whether the sender is a relay: it tells the sum of its failure domain.
+    whole
+        Whether it tells the sum of all daemons but the one that it is for.
     """
 
     daemon: str
@@ -123,6 +125,7 @@
     heard: tuple[str, ...] = ()
     runners_revision: int = 0
     relayed: bool = False
+    whole: bool = False
 
 
 LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -53,6 +53,7 @@
         heard=tuple(raw.heard),
         runners_revision=raw.runnersRevision,
         relayed=raw.relayed,
+        whole=raw.whole,
     )
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -43,6 +43,7 @@
     builder.served = report.served
     builder.keeper = report.keeper
     builder.relayed = report.relayed
+    builder.whole = report.whole
     builder.runnersRevision = report.runners_revision
     _write_loads(builder, report.loads)
     _write_demands(builder, report.demands)
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -185,6 +185,7 @@
   heard @8 :List(Text);
   runnersRevision @9 :UInt64;
   relayed @10 :Bool;
+  whole @11 :Bool;
 }
 
 struct RunnerDocument {
--- a/libs/routing/src/cowslipstep/routing/_relays.py
+++ b/libs/routing/src/cowslipstep/routing/_relays.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import itertools
-import operator
 from collections.abc import Callable, Collection, Iterable
 
 from attrs import frozen
@@ -89,14 +88,15 @@
     ) -> list[str]:
         """Return the relays of a domain up to the first that is heard."""
         names = [entry.name for entry in sorted(entries, key=_preference)]
+        for index, name in enumerate(names):
+            if now_s - self.heard_at_s(name) < RELAY_SILENCE_S:
+                return names[: index + 1]
         last_s = max(self.started_s, *map(self.heard_at_s, names))
         tried = names[: 2 ** int((now_s - last_s) / RELAY_SILENCE_S)]
-        heard = (self._is_heard(name, now_s) for name in tried)
-        before = list(itertools.takewhile(operator.not_, heard))
-        return tried[: len(before) + 1]
-
-    def _is_heard(self, name: str, now_s: float) -> bool:
-        return now_s - self.heard_at_s(name) < RELAY_SILENCE_S
+        if self.own.name in tried:
+            # This daemon relays; it does not hear itself.
+            return tried[: tried.index(self.own.name) + 1]
+        return tried
 
 
 def _by_domain(
--- a/libs/routing/src/cowslipstep/routing/_report_sums.py
+++ b/libs/routing/src/cowslipstep/routing/_report_sums.py
@@ -13,9 +13,13 @@
 def sum_reports(
     own: LoadReport,
     others: Sequence[LoadReport],
+    *,
+    whole: bool = False,
 ) -> LoadReport:
     """Return a relay's report: its own with those that it passes on.
 
+    ``whole`` says that these are all others that the receiver needs.
+
     Examples
     --------
     >>> own = LoadReport('a', 1, 0, (UpstreamLoad('u', 1),))
@@ -34,6 +38,7 @@
         served=any(report.served for report in told),
         keeper=any(report.keeper for report in told),
         relayed=True,
+        whole=whole,
     )
 
 
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -70,12 +70,22 @@
             if heard.heard_s >= oldest_s
         )
 
-    def note(self, report: LoadReport, *, alone: bool = False) -> None:
-        """Replace what a peer, or if ``alone`` any peer, has told before."""
+    def note(
+        self,
+        report: LoadReport,
+        source: str = '',
+        *,
+        alone: bool = False,
+    ) -> None:
+        """Replace what the same source, or if ``alone`` any, has told.
+
+        The source is the sender unless another one is named.
+        """
         if alone:
             self._heard.clear()
         loads = {load.upstream: load for load in report.loads}
-        self._heard[report.daemon] = _Heard(report, loads, self._clock())
+        heard = _Heard(report, loads, self._clock())
+        self._heard[source or report.daemon] = heard
 
     def total(self, upstream: str) -> UpstreamLoad:
         """Return the requests in progress at an upstream, over all daemons."""
