--- a/standins/src/cowslipstep_standins/_caller.py
+++ b/standins/src/cowslipstep_standins/_caller.py
@@ -31,7 +31,7 @@
     def send(self, address: str, call: Call) -> Outcome:
         """Send a call and read its whole answer."""
         started_s = time.monotonic()
-        outcome = Outcome(call, started_s=started_s)
+        outcome = Outcome(call, started_s=started_s, address=address)
         try:
             with self._open(address, call) as answer:
                 outcome.first_byte_s = time.monotonic() - started_s
--- a/standins/src/cowslipstep_standins/_fleet.py
+++ b/standins/src/cowslipstep_standins/_fleet.py
@@ -84,7 +84,7 @@
     def control(
         self,
         address: str,
-        faults: dict[str, Any] | None = None,
+        faults: dict[str, Any] | list[Any] | None = None,
     ) -> Any:
         """Set the faults of a stand-in, if given, and read its records."""
         answer = self._http.request(
--- a/standins/src/cowslipstep_standins/_outcomes.py
+++ b/standins/src/cowslipstep_standins/_outcomes.py
@@ -40,6 +40,8 @@
         Time to the first byte of the answer, seconds.
     started_s
         When the request was sent, by the monotonic clock.
+    address
+        The daemon that it was sent to.
     """
 
     call: Call
@@ -52,3 +54,4 @@
     request_id: str = ''
     text: str = ''
     headers: dict[str, str] = field(factory=dict)
+    address: str = ''
