--- a/libs/fleet/tests/test_exchanges.py
+++ b/libs/fleet/tests/test_exchanges.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 
 import pytest
-from _fleet_replay import DRAIN_S, STEP_S, FleetReplay
+from _fleet_replay import DRAIN_S, STEP_S, FleetReplay, runner_of
 
 from cowslipstep.fleet import CloseGroup, FormGroup, OpenGroup
 
@@ -13,6 +13,7 @@
 FULL = 1
 # A group that is missed is made up for by this time of a replay.
 SOON_S = 20
+CRASHES = 6
 DEMAND = MappingProxyType({'pair': 6, 'quad': 2.6})
 
 
@@ -113,3 +114,21 @@
 
 def closed(replay: FleetReplay) -> list[CloseGroup]:
     return [step for step in replay.decisions if isinstance(step, CloseGroup)]
+
+
+def test_survivors_do_not_wait_for_single_runners():
+    replay = start(domains=9, size=4, pair=10, quad=30)
+    pairs = groups_of(replay, 'pair')
+    for number in range(2 * CRASHES):
+        if number < CRASHES:
+            replay.crash('quad')
+        added = runner_of(100 + number, 100 + number)
+        replay.runners.alive[added.name] = added
+        replay.run_until(replay.now_s + 1)
+    # Two of the three that are left of each group of four serve as a pair.
+    assert groups_of(replay, 'pair') == pairs + CRASHES
+
+
+def groups_of(replay: FleetReplay, model: str) -> int:
+    heads = replay.runners.heads().values()
+    return sum(model in head.loaded for head in heads)
