Answer requests that come while intake ends

Intake ended with idle connections closed at once; the request of one that had just been taken was not read any more, and the process ended.

Change: connections that were taken last have 0.2 s to be read before idle ones are closed.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
@@ -6,13 +6,15 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from eventlet import GreenPool, Timeout, spawn, wsgi
+from eventlet import GreenPool, Timeout, sleep, spawn, wsgi
 from eventlet.event import Event
 from loguru import logger
 
 from cowslipstep.daemon._http import Environ, StartResponse
 from cowslipstep.daemon._in_progress import InProgress
 
+# A request that is on its way when intake ends comes within this time.
+_READ_S = 0.2
 _MAX_CONNECTIONS = 10000
 _KEEP_ALIVE_S = 60
 
@@ -32,6 +34,38 @@
     return stop
 
 
+class _Listener:
+    """A listening socket that reports its end late.
+
+    Connections that are idle then are closed at once; the request of one
+    that was just taken has to be read before.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+
+    @property
+    def family(self) -> int:
+        """Family of the addresses."""
+        return self._sock.family
+
+    def accept(self) -> Any:
+        """Wait for a connection."""
+        try:
+            return self._sock.accept()
+        except OSError:
+            sleep(_READ_S)
+            raise
+
+    def getsockname(self) -> Any:
+        """Return the address."""
+        return self._sock.getsockname()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._sock.close()
+
+
 class CallerServer:
     """Serves callers on a listening socket.
 
@@ -66,7 +100,7 @@
         """Start the task that accepts connections."""
         self._task = spawn(
             wsgi.server,
-            self._listener,
+            _Listener(self._listener),
             self._answer,
             custom_pool=self._pool,
             log_output=False,
@@ -78,13 +112,16 @@
         logger.bind(address=f'{ip}:{port}').info('daemon serves')
 
     def close(self) -> None:
-        """Take no more connections and close those that are idle."""
+        """Take no more connections and close those that stay idle."""
         self._listener.close()
-        self._task.kill()
 
     def wait_finished(self, timeout_s: float) -> bool:
-        """Wait for the requests in progress; false if some remain."""
+        """Wait for the requests in progress; false if some remain.
+
+        Requests on connections that were taken last are read before.
+        """
         with Timeout(timeout_s, False):
+            sleep(_READ_S)
             self._in_progress.wait_none()
             return True
         return False
--- a/standins/src/cowslipstep_standins/_soak_run.py
+++ b/standins/src/cowslipstep_standins/_soak_run.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field
 
+from cowslipstep_standins._balancer import Balancer
 from cowslipstep_standins._documents import fleet_configuration
 from cowslipstep_standins._fleet import LocalFleet
 from cowslipstep_standins._soak_faults import (
@@ -23,9 +24,6 @@
 )
 from cowslipstep_standins._soak_plan import Timed
 
-# What a daemon logs once it takes requests and signals.
-_SERVING = 'daemon serves'
-
 
 @define
 class DisturbedFleet:  # noqa: WPS214
@@ -33,6 +31,7 @@
 
     fleet: LocalFleet
     active: dict[int, Fault] = field(factory=dict)
+    seized: dict[int, str] = field(factory=dict)
     killed_s: list[tuple[str, float]] = field(factory=list)
     exits: list[int] = field(factory=list)
 
@@ -53,13 +52,13 @@
     def _cause(self, number: int, fault: Fault) -> None:
         self.active[number] = fault
         match fault:
-            case Killed(daemon) if self._is_alone(number, daemon):
+            case Killed(daemon) if self._seize(number, daemon):
                 self.fleet.daemon(daemon).kill()
                 address = self.fleet.plan.daemon(daemon).http
                 self.killed_s.append((address, time.monotonic()))
-            case Stopped(daemon) if self._is_alone(number, daemon):
+            case Stopped(daemon) if self._seize(number, daemon):
                 self._stop(daemon)
-            case Paused(daemon) if self._is_alone(number, daemon):
+            case Paused(daemon) if self._seize(number, daemon):
                 self.fleet.daemon(daemon).freeze()
             case Changed(weight):
                 self._submit(weight)
@@ -67,30 +66,28 @@
                 self._set_standins()
 
     def _lift(self, number: int) -> None:
-        fault = self.active[number]
-        match fault:
-            case Killed(daemon) | Stopped(daemon):
-                if self._is_alone(number, daemon):
-                    self.fleet.start_daemon(daemon)
-            case Paused(daemon):
-                if self._is_alone(number, daemon):
-                    self.fleet.daemon(daemon).thaw()
-        self.active.pop(number)
+        match self.active.pop(number):
+            case Killed(daemon) | Stopped(daemon) if self._free(number):
+                self.fleet.start_daemon(daemon)
+            case Paused(daemon) if self._free(number):
+                self.fleet.daemon(daemon).thaw()
         self._set_standins()
 
-    def _is_alone(self, number: int, daemon: str) -> bool:
-        """Whether no earlier fault holds the daemon's process."""
-        return not any(
-            earlier < number
-            for earlier, fault in self.active.items()
-            if isinstance(fault, Killed | Stopped | Paused)
-            and fault.daemon == daemon
-        )
+    def _seize(self, number: int, daemon: str) -> bool:
+        """Let a fault have a daemon's process unless another one has it."""
+        if daemon in self.seized.values():
+            return False
+        self.seized[number] = daemon
+        return True
+
+    def _free(self, number: int) -> bool:
+        """Give a process back; return whether the fault had it."""
+        return self.seized.pop(number, '') != ''
 
     def _stop(self, daemon: str) -> None:
         process = self.fleet.daemon(daemon)
         # One that has not begun to serve may end by the signal itself.
-        serving = _SERVING in process.log
+        serving = Balancer(self.fleet).get(daemon, 'readyz') is not None
         status = process.stop()
         if serving:
             self.exits.append(status)
