Close idle connections before a planned stop ends

Cause: since intake ends by closing the listener, the server's task went on waiting for connections, and idle ones stayed open until the process ended.

Change: the task ends after the 0.2 s for late requests, which closes idle connections; then requests in progress are waited for.

Tests: an idle connection is closed when the stop has finished (fails before), a request of which a part has come is answered, a stop without time does not wait.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_server.py
@@ -34,38 +34,6 @@
     return stop
 
 
-class _Listener:
-    """A listening socket that reports its end late.
-
-    Connections that are idle then are closed at once; the request of one
-    that was just taken has to be read before.
-    """
-
-    def __init__(self, sock: Any) -> None:
-        self._sock = sock
-
-    @property
-    def family(self) -> int:
-        """Family of the addresses."""
-        return self._sock.family
-
-    def accept(self) -> Any:
-        """Wait for a connection."""
-        try:
-            return self._sock.accept()
-        except OSError:
-            sleep(_READ_S)
-            raise
-
-    def getsockname(self) -> Any:
-        """Return the address."""
-        return self._sock.getsockname()
-
-    def close(self) -> None:
-        """Close the socket."""
-        self._sock.close()
-
-
 class CallerServer:
     """Serves callers on a listening socket.
 
@@ -100,7 +68,7 @@
         """Start the task that accepts connections."""
         self._task = spawn(
             wsgi.server,
-            _Listener(self._listener),
+            self._listener,
             self._answer,
             custom_pool=self._pool,
             log_output=False,
@@ -112,16 +80,19 @@
         logger.bind(address=f'{ip}:{port}').info('daemon serves')
 
     def close(self) -> None:
-        """Take no more connections and close those that stay idle."""
+        """Take no more connections; those that wait are taken before."""
+        sleep(0)
         self._listener.close()
 
     def wait_finished(self, timeout_s: float) -> bool:
         """Wait for the requests in progress; false if some remain.
 
-        Requests on connections that were taken last are read before.
+        Requests on connections that were taken last are read before, and
+        idle connections are closed, so that callers do not use them again.
         """
         with Timeout(timeout_s, False):
             sleep(_READ_S)
+            self._task.kill()
             self._in_progress.wait_none()
             return True
         return False
--- a/apps/cowslipstepd/tests/test_caller_server.py
+++ b/apps/cowslipstepd/tests/test_caller_server.py
@@ -19,7 +19,7 @@
 
 def test_request_at_the_end_is_answered():
     listener = eventlet.listen(('127.0.0.1', 0))
-    server = CallerServer(listener, answer, lambda: True)
+    server = CallerServer(listener, answer, bool)
     server.start()
     caller = socket.create_connection(listener.getsockname()[:2])
     caller.sendall(REQUEST[:10])
@@ -30,9 +30,22 @@
     assert b'200 OK' in caller.recv(1000)
 
 
+def test_idle_connection_is_closed_before_the_end():
+    listener = eventlet.listen(('127.0.0.1', 0))
+    server = CallerServer(listener, answer, bool)
+    server.start()
+    caller = socket.create_connection(listener.getsockname()[:2])
+    caller.sendall(REQUEST.replace(b'Connection: close\r\n', b''))
+    assert b'200 OK' in caller.recv(1000)
+    server.close()
+    assert server.wait_finished(GRACE_S)
+    caller.setblocking(False)
+    assert caller.recv(1000) == b''
+
+
 def test_server_without_time_does_not_wait():
     listener = eventlet.listen(('127.0.0.1', 0))
-    server = CallerServer(listener, answer, lambda: True)
+    server = CallerServer(listener, answer, bool)
     server.start()
     server.close()
     assert not server.wait_finished(0)
