--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,8 +14,16 @@
 TWICE_STARTED_SEED = 1012
 # A planned stop ended before a request on a new connection was read.
 CUT_BY_STOP_SEED = 1014
+# A kept connection was open until the process of a planned stop ended.
+KEPT_OPEN_SEED = 2002
 
-SEEDS = (SHORT_SEED, EARLY_STOP_SEED, TWICE_STARTED_SEED, CUT_BY_STOP_SEED)
+SEEDS = (
+    SHORT_SEED,
+    EARLY_STOP_SEED,
+    TWICE_STARTED_SEED,
+    CUT_BY_STOP_SEED,
+    KEPT_OPEN_SEED,
+)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
