--- a/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
@@ -18,8 +18,9 @@
 # The busier of the two models has to become this much less busy.
 _GAIN = 0.85
 # A model whose groups would be busier than this has none to give: groups that
-# close serve nobody for seconds, which costs most where all are needed.
-_FULL = 0.9
+# close serve nobody for seconds, which costs most where all are needed. Demand
+# counts requests at their full length, so that groups carry somewhat more than 1.
+_FULL = 1.3
 
 
 class ExchangeChoice:
