Share what the change had written again

Read once more against what was there; no behaviour changes but for one case below.

- The log stream had a token bucket of its own beside the call budget's; both use TokenBucket in the model library.
- Whether a daemon is the soft owner of something was worked out in four places; DaemonState.owns is asked now.
- That a head has left was a special case around judge; judge knows it.
- The keeper's view was made and then copied with one more field; it is made whole.
- Exchanges looked for free runners ten times a second also while no model is busy; they do so once one is.
Whether a runner is warm is must_load, which stood beside it; only a model whose load takes no longer than a warm start is told apart by it.
- A closure with one use in the assembly is gone; answered calls of a daemon are read by the balancer's reader of metrics; three tests share the engine that they had each written down.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cells.py
@@ -17,7 +17,6 @@
     DispatcherLoad,
     PrefixMap,
     ReplyToAsk,
-    rank_owners,
 )
 
 _UPDATE_PERIOD_S = 0.1
@@ -91,12 +90,7 @@
             groups,
         )
         if not self._local:
-            served.past.follow(groups, owned=_owns(self._state, cell))
-
-
-def _owns(state: DaemonState, cell: Cell) -> bool:
-    owner = rank_owners(str(cell), state.live_daemons)[0]
-    return owner == state.settings.name
+            served.past.follow(groups, owned=self._state.owns(str(cell)))
 
 
 def _show(cell: Cell, load: DispatcherLoad, state: DaemonState) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_log_stream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_log_stream.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import TextIO
 
+from cowslipstep.model import TokenBucket
+
 # A pipe takes as much in one piece or not at all (PIPE_BUF of Linux).
 _MAX_LINE_BYTES = 4096
 # Lines a second of one daemon that an on-call engineer's store takes.
@@ -36,8 +38,7 @@
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._clock = clock
-        self._allowed: float = _BURST_LINES
-        self._counted_s = clock()
+        self._bucket = TokenBucket(_LINES_PER_S, _BURST_LINES, clock)
         self._dropped = 0
         self._told_s = clock() - _TELL_DROPPED_S
 
@@ -48,7 +49,7 @@
 
     def write(self, line: str) -> None:
         """Write a line, or drop it."""
-        if not self._admit():
+        if not self._bucket.take():
             self._dropped += 1
             return
         self._tell_dropped()
@@ -66,16 +67,6 @@
             self._dropped = 0
             self._told_s = now_s
 
-    def _admit(self) -> bool:
-        now_s = self._clock()
-        gained = _LINES_PER_S * (now_s - self._counted_s)
-        self._allowed = min(_BURST_LINES, self._allowed + gained)
-        self._counted_s = now_s
-        if self._allowed < 1:
-            return False
-        self._allowed -= 1
-        return True
-
     def _put(self, line: str) -> bool:
         try:
             written = os.write(self._descriptor, _bounded(line))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_platform_share.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_platform_share.py
@@ -5,7 +5,6 @@
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.delivery import SHARDS, shard_role
 from cowslipstep.platform import BudgetLimits, PlatformLimits
-from cowslipstep.routing import rank_owners
 from cowslipstep.settings import DaemonSettings
 
 _SHARD_CALLS_PER_S = 4
@@ -33,16 +32,11 @@
 def adjust_share(state: DaemonState) -> None:
     """Fit the limits to the known daemons and the shards written here."""
     daemons = len(state.membership.others) + 1
-    shards = sum(_owns(state, shard) for shard in range(SHARDS))
+    shards = sum(map(state.owns, map(shard_role, range(SHARDS))))
     limits = share_of_platform(state.settings, daemons, shards)
     state.platform.change_limits(limits)
 
 
-def _owns(state: DaemonState, shard: int) -> bool:
-    owner = rank_owners(shard_role(shard), state.live_daemons)[0]
-    return owner == state.settings.name
-
-
 def _share(rate_per_s: float, daemons: int, shards: int) -> float:
     shard_per_s = min(
         _SHARD_CALLS_PER_S,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_retention.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_retention.py
@@ -12,7 +12,6 @@
 from cowslipstep.metrics import StatusIndex, decode_index
 from cowslipstep.model import CowslipstepError
 from cowslipstep.platform import PlatformClient, StoredObject
-from cowslipstep.routing import rank_owners
 
 RETENTION_PERIOD_S = 21600
 _ROLE = 'status-retention'
@@ -25,7 +24,7 @@
     that no status has to be read. Two owners for a while do the same work
     twice and no harm.
     """
-    if rank_owners(_ROLE, state.live_daemons)[0] != state.settings.name:
+    if not state.owns(_ROLE):
         return
     try:
         _delete_all_old(state.platform)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_segment_retention.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_segment_retention.py
@@ -12,7 +12,6 @@
 from cowslipstep.delivery import SLOT_S, expired_slots, slot_segments
 from cowslipstep.model import CowslipstepError
 from cowslipstep.platform import ObjectMissing
-from cowslipstep.routing import rank_owners
 
 SWEEP_PERIOD_S = SLOT_S
 _ROLE = 'segment-retention'
@@ -43,7 +42,7 @@
     def step(self) -> None:
         """Delete what has expired since the last step."""
         configuration = self._state.configuration
-        if configuration is None or not self._owns():
+        if configuration is None or not self._state.owns(_ROLE):
             self._next_slot = 0
             return
         slots = expired_slots(
@@ -56,10 +55,6 @@
         except CowslipstepError as error:
             logger.warning('old segments not deleted: {}', error)
 
-    def _owns(self) -> bool:
-        owner = rank_owners(_ROLE, self._state.live_daemons)[0]
-        return owner == self._state.settings.name
-
     def _sweep(self, slots: range) -> None:
         first = max(self._next_slot, slots.start)
         for slot in range(first, min(first + _SLOTS_PER_STEP, slots.stop)):
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -25,6 +25,7 @@
 from cowslipstep.model import Configuration, VersionedConfiguration
 from cowslipstep.peers import Traffic
 from cowslipstep.platform import PlatformClient
+from cowslipstep.routing import rank_owners
 from cowslipstep.settings import DaemonSettings
 
 _NO_VERSION = 0
@@ -135,6 +136,10 @@
         """
         return self.live.names(self.stopping)
 
+    def owns(self, name: str) -> bool:
+        """Whether this daemon is the soft owner of what has that name."""
+        return rank_owners(name, self.live_daemons)[0] == self.settings.name
+
     def daemons_in(self, failure_domain: str) -> frozenset[str]:
         """Names of the known daemons of a failure domain, live or not."""
         return daemons_in(self.membership, failure_domain)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from cowslipstep.daemon._listening import listen_http, listening_on
 from cowslipstep.daemon._server import CallerServer
 from cowslipstep.daemon._tasks import start_task
@@ -83,9 +81,6 @@
     def runners_pause_s() -> float:  # noqa: WPS430
         return _KEEPER_PAUSE_S if state.is_keeper else _RUNNERS_PAUSE_S
 
-    def pace(pause_s: Callable[[], float]) -> WatchPace:  # noqa: WPS430
-        return WatchPace(pause_s, lambda: state.role.fed)
-
     watches = (
         KindWatch(
             state.platform,
@@ -102,7 +97,7 @@
             state.platform,
             state.dialects.runners_kind,
             RunnerFollower(state.entries, bounds.registration_s),
-            pace(runners_pause_s),
+            WatchPace(runners_pause_s, lambda: state.role.fed),
         ),
         KindWatch(
             state.platform,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_catching_up.py
@@ -59,9 +59,9 @@
 
     def _query(self, report: LoadReport) -> Message | None:
         version = self._state.configuration.version
-        if report.configuration_version > version:
-            if self._configuration.is_long(version):
-                return ConfigurationQuery(version)
+        behind = report.configuration_version > version
+        if behind and self._configuration.is_long(version):
+            return ConfigurationQuery(version)
         directory = self._state.directory
         if report.runners_revision <= directory.revision:
             return None
--- a/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cowslipstep.fleet import EngineProfile, FleetView
+from cowslipstep.fleet import EngineProfile, FleetView, FormationKey
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._demand import DemandWatch
 from cowslipstep.serving._reachability import Reachability
@@ -32,8 +32,16 @@
         self._demand = demand
         self._reachability = reachability
 
-    def view(self, service: str, engine: EngineProfile) -> FleetView:
-        """Return what is known of the runners of a service now."""
+    def view(
+        self,
+        service: str,
+        engine: EngineProfile,
+        left: frozenset[FormationKey],
+    ) -> FleetView:
+        """Return what is known of the runners of a service now.
+
+        ``left`` are the groups whose heads have said that they left.
+        """
         return FleetView(
             runners={
                 name: runner
@@ -46,6 +54,7 @@
             lost=self._reachability.lost,
             members=self._reachability.members,
             heard=self._reachability.heard(),
+            left=left,
             paced=self._is_paced(),
         )
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_keeper.py
@@ -7,7 +7,6 @@
 import uuid
 
 import eventlet
-from attrs import evolve
 from loguru import logger
 
 from cowslipstep.daemon._ledgers import PlatformLedger
@@ -148,10 +147,7 @@
         term: int,
     ) -> None:
         keeper = self._keepers.setdefault(service, FleetKeeper(term))
-        view = evolve(
-            self._views.view(service, engine),
-            left=self._orders.left,
-        )
+        view = self._views.view(service, engine, self._orders.left)
         decisions = keeper.decide(view)
         if any(isinstance(step, _LAYOUT) for step in decisions):
             _log_layout(view, term)
--- a/apps/cowslipstepd/tests/test_segment_retention.py
+++ b/apps/cowslipstepd/tests/test_segment_retention.py
@@ -9,6 +9,7 @@
 
 from cowslipstep.daemon._segment_retention import SegmentRetention
 from cowslipstep.daemon._segment_store import SegmentStore
+from cowslipstep.daemon._state import DaemonState
 from cowslipstep.delivery import SLOT_S, expired_slots, slot_segment
 from cowslipstep.model import NotRun, Reason
 from cowslipstep.platform import (
@@ -57,6 +58,7 @@
         configuration=SimpleNamespace(key_retention_s=RETENTION_S),
         live_daemons=(owner,),
         settings=SimpleNamespace(name='d0'),
+        owns=lambda name: DaemonState.owns(state, name),
     )
     return SegmentRetention(state, SegmentStore(platform))
 
--- a/apps/cowslipstepd/tests/test_taken_cells.py
+++ b/apps/cowslipstepd/tests/test_taken_cells.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cowslipstep.daemon import _cells, _past_prefixes
+from cowslipstep.daemon._state import DaemonState
 from cowslipstep.model import Address, Ask, Cell, Request
 from cowslipstep.routing import CellPolicy, CellSlots, GroupSlots, rank_owners
 
@@ -26,6 +27,7 @@
             configuration=object(),
             live_daemons=DAEMONS,
             settings=types.SimpleNamespace(name=DAEMONS[1]),
+            owns=lambda name: DaemonState.owns(self.state, name),
         )
         self.read: list[str] = []
         self.replies: list[object] = []
--- a/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_exchange_choice.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 from cowslipstep.fleet._decisions import FleetView
 from cowslipstep.fleet._engines import ServedModel
-from cowslipstep.fleet._possible_exchanges import (
-    Exchange,
-    Formations,
-    PossibleExchanges,
-)
+from cowslipstep.fleet._possible_exchanges import Exchange, PossibleExchanges
 
 # Groups that are less busy than this serve their model well.
 _BUSY = 0.6
@@ -30,24 +26,21 @@
     ----------
     view
         The fleet.
-    found
-        Groups as their members report them.
-    claimed
-        Names of runners that are not free.
     counts
         Groups of each model that serve, or will soon.
+    possible
+        Finds exchanges between two models.
     """
 
     def __init__(
         self,
         view: FleetView,
-        found: Formations,
-        claimed: Collection[str],
         counts: Mapping[str, int],
+        possible: PossibleExchanges,
     ) -> None:
         self._view = view
         self._counts = counts
-        self._possible = PossibleExchanges(view, found, claimed)
+        self._possible = possible
 
     def best(self) -> Exchange | None:
         """Return the best exchange; ``None`` if none is worth its cost."""
--- a/libs/fleet/src/cowslipstep/fleet/_exchanges.py
+++ b/libs/fleet/src/cowslipstep/fleet/_exchanges.py
@@ -15,7 +15,11 @@
 from cowslipstep.fleet._exchange_choice import ExchangeChoice
 from cowslipstep.fleet._formations import Formation, FormationKey
 from cowslipstep.fleet._group_choice import ChosenGroup
-from cowslipstep.fleet._possible_exchanges import Exchange, Formations
+from cowslipstep.fleet._possible_exchanges import (
+    Exchange,
+    Formations,
+    PossibleExchanges,
+)
 from cowslipstep.fleet._runners import SeatState
 
 # Runners join another group, or fail to, within this time, seconds.
@@ -63,12 +67,8 @@
         be on its way.
         """
         if self._exchange is None and view.now_s >= self._rest_until_s:
-            self._exchange = ExchangeChoice(
-                view,
-                found,
-                claimed,
-                counts,
-            ).best()
+            possible = PossibleExchanges(view, found, claimed)
+            self._exchange = ExchangeChoice(view, counts, possible).best()
         if self._exchange is None or self._exchange.formed:
             return
         for key, head in self._exchange.ending.items():
--- a/libs/fleet/src/cowslipstep/fleet/_judgement.py
+++ b/libs/fleet/src/cowslipstep/fleet/_judgement.py
@@ -39,12 +39,14 @@
     headless_s
         How long no member has been its head.
     """
+    broken = formation.head_state is SeatState.broken
+    if broken or formation.key in view.left:
+        # Whatever entries of members still say, the head serves no more.
+        return _FREE
     head = formation.head
     if head is None:
         return _judge_headless(view, formation, headless_s)
     match formation.head_state:
-        case SeatState.broken:
-            return _FREE
         case SeatState.joining:
             return _KEPT if _is_whole(view, formation) else _FREE
         case SeatState.ready:
--- a/libs/fleet/src/cowslipstep/fleet/_keeper.py
+++ b/libs/fleet/src/cowslipstep/fleet/_keeper.py
@@ -16,7 +16,6 @@
 )
 from cowslipstep.fleet._group_choice import ChosenGroup, GroupChoice
 from cowslipstep.fleet._judgement import judge
-from cowslipstep.fleet._judgements import Judgement
 from cowslipstep.fleet._load_pace import LoadPace
 from cowslipstep.fleet._pending import PendingGroups
 from cowslipstep.fleet._registrations import Registrations
@@ -96,7 +95,7 @@
                 claimed.update(formation.names)
             elif key not in self._pending:
                 since_s = self._headless_s.get(key, view.now_s)
-                judgement = _judge(view, formation, view.now_s - since_s)
+                judgement = judge(view, formation, view.now_s - since_s)
                 if not judgement.free:
                     claimed.update(formation.names)
                 yield from judgement.decisions
@@ -140,17 +139,6 @@
         return order
 
 
-def _judge(
-    view: FleetView,
-    formation: Formation,
-    headless_s: float,
-) -> Judgement:
-    if formation.key in view.left:
-        # Whatever the entries of its members still say.
-        return Judgement(free=True)
-    return judge(view, formation, headless_s)
-
-
 def _serving(found: Mapping[FormationKey, Formation]) -> list[str]:
     """Return the model of each group that takes requests."""
     return [
--- a/libs/fleet/src/cowslipstep/fleet/_possible_exchanges.py
+++ b/libs/fleet/src/cowslipstep/fleet/_possible_exchanges.py
@@ -12,7 +12,7 @@
 from cowslipstep.fleet._decisions import FleetView
 from cowslipstep.fleet._engines import ServedModel
 from cowslipstep.fleet._formations import Formation, FormationKey
-from cowslipstep.fleet._free_runners import free_by_domain, ready_s
+from cowslipstep.fleet._free_runners import free_by_domain, must_load
 from cowslipstep.fleet._runners import DiscoveredRunner, SeatState
 
 # Requests that run when a group closes end within this time, seconds.
@@ -81,7 +81,7 @@
     ) -> None:
         self._view = view
         self._found = found
-        self._free = free_by_domain(view, claimed)
+        self._claimed = claimed
 
     def between(
         self,
@@ -89,10 +89,12 @@
         giving: ServedModel,
     ) -> Iterator[Exchange]:
         """Yield an exchange for each domain where one is possible."""
+        idle = free_by_domain(self._view, self._claimed)
         for domain, groups in self._given(wanting, giving).items():
-            free = self._free_warm(domain, wanting)
-            lacking = wanting.group_size - len(free)
-            number = math.ceil(lacking / giving.group_size)
+            free = [one for one in idle[domain] if not must_load(one, wanting)]
+            number = math.ceil(
+                (wanting.group_size - len(free)) / giving.group_size,
+            )
             if 0 < number <= len(groups):
                 yield self._exchange(wanting, free, groups[:number])
 
@@ -108,14 +110,6 @@
                 given[formation.members[0].fabric_domain].append(formation)
         return given
 
-    def _free_warm(
-        self,
-        domain: str,
-        model: ServedModel,
-    ) -> list[DiscoveredRunner]:
-        free = self._free.get(domain, ())
-        return [runner for runner in free if _is_warm(runner, model)]
-
     def _exchange(
         self,
         wanting: ServedModel,
@@ -145,11 +139,7 @@
     members = formation.members.values()
     domains = {runner.fabric_domain for runner in members}
     whole = formation.is_whole(giving.group_size) and len(domains) == 1
-    return whole and all(_is_warm(runner, wanting) for runner in members)
-
-
-def _is_warm(runner: DiscoveredRunner, model: ServedModel) -> bool:
-    return ready_s(runner, model) <= model.warm_s
+    return whole and not any(must_load(runner, wanting) for runner in members)
 
 
 def _ranked(group: Formation) -> list[DiscoveredRunner]:
--- /dev/null
+++ b/libs/fleet/tests/_engine_cases.py
@@ -0,0 +1,23 @@
+"""What engines publish in tests of the fleet and of admission to it."""
+
+from __future__ import annotations
+
+from cowslipstep.fleet import EngineProfile, ServedModel
+
+
+def engine_of(
+    *models: ServedModel,
+    loads_per_s: float = 5,
+    loads_at_once: int = 7,
+) -> EngineProfile:
+    return EngineProfile(
+        slots=9,
+        models=models,
+        step_s=0.008,
+        sequence_step_s=0.0002,
+        prefill_tokens_per_s=45900,
+        stride=5,
+        loads_per_s=loads_per_s,
+        loads_at_once=loads_at_once,
+        usual_output_tokens=150,
+    )
--- a/libs/fleet/tests/_fleet_replay.py
+++ b/libs/fleet/tests/_fleet_replay.py
@@ -11,12 +11,12 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 
+from _engine_cases import engine_of
 from attrs import define, evolve, field, frozen
 
 from cowslipstep.fleet import (
     CloseGroup,
     DiscoveredRunner,
-    EngineProfile,
     FleetDecision,
     FleetKeeper,
     FleetView,
@@ -43,17 +43,7 @@
 
 PAIR = ServedModel('pair', group_size=2, share=0.6, load_s=12, warm_s=1.1)
 QUAD = ServedModel('quad', group_size=4, share=0.4, load_s=16, warm_s=1.6)
-ENGINE = EngineProfile(
-    slots=9,
-    models=(PAIR, QUAD),
-    step_s=0.0078,
-    sequence_step_s=0.0002,
-    prefill_tokens_per_s=45900,
-    stride=5,
-    loads_per_s=1,
-    loads_at_once=4,
-    usual_output_tokens=150,
-)
+ENGINE = engine_of(PAIR, QUAD, loads_per_s=1, loads_at_once=4)
 AT_WORK = frozenset((SeatState.open, SeatState.closing))
 
 
--- a/libs/fleet/tests/test_keeper.py
+++ b/libs/fleet/tests/test_keeper.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from _engine_cases import engine_of
 from attrs import evolve
 
 from cowslipstep.fleet import (
     CloseGroup,
     DiscoveredRunner,
-    EngineProfile,
     FleetKeeper,
     FleetView,
     FormGroup,
@@ -21,17 +21,7 @@
 from cowslipstep.model import Address
 
 PAIR = ServedModel('pair', group_size=2, load_s=12, warm_s=1)
-ENGINE = EngineProfile(
-    slots=9,
-    models=(PAIR,),
-    step_s=0.008,
-    sequence_step_s=0.0002,
-    prefill_tokens_per_s=45900,
-    stride=5,
-    loads_per_s=5,
-    loads_at_once=7,
-    usual_output_tokens=150,
-)
+ENGINE = engine_of(PAIR)
 KEY = ('g1', 1)
 TERM = 7
 
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -53,6 +53,7 @@
     OrderMessage,
 )
 from cowslipstep.model._requests import Request
+from cowslipstep.model._token_bucket import TokenBucket
 from cowslipstep.model._verdicts import (
     Completed,
     MayHaveRun,
--- a/libs/platform/src/cowslipstep/platform/_budget.py
+++ b/libs/platform/src/cowslipstep/platform/_budget.py
@@ -8,6 +8,8 @@
 
 from attrs import field, frozen, validators
 
+from cowslipstep.model import TokenBucket
+
 
 class Priority(enum.IntEnum):
     """Which calls go first when the budget runs short."""
@@ -102,28 +104,15 @@
         clock: Callable[[], float],
     ) -> None:
         self._limits = limits
-        self._clock = clock
-        self._tokens = limits.burst
-        self._filled_at_s = clock()
+        self._bucket = TokenBucket(limits.calls_per_s, limits.burst, clock)
 
     def change_limits(self, limits: BudgetLimits) -> None:
         """Use other limits from now on."""
-        self._fill()
         # The room kept for urgent calls grows with the burst.
-        self._tokens *= limits.burst / self._limits.burst
+        self._bucket.change(limits.calls_per_s, limits.burst)
         self._limits = limits
 
     def take(self, priority: Priority) -> bool:
         """Take a token for one call; false if none is left for it."""
-        self._fill()
         reserved = _RESERVED_SHARES[priority] * self._limits.burst
-        if self._tokens < max(1, reserved):
-            return False
-        self._tokens -= 1
-        return True
-
-    def _fill(self) -> None:
-        now_s = self._clock()
-        gained = (now_s - self._filled_at_s) * self._limits.calls_per_s
-        self._tokens = min(self._limits.burst, self._tokens + gained)
-        self._filled_at_s = now_s
+        return self._bucket.take(kept=reserved)
--- a/libs/routing/tests/test_overload.py
+++ b/libs/routing/tests/test_overload.py
@@ -5,11 +5,11 @@
 import heapq
 import random
 
+from _engine_cases import engine_of
 from attrs import define, field
 
 from cowslipstep.fleet import (
     DiscoveredRunner,
-    EngineProfile,
     ServedModel,
     ServingGroup,
 )
@@ -28,17 +28,7 @@
 )
 
 MODEL = ServedModel('pair', group_size=2, pace=0.6)
-ENGINE = EngineProfile(
-    slots=9,
-    models=(MODEL,),
-    step_s=0.008,
-    sequence_step_s=0.0002,
-    prefill_tokens_per_s=45900,
-    stride=5,
-    loads_per_s=5,
-    loads_at_once=7,
-    usual_output_tokens=150,
-)
+ENGINE = engine_of(MODEL)
 OBJECTIVE_S = 0.25
 DEMAND = RequestDemand(700, 0, OBJECTIVE_S, remaining_s=6)
 RUN_S = 0.9
--- a/standins/src/cowslipstep_standins/_balancer.py
+++ b/standins/src/cowslipstep_standins/_balancer.py
@@ -53,12 +53,14 @@
         answer = self.get(name, 'readyz')
         return answer is not None and answer.status == _OK
 
-    def metric(self, name: str, metric: str) -> float:
-        """A figure of one daemon's metrics, summed over labels."""
+    def metric(self, name: str, metric: str, label: str = '') -> float:
+        """A figure of one daemon's metrics, summed over labels.
+
+        Only series with the label, if one is given.
+        """
         text = self.get(name, 'metrics').data.decode()
-        lines = re.findall(
-            rf'^cowslipstep_{metric}(?:{{.*}})? (\S+)$', text, re.M
-        )
+        labels = f'{{.*{label}.*}}' if label else '(?:{.*})?'
+        lines = re.findall(rf'^cowslipstep_{metric}{labels} (\S+)$', text, re.M)
         return sum(map(float, lines))
 
     def send_until(self, stop: threading.Event, caller: int) -> None:
--- a/standins/src/cowslipstep_standins/_records.py
+++ b/standins/src/cowslipstep_standins/_records.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import operator
-import re
 from typing import Any
 
-import urllib3
-
+from cowslipstep_standins._balancer import Balancer
 from cowslipstep_standins._fleet import LocalFleet
 from cowslipstep_standins._processes import wait_until
 
-_ANSWERED = re.compile('platform_calls.*outcome="answered".* ([0-9]+)')
+_ANSWERED = 'outcome="answered"'
 
 
 def engine_runs(fleet: LocalFleet) -> list[Any]:
@@ -49,9 +47,9 @@
     )
 
 
-def _answered_calls(fleet: LocalFleet) -> list[int]:
-    texts = [
-        urllib3.request('GET', f'http://{daemon.http}/metrics').data.decode()
+def _answered_calls(fleet: LocalFleet) -> list[float]:
+    balancer = Balancer(fleet)
+    return [
+        balancer.metric(daemon.name, 'platform_calls_total', _ANSWERED)
         for daemon in fleet.plan.daemons
     ]
-    return [sum(map(int, _ANSWERED.findall(text))) for text in texts]
