Bound what a faulty upstream can send, and keep no connections to it

Cause: the reader of upstreams' responses had a timeout for each receive only, so bytes now and then in a head, a chunk size or a trailer held a request without end; informational heads, bodies and events had no limit of size; bytes that are no HTTP raised an internal error instead of a failed attempt. A stream that cannot be resumed was cut after twice its planned pause though it could go on nowhere else, and bytes that complete no event counted as progress. In the product's own path connections to upstreams were kept: a late second copy of a refusal passed for the next response (told "not run" though it ran), one of a response reached the next caller.

Ruled out: the same on the serving path, which has a connection for each request.

Change: BoundedReader limits time and bytes of all receives of a head or chunk and yields to other tasks; bodies end at 8 MiB, events at 1 MiB, streams at the deadline; only whole events end a silence; attempts that cannot go elsewhere wait for the deadline. Each call of the product's path has its own connection.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_completion_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_completion_sender.py
@@ -19,7 +19,7 @@
 from cowslipstep.daemon._slots import Slot, SlotService
 from cowslipstep.daemon._state import DaemonState
 from cowslipstep.daemon._tasks import start_task
-from cowslipstep.daemon._upstream import UpstreamFailure, UpstreamPool
+from cowslipstep.daemon._upstream import UpstreamFailure
 from cowslipstep.delivery import upstreams_to_avoid
 from cowslipstep.model import NotRun, Reason
 
@@ -49,7 +49,6 @@
         self._pauses = PauseDetector()
         start_task('pauses', lambda: self._pauses.run(eventlet.sleep))
         self._slots = slots
-        self._upstreams = UpstreamPool()
 
     def send(
         self, completion: CompletionRequest, run: RunState
@@ -100,7 +99,7 @@
         run.attempted_upstreams.append(slot.grant.group)
         run.record_sending()
         try:
-            for part in relay(self._upstreams, call, run):
+            for part in relay(call, run):
                 slot.usage.streamed_tokens = (
                     run.stream_progress.tokens - earlier_tokens
                 )
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -12,7 +12,7 @@
 from cowslipstep.daemon._upstream import (
     UpstreamCall,
     UpstreamFailure,
-    UpstreamPool,
+    open_call,
     read_chunks,
 )
 from cowslipstep.model import MayHaveRun, Reason
@@ -38,7 +38,6 @@
 
 
 def relay_buffered(
-    upstreams: UpstreamPool,
     call: UpstreamCall,
     run: RunState,
 ) -> Iterator[ResponsePart]:
@@ -49,12 +48,11 @@
     UpstreamFailure
         If there is no response or it is incomplete.
     """
-    with upstreams.open(call) as response:
+    with open_call(call) as response:
         yield from _buffered(response, run)
 
 
 def relay_stream(
-    upstreams: UpstreamPool,
     call: UpstreamCall,
     run: RunState,
 ) -> Iterator[ResponsePart]:
@@ -65,7 +63,7 @@
     UpstreamFailure
         If there is no response, or the stream ends before its end event.
     """
-    with upstreams.open(call) as response:
+    with open_call(call) as response:
         if response.status != _OK:
             yield from _buffered(response, run)
             return
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_service_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_service_delivery.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from attrs import field, frozen
+from attrs import frozen
 
 from cowslipstep.daemon._completion_sender import AttemptRefused
 from cowslipstep.daemon._delivery_loop import Delivery, DeliveryLoop
@@ -15,18 +15,10 @@
 from cowslipstep.daemon._runner_slots import HeldRunner, RunnerSlots
 from cowslipstep.daemon._service_requests import ServiceRequest, service_call
 from cowslipstep.daemon._state import DaemonState
-from cowslipstep.daemon._upstream import UpstreamFailure, UpstreamPool
+from cowslipstep.daemon._upstream import UpstreamFailure
 from cowslipstep.model import NotRun, Reason
 
 
-@frozen
-class _Upstreams:
-    """Slots on the runners of plain services, and connections to them."""
-
-    slots: RunnerSlots = field(factory=RunnerSlots)
-    pool: UpstreamPool = field(factory=UpstreamPool)
-
-
 class ServiceDelivery:
     """Delivers calls to plain services, each to the least loaded runner.
 
@@ -41,7 +33,7 @@
     def __init__(
         self, state: DaemonState, order_execution: OrderExecution
     ) -> None:
-        self._upstreams = _Upstreams()
+        self._slots = RunnerSlots()
         self._loop = DeliveryLoop(state, order_execution, 'service_calls')
 
     def deliver(self, request: ServiceRequest) -> Iterator[ResponsePart]:
@@ -58,9 +50,7 @@
             request.target.idempotent,
             request.order,
         )
-        attempts = _ServiceAttempts(
-            request, delivery, self._upstreams, self._loop
-        )
+        attempts = _ServiceAttempts(request, delivery, self._slots, self._loop)
         return self._loop.deliver(delivery, attempts)
 
 
@@ -70,13 +60,13 @@
 
     _request: ServiceRequest
     _delivery: Delivery
-    _upstreams: _Upstreams
+    _slots: RunnerSlots
     _loop: DeliveryLoop
 
     def attempt(self, run: RunState) -> Iterator[ResponsePart]:
         """Yield the response of one runner."""
         service = self._request.target.service
-        with self._upstreams.slots.hold_runner(service, run) as runner:
+        with self._slots.hold_runner(service, run) as runner:
             match runner:
                 case NotRun():
                     raise AttemptRefused(runner, 'no runner has a free slot')
@@ -107,7 +97,7 @@
             )
         run.record_sending()
         try:
-            yield from relay_buffered(self._upstreams.pool, call, run)
+            yield from relay_buffered(call, run)
         except UpstreamFailure:
             runner.failed = True
             raise
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
@@ -59,6 +59,11 @@
         """Whether the chunks so far end within an event."""
         return bool(self._partial_event)
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Size of the incomplete last event."""
+        return len(self._partial_event)
+
     def drop_partial_event(self) -> None:
         """Drop the incomplete last event before the stream is resumed."""
         self._partial_event = b''
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -15,8 +15,6 @@
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 
 _CONNECT_TIMEOUT_S = 1
-_MAX_IDLE_CONNECTIONS_PER_UPSTREAM = 64
-_MAX_CONNECTION_POOLS = 1024
 _MAX_CHUNK_BYTES = 65536
 
 
@@ -36,46 +34,44 @@
     read_timeout_s: float = 30
 
 
-class UpstreamPool:
-    """Pool of HTTP connections to upstreams."""
+@contextlib.contextmanager
+def open_call(call: UpstreamCall) -> Iterator[urllib3.BaseHTTPResponse]:
+    """Send a call, yield its response before its body is read, and close.
+
+    Each call has a connection of its own: on a kept one a faulty upstream may
+    send an earlier response once more, which would pass for the next one.
 
-    def __init__(self) -> None:
-        self._http = urllib3.PoolManager(
-            num_pools=_MAX_CONNECTION_POOLS,
-            maxsize=_MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
+    Raises
+    ------
+    UpstreamFailure
+        If there is no response, or its status is 500 or above.
+    """
+    address = call.address
+    with (
+        urllib3.HTTPConnectionPool(address.ip, address.port) as connections,
+        contextlib.closing(_send(connections, call)) as response,
+    ):
+        raise_for_status(response, address)
+        yield response
+
+
+def _send(
+    connections: urllib3.HTTPConnectionPool, call: UpstreamCall
+) -> urllib3.BaseHTTPResponse:
+    with _convert_errors():
+        return connections.request(
+            call.method,
+            call.path,
+            body=call.body,
+            headers=call.headers,
+            timeout=urllib3.Timeout(
+                connect=_CONNECT_TIMEOUT_S,
+                read=call.read_timeout_s,
+            ),
             retries=False,
+            preload_content=False,
         )
 
-    @contextlib.contextmanager
-    def open(self, call: UpstreamCall) -> Iterator[urllib3.BaseHTTPResponse]:
-        """Send a call and yield its response, whose body is not read yet.
-
-        The connection is closed unless the body was read to its end.
-
-        Raises
-        ------
-        UpstreamFailure
-            If there is no response, or its status is 500 or above.
-        """
-        response = self._send(call)
-        with contextlib.closing(response):
-            raise_for_status(response, call.address)
-            yield response
-
-    def _send(self, call: UpstreamCall) -> urllib3.BaseHTTPResponse:
-        with _convert_errors():
-            return self._http.request(
-                call.method,
-                f'http://{call.address}{call.path}',
-                body=call.body,
-                headers=call.headers,
-                timeout=urllib3.Timeout(
-                    connect=_CONNECT_TIMEOUT_S,
-                    read=call.read_timeout_s,
-                ),
-                preload_content=False,
-            )
-
 
 def read_chunks(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield chunks of a body as they arrive.
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
@@ -0,0 +1,86 @@
+"""Reads from eventlet's sockets with limits, and detects resets."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import Any
+
+import eventlet
+from eventlet.hubs import trampoline
+
+# Other tasks run after this many bytes were received without a wait.
+_BYTES_BETWEEN_YIELDS = 65536
+
+
+class ReadLimitExceeded(OSError):
+    """The peer has sent more bytes than a response may have."""
+
+
+class BoundedReader:
+    """Receives into buffers within a time and up to a number of bytes.
+
+    The limits hold for all bytes until they are set again: with a timeout for
+    each call alone, a peer that sends a byte now and then would never time
+    out. Eventlet's socket reports a reset as the end of the connection, so
+    that a cut response without a Content-Length would look complete; this
+    reader raises instead.
+
+    Parameters
+    ----------
+    sock
+        Socket of eventlet.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._deadline_s = math.inf
+        self._bytes_left = math.inf
+        self._bytes_since_yield = 0
+
+    def set_limits(self, timeout_s: float, max_bytes: float) -> None:
+        """Allow this many bytes from now on, and as many seconds of waiting.
+
+        Bytes that have arrived can still be read after the timeout.
+        """
+        self._deadline_s = time.monotonic() + timeout_s
+        self._bytes_left = max_bytes
+
+    def recv_into(
+        self,
+        buffer: Any,
+        nbytes: int = 0,
+        flags: int = 0,
+    ) -> int:
+        """Wait for bytes, and return their number; zero at the end.
+
+        Raises
+        ------
+        ReadLimitExceeded
+            If the peer has already sent as many bytes as allowed.
+        OSError
+            If the connection was reset, or no bytes arrived in time.
+        """
+        if self._bytes_left <= 0:
+            raise ReadLimitExceeded('the peer sends more bytes than allowed')
+        received = self._receive(buffer, nbytes, flags)
+        self._bytes_left -= received
+        self._bytes_since_yield += received
+        if self._bytes_since_yield >= _BYTES_BETWEEN_YIELDS:
+            # A peer that sends without pause must not occupy the process.
+            self._bytes_since_yield = 0
+            eventlet.sleep(0)
+        return received
+
+    def _receive(self, buffer: Any, nbytes: int, flags: int) -> int:
+        plain_sock = self._sock.fd
+        while True:
+            try:
+                return plain_sock.recv_into(buffer, nbytes, flags)
+            except BlockingIOError:
+                trampoline(
+                    plain_sock,
+                    read=True,
+                    timeout=max(0, self._deadline_s - time.monotonic()),
+                    timeout_exc=TimeoutError('no bytes within the timeout'),
+                )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
@@ -97,3 +97,10 @@
     if routed.request.timeout_s is not None:
         timeout_s = min(timeout_s, routed.request.timeout_s)
     return DeliveryState(routed, arrived_s, arrived_s + timeout_s)
+
+
+def may_run_elsewhere(delivery: DeliveryState) -> bool:
+    """Return whether another upstream may run it if the next attempt fails."""
+    route = delivery.routed.route
+    runs = len(delivery.possible_runs) + 1
+    return route.repeatable and runs < route.max_attempts
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -27,7 +27,10 @@
     group_busy_s,
 )
 from cowslipstep.serving._candidates import Candidates
-from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._delivery_state import (
+    DeliveryState,
+    may_run_elsewhere,
+)
 from cowslipstep.serving._state import ServingState
 
 # An attempt fails if its response takes longer to begin than the predicted
@@ -123,11 +126,7 @@
         runner = self._candidates.least_loaded(delivery)
         if runner is None:
             return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
-        route = delivery.routed.route
-        if (
-            not route.repeatable
-            or len(delivery.possible_runs) + 1 >= route.max_attempts
-        ):
+        if not may_run_elsewhere(delivery):
             return ChosenUpstream(runner, delivery.remaining_s)
         # Half of the time is left for a second attempt.
         return ChosenUpstream(runner, delivery.remaining_s / 2)
@@ -184,12 +183,16 @@
     group: ServingGroup,
     expected_s: float,
 ) -> ChosenUpstream:
-    response_timeout_s = (
-        _ATTEMPT_TIMEOUT_FACTOR * expected_s + _ATTEMPT_TIMEOUT_SLACK_S
-    )
+    response_timeout_s = delivery.remaining_s
+    if delivery.routed.route.repeatable:
+        # Early enough for another attempt, by the daemon or by the caller.
+        response_timeout_s = min(
+            response_timeout_s,
+            _ATTEMPT_TIMEOUT_FACTOR * expected_s + _ATTEMPT_TIMEOUT_SLACK_S,
+        )
     return ChosenUpstream(
         group.leader,
-        min(delivery.remaining_s, response_timeout_s),
+        response_timeout_s,
         _urgency(delivery),
         expected_s,
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from http.client import HTTPException
 from typing import Any
 
 import urllib3
@@ -14,11 +15,19 @@
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
-from cowslipstep.serving._resets import ResetAwareReader
+from cowslipstep.serving._bounded_reader import BoundedReader
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
 _READ_CHUNK_BYTES = 65536
+# Largest status line and headers of a response together, informational
+# responses before it included.
+_MAX_HEAD_BYTES = 131072
+# Largest body that is held in memory until it is complete.
+MAX_BODY_BYTES = 8388608
+# Bytes that may be received for one chunk of a body: the chunk, and the
+# framing of a chunked body around it.
+_MAX_RECEIVED_CHUNK_BYTES = 2 * _READ_CHUNK_BYTES
 _SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
 # Minimum socket timeout: bytes that have arrived can still be read after the
 # deadline.
@@ -42,7 +51,7 @@
     body
         Request body; empty for none.
     response_timeout_s
-        Longest wait for the head of the response, seconds.
+        Longest time until the head of the response is complete, seconds.
     """
 
     address: Address
@@ -54,15 +63,23 @@
 
 
 class OpenResponse:
-    """A response whose body is read as it arrives."""
+    """A response whose body is read as it arrives.
+
+    Parameters
+    ----------
+    response
+        The response, after its head was read.
+    reader
+        Limits what is received for it.
+    """
 
     def __init__(
         self,
         response: urllib3.BaseHTTPResponse,
-        sock: Any,
+        reader: BoundedReader,
     ) -> None:
         self._response = response
-        self._sock = sock
+        self._reader = reader
 
     @property
     def status(self) -> int:
@@ -80,11 +97,13 @@
         Raises
         ------
         UpstreamFailure
-            If the connection breaks or nothing arrives for ``timeout_s``
-            seconds.
+            If the connection breaks, or no bytes of the body arrive for
+            ``timeout_s`` seconds.
         """
         with _as_upstream_failure():
-            self._sock.settimeout(max(timeout_s, _MIN_TIMEOUT_S))
+            self._reader.set_limits(
+                max(timeout_s, _MIN_TIMEOUT_S), _MAX_RECEIVED_CHUNK_BYTES
+            )
             return self._response.read1(_READ_CHUNK_BYTES)
 
     def read_all(self, deadline_s: float) -> bytes:
@@ -93,14 +112,21 @@
         Raises
         ------
         UpstreamFailure
-            If the connection breaks, or the deadline passes first.
+            If the connection breaks, the deadline passes first, or the body
+            is larger than ``MAX_BODY_BYTES``.
         """
         chunks: list[bytes] = []
-        while True:
+        size = 0
+        while size <= MAX_BODY_BYTES:
             chunk = self.read_chunk(deadline_s - time.monotonic())
             if not chunk:
                 return b''.join(chunks)
             chunks.append(chunk)
+            size += len(chunk)
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_cut),
+            f'expected a body of at most {MAX_BODY_BYTES} bytes, got more',
+        )
 
 
 @contextlib.contextmanager
@@ -131,17 +157,16 @@
             f'{request.address}: {error}',
         ) from error
     sock: Any = connection.sock
+    reader = BoundedReader(sock)
     if hasattr(sock, 'fd'):
-        # Only eventlet's sockets report a reset as the end of the stream; they
-        # hold the standard socket in ``fd``.
-        sock.recv_into = ResetAwareReader(sock).recv_into
+        # Only eventlet's sockets can be read within these limits; they hold
+        # the standard socket in ``fd``.
+        sock.recv_into = reader.recv_into
+    timeout_s = max(request.response_timeout_s, _MIN_TIMEOUT_S)
     with _as_upstream_failure():
-        # The connection sets this timeout on its socket before it reads the
-        # response.
-        connection.timeout = max(
-            request.response_timeout_s,
-            _MIN_TIMEOUT_S,
-        )
+        # The connection sets this timeout on its socket for sending.
+        connection.timeout = timeout_s
+        reader.set_limits(timeout_s, _MAX_HEAD_BYTES)
         connection.request(
             request.method,
             request.target,
@@ -150,7 +175,7 @@
             preload_content=False,
             decode_content=False,
         )
-        return OpenResponse(connection.getresponse(), sock)
+        return OpenResponse(connection.getresponse(), reader)
 
 
 @contextlib.contextmanager
@@ -162,7 +187,7 @@
             MayHaveRun(_failure_reason(error)),
             repr(error),
         ) from error
-    except (ValueError, AttributeError) as error:
+    except (HTTPException, ValueError, AttributeError) as error:
         # http.client raises these errors on bytes that are no HTTP response.
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_cut),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -10,7 +10,10 @@
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import ResponseHead, UpstreamRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason
-from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._delivery_state import (
+    DeliveryState,
+    may_run_elsewhere,
+)
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream
 from cowslipstep.serving._upstream_http import (
@@ -24,6 +27,8 @@
 # Silence timeout of a stream, as a multiple of its longest planned pause.
 _SILENCE_GAP_FACTOR = 2
 _MIN_SILENCE_TIMEOUT_S = 0.4
+# Largest event of a stream; it is held in memory until it is complete.
+_MAX_EVENT_BYTES = 1048576
 
 
 class UpstreamSender:
@@ -101,13 +106,22 @@
         response: OpenResponse,
     ) -> Iterator[ResponsePart]:
         delivery.progress.drop_partial_event()
-        chunk = response.read_chunk(
-            min(chosen.response_timeout_s, delivery.remaining_s)
+        # Only whole events end a silence, so that an upstream that sends a byte
+        # now and then does not hold the request.
+        silent_until_s = delivery.now_s + min(
+            chosen.response_timeout_s, delivery.remaining_s
         )
+        chunk = response.read_chunk(silent_until_s - delivery.now_s)
         while chunk:
-            self._state.suspicions.clear(chosen.runner.name)
-            yield from _complete_events(delivery, head, chunk)
-            chunk = response.read_chunk(self._silence_timeout_s(delivery))
+            _raise_if_unbounded(delivery)
+            events = delivery.progress.add_chunk(chunk)
+            if events:
+                self._state.suspicions.clear(chosen.runner.name)
+                yield from _passed_on(delivery, head, events)
+                silent_until_s = delivery.now_s + self._silence_timeout_s(
+                    delivery
+                )
+            chunk = response.read_chunk(silent_until_s - delivery.now_s)
         _raise_if_cut(delivery)
         if not delivery.response_begun:
             delivery.begin_response()
@@ -119,15 +133,13 @@
         If it could not be resumed at another upstream, only the deadline of
         the request limits the silence.
         """
-        route = delivery.routed.route
-        is_last_attempt = len(delivery.possible_runs) + 1 >= route.max_attempts
-        if (
-            is_last_attempt
-            or not self._state.retry_budget(
-                delivery.routed.service
-            ).allows_retry
-        ):
+        may_resume = (
+            may_run_elsewhere(delivery)
+            and self._state.retry_budget(delivery.routed.service).allows_retry
+        )
+        if not may_resume:
             return delivery.remaining_s
+        route = delivery.routed.route
         silence_s = max(
             _SILENCE_GAP_FACTOR * route.max_gap_s, _MIN_SILENCE_TIMEOUT_S
         )
@@ -147,20 +159,31 @@
     )
 
 
-def _complete_events(
+def _passed_on(
     delivery: DeliveryState,
     head: ResponseHead,
-    chunk: bytes,
+    events: bytes,
 ) -> Iterator[ResponsePart]:
-    events = delivery.progress.add_chunk(chunk)
-    if not events:
-        return
     if not delivery.response_begun:
         delivery.begin_response()
         yield head
     yield events
 
 
+def _raise_if_unbounded(delivery: DeliveryState) -> None:
+    """Raise if a stream goes on after the deadline, or an event has no end."""
+    if delivery.overdue:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_timeout),
+            'stream goes on after the deadline of the request',
+        )
+    if delivery.progress.partial_event_bytes > _MAX_EVENT_BYTES:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_cut),
+            f'expected events of at most {_MAX_EVENT_BYTES} bytes, got more',
+        )
+
+
 def _raise_for_head(head: ResponseHead) -> None:
     if head.for_other_request:
         raise UpstreamFailure(
--- /dev/null
+++ b/apps/cowslipstepd/tests/test_stream_silence.py
@@ -0,0 +1,118 @@
+"""When a stream counts as silent: sound ones go on, stalled ones end."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import time
+import types
+from collections.abc import Iterator
+
+import pytest
+from _route_cases import ROUTE
+from attrs import evolve
+
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.delivery import RetryBudget
+from cowslipstep.fleet import (
+    CallerRequest,
+    DiscoveredRunner,
+    RequestKind,
+    ResponseHead,
+)
+from cowslipstep.model import Address, Reason
+from cowslipstep.routing import RoutedRequest, UpstreamLoads
+from cowslipstep.serving import _upstream_sender
+from cowslipstep.serving._delivery_state import start_delivery
+from cowslipstep.serving._suspicions import Suspicions
+from cowslipstep.serving._upstream_choice import ChosenUpstream
+
+# A silence is over after twice the longest planned pause, but not before 0.4 s.
+STREAM = evolve(
+    ROUTE, kind=RequestKind.streaming, max_attempts=2, max_gap_s=0.1
+)
+RESUMABLE = evolve(STREAM, resumable=True)
+RUNNER = DiscoveredRunner('r', 'drafting', Address('127.0.0.1', 1), 'n', 1)
+EVENT = b'id: 0\ndata: a\n\n'
+
+
+def event_then_bytes() -> Iterator[tuple[float, bytes]]:
+    yield 0, EVENT
+    while True:
+        yield 0.05, b'i'
+
+
+class ScriptedResponse:
+    """A response whose bytes come at set times, in seconds."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, script: Iterator[tuple[float, bytes]]) -> None:
+        self._script = script
+
+    def read_chunk(self, timeout_s: float) -> bytes:
+        """Return the next bytes if they come within the timeout."""
+        pause_s, chunk = next(self._script, (0, b''))
+        # Bytes that have arrived can be read after the timeout.
+        timeout_s = max(0.001, timeout_s)
+        time.sleep(min(pause_s, timeout_s))
+        if pause_s > timeout_s:
+            raise UpstreamFailure(
+                _upstream_sender.MayHaveRun(Reason.upstream_timeout), 'silent'
+            )
+        return chunk
+
+
+def sender_state() -> types.SimpleNamespace:
+    dialect = types.SimpleNamespace(
+        headers=lambda _sent: {},
+        response_head=lambda *_response: ResponseHead(200, ()),
+    )
+    return types.SimpleNamespace(
+        dialects=types.SimpleNamespace(requests=dialect),
+        loads=UpstreamLoads(time.monotonic),
+        suspicions=Suspicions(time.monotonic),
+        retry_budget=lambda _service: RetryBudget(saved=5),
+    )
+
+
+def send(monkeypatch, route, script, timeout_s: float = 3) -> list:
+    """Return the parts of the body that reach the caller."""
+
+    @contextlib.contextmanager
+    def open_response(_request):  # noqa: WPS430
+        yield ScriptedResponse(iter(script))
+
+    monkeypatch.setattr(_upstream_sender, 'open_response', open_response)
+    request = CallerRequest('i', 'h', 'POST', '/', (), b'', timeout_s=timeout_s)
+    delivery = start_delivery(
+        RoutedRequest(request, route, '', 0, 'drafting'), time.monotonic()
+    )
+    sender = _upstream_sender.UpstreamSender(sender_state())
+    parts = sender.send(delivery, ChosenUpstream(RUNNER, timeout_s))
+    return [part for part in parts if isinstance(part, bytes)]
+
+
+def test_slow_stream_without_resumption_goes_on(monkeypatch) -> None:
+    script = [(0, EVENT), (0.8, EVENT), (0.8, EVENT)]
+    assert send(monkeypatch, STREAM, script) == [EVENT, EVENT, EVENT]
+
+
+def test_bytes_without_event_do_not_end_silence(monkeypatch) -> None:
+    began_s = time.monotonic()
+    with pytest.raises(UpstreamFailure):
+        send(monkeypatch, RESUMABLE, event_then_bytes(), timeout_s=30)
+    assert time.monotonic() - began_s < 3
+
+
+def test_bytes_without_event_end_at_the_deadline(monkeypatch) -> None:
+    with pytest.raises(UpstreamFailure):
+        send(monkeypatch, STREAM, event_then_bytes(), timeout_s=0.5)
+
+
+@pytest.mark.parametrize('chunk', [EVENT, b'x' * 65536])
+def test_endless_stream_ends(monkeypatch, chunk: bytes) -> None:
+    script = itertools.repeat((0, chunk))
+    with pytest.raises(UpstreamFailure):
+        send(monkeypatch, STREAM, script, timeout_s=0.5)
