Refuse withdrawn keys in time where revocation is strict

Cause: a daemon that lost its way to the store, or a relay, went on accepting the keys that it knew for as long as it liked; nothing read the bound.

Change: the right to accept keys is a Permission that ends revocation_s after the last moment of which it is known that no newer configuration was stored: the time before a call (list that is not stale, watch) whose response was delivered. When it gets old, KeyConfirmation asks the store with a watch that does not wait, or a follower its relay, which passes on the age of its own confirmation; a peer of the build before passes on none. Checked before each attempt and resumption, on the clock that goes on in suspension; without it requests with keys are refused (not run) and the daemon is not ready. Gauge key_permission_s, log lines when keys are refused and accepted again.

Ruled out: shorter watches at every daemon (47 calls a second at 85 daemons); ages in load reports (a report may wait in a buffer, so its age is no bound).

--- a/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
@@ -22,6 +22,7 @@
 from cowslipstep.daemon._request_bodies import read_body
 from cowslipstep.fleet import CallerRequest, Header, ResponseHead
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
+from cowslipstep.serving._key_permission import accepts_keys
 from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._request_delivery import RequestDelivery
 from cowslipstep.serving._state import ServingState
@@ -46,7 +47,8 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Respond to one readiness check."""
-        status = _OK if self._state.is_ready else _UNAVAILABLE
+        is_ready = self._state.is_ready and accepts_keys(self._state)
+        status = _OK if is_ready else _UNAVAILABLE
         if environ['PATH_INFO'] != self._state.settings.readiness_path:
             status = _NOT_FOUND
         start_response(status_line(status), [('Content-Length', '0')])
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -14,6 +14,7 @@
 from cowslipstep.serving._controller import GroupController
 from cowslipstep.serving._demand import DemandEstimator
 from cowslipstep.serving._fleet_views import FleetViews
+from cowslipstep.serving._key_confirmation import KeyConfirmation
 from cowslipstep.serving._kind_watch import (
     LONG_WATCH_TIMEOUT_S,
     WATCH_TIMEOUT_S,
@@ -58,6 +59,7 @@
     reports = ReportBuilder(state, demand, reachability)
     _start_peer_tasks(state, PeerReports(state, registry, reports))
     _start_watches(state, registry)
+    start_task('confirmation of keys', KeyConfirmation(state).run)
     start_task('reachability', reachability.run)
     views = FleetViews(state, demand, reachability)
     start_task('group keeper', GroupController(state, views).run)
@@ -102,6 +104,7 @@
                     if state.relay_role.relies_on_relay
                     else WATCH_TIMEOUT_S
                 ),
+                confirm=state.configuration.freshness.confirm,
             ),
         ),
         KindWatch(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_in_force.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_in_force.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
+from attrs import define
 from loguru import logger
 
 from cowslipstep.fleet import ServingConfiguration
@@ -20,6 +22,36 @@
 _NO_VERSION = 0
 
 
+@define
+class Freshness:
+    """Up to when all versions of the configuration are known.
+
+    Attributes
+    ----------
+    revision
+        Revision of the platform up to which changes were delivered.
+    confirmed_at_s
+        Clock reading at which no newer version was stored, seconds; minus
+        infinity if this is not known of any moment.
+    is_decodable
+        Whether the newest version could be decoded; while it could not,
+        nothing is confirmed.
+    """
+
+    revision: int = 0
+    confirmed_at_s: float = -math.inf
+    is_decodable: bool = True
+
+    def advance(self, revision: int) -> None:
+        """Record that changes up to a revision were delivered."""
+        self.revision = max(self.revision, revision)
+
+    def confirm(self, asked_at_s: float) -> None:
+        """Record that the platform had no newer version at that moment."""
+        if self.is_decodable:
+            self.confirmed_at_s = max(self.confirmed_at_s, asked_at_s)
+
+
 class ConfigurationInForce:
     """Holds the newest version received from the platform or a peer.
 
@@ -36,6 +68,12 @@
         self._decode = decode
         self._table: RouteTable | None = None
         self._document = ''
+        self._freshness = Freshness()
+
+    @property
+    def freshness(self) -> Freshness:
+        """Up to when all versions are known."""
+        return self._freshness
 
     @property
     def table(self) -> RouteTable | None:
@@ -63,7 +101,9 @@
             configuration = self._decode(document)
         except DocumentError as error:
             logger.warning('configuration ignored, invalid document: {}', error)
+            self._freshness.is_decodable = False
             return
+        self._freshness.is_decodable = True
         if configuration.version <= self.version:
             return
         self._table = RouteTable(configuration, random.Random())
@@ -91,11 +131,13 @@
 
     def replace(self, page: ObjectPage) -> None:
         """Update from a full list of the kind."""
+        self._in_force.freshness.advance(page.revision)
         for stored in page.stored_objects:
             self._update(stored)
 
     def apply(self, changes: KindChanges) -> None:
         """Update from changes; a removed document stays in force."""
+        self._in_force.freshness.advance(changes.revision)
         for change in changes.changes:
             if not change.removed:
                 self._update(change.stored_object)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -16,6 +16,7 @@
     PlatformClient,
     PlatformUnavailable,
 )
+from cowslipstep.serving._clocks import boot_time_s
 
 # Longest wait of a watch call. Keep-alive probes detect a dead connection; a
 # store that accepts calls and never responds is detected only at this timeout.
@@ -41,6 +42,10 @@
         """Record that the platform cannot be reached."""
 
 
+def _ignore(_asked_at_s: float) -> None:
+    """Ignore until when all changes are known."""
+
+
 @frozen
 class WatchSchedule:
     """When a watch calls the platform.
@@ -56,12 +61,17 @@
         Wait before the first list.
     timeout_s
         Returns how long a watch call may wait for a change.
+    confirm
+        Called with a moment before a call whose response was delivered: all
+        earlier changes are known. Reading of a clock that does not stop while
+        the host is suspended.
     """
 
     interval_s: Callable[[], float]
     is_relayed: Callable[[], bool]
     start_delay_s: float = 0
     timeout_s: Callable[[], float] = lambda: WATCH_TIMEOUT_S
+    confirm: Callable[[float], None] = _ignore
 
 
 class KindWatch:
@@ -118,21 +128,27 @@
     def _watch(self) -> None:
         # The first list may be stale: the watch from its revision returns the
         # changes that it misses.
-        page = self._client.list_kind(self._kind, stale=not self._listed)
+        stale = not self._listed
+        asked_at_s = boot_time_s()
+        page = self._client.list_kind(self._kind, stale=stale)
         self._listed = True
         self._end_outage()
         self._observer.replace(page)
+        if not stale:
+            self._schedule.confirm(asked_at_s)
         revision = page.revision
         while True:
             eventlet.sleep(self._schedule.interval_s())
             if self._schedule.is_relayed():
                 return
+            asked_at_s = boot_time_s()
             changes = self._client.watch_kind(
                 self._kind,
                 revision,
                 self._schedule.timeout_s(),
             )
             self._observer.apply(changes)
+            self._schedule.confirm(asked_at_s)
             revision = changes.revision
 
     def _start_outage(self, error: PlatformUnavailable) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -15,10 +15,14 @@
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.metrics import CounterKey, Counters, Gauges, Histograms, Series
 from cowslipstep.model import Address, RequestError
+from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._key_permission import key_permission
 from cowslipstep.serving._state import ServingState
 
 _NOT_FOUND = 404
+# Shown for a permission without an end.
+_NO_LIMIT_S = 1000000
 _METRICS_PATH = '/metrics'
 _COMPLETED = 'completed'
 _HUNG_UP = 'hung_up'
@@ -120,6 +124,10 @@
             'runners_revision': state.runner_table.revision,
             'platform_lost': int(state.runner_table.platform_lost),
             'daemons_known': state.daemon_count,
+            # Counts down to zero, at which requests with keys are refused.
+            'key_permission_s': _bounded(
+                key_permission(state).ends_at_s - boot_time_s()
+            ),
             'keeper': int(state.is_controller),
             'relay_fed': int(state.relay_role.relies_on_relay),
             'requests_in_progress': state.loads.own.requests,
@@ -130,6 +138,11 @@
         return gauges
 
 
+def _bounded(remaining_s: float) -> float:
+    """Return a gauge for a time that may be infinite or in the past."""
+    return max(0, min(remaining_s, _NO_LIMIT_S))
+
+
 def serve_metrics(
     application: MetricsApplication, address: Address | None
 ) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
@@ -10,12 +10,32 @@
 from cowslipstep.model import ConfigurationCopy, ConfigurationQuery, Message
 from cowslipstep.model.loads import LoadReport, RunnersCopy, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable
+from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._state import ServingState
 
 _COPY_TIMEOUT_S = 1
 # A watch that lags behind a peer for this long may hang: a working watch
 # delivers a change within a third of this time.
 _STALLED_WATCH_S = 1
+# Part of the time after which a withdrawn key is refused everywhere, at which a
+# follower asks its relay to confirm the configuration.
+_RENEWAL_SHARE = 0.35
+
+
+def copy_configuration(
+    state: ServingState, known_version: int
+) -> ConfigurationCopy:
+    """Return the configuration in force, and how long ago it was confirmed.
+
+    The document is left out if the peer has the version already.
+    """
+    configuration = state.configuration
+    is_known = configuration.version <= known_version
+    return ConfigurationCopy(
+        configuration.version,
+        '' if is_known else configuration.document,
+        boot_time_s() - configuration.freshness.confirmed_at_s,
+    )
 
 
 class _VersionLag:
@@ -66,6 +86,8 @@
         is_behind = report.configuration_version > version
         if is_behind and self._configuration.is_stalled(version):
             return ConfigurationQuery(version)
+        if self._needs_confirmation():
+            return ConfigurationQuery(version)
         runner_table = self._state.runner_table
         if report.runners_revision <= runner_table.revision:
             return None
@@ -79,9 +101,21 @@
             return None
         return RunnersQuery(runner_table.revision)
 
+    def _needs_confirmation(self) -> bool:
+        """Return whether the relay should confirm the keys in force again."""
+        age_s = (
+            boot_time_s() - self._state.configuration.freshness.confirmed_at_s
+        )
+        revocation_s = self._state.settings.bounds.revocation_s
+        return (
+            self._state.relay_role.relies_on_relay
+            and age_s > _RENEWAL_SHARE * revocation_s
+        )
+
     def _fetch(self, query: Message, link: PeerLink) -> None:
+        asked_at_s = boot_time_s()
         try:
-            self._apply(link.call(query, _COPY_TIMEOUT_S))
+            self._apply(link.call(query, _COPY_TIMEOUT_S), asked_at_s)
         except PeerUnreachable as error:
             logger.info(
                 'query for a newer version failed, the next report retries: {}',
@@ -90,9 +124,16 @@
         finally:
             self._in_progress = False
 
-    def _apply(self, copy: Message) -> None:
+    def _apply(self, copy: Message, asked_at_s: float) -> None:
+        configuration = self._state.configuration
         match copy:
-            case ConfigurationCopy(_, document):
-                self._state.configuration.update(document)
+            case ConfigurationCopy(version, document, confirmed_age_s):
+                if document:
+                    configuration.update(document)
+                if version <= configuration.version:
+                    # The age refers to a moment after the query was sent.
+                    configuration.freshness.confirm(
+                        asked_at_s - confirmed_age_s
+                    )
             case RunnersCopy():
                 self._state.runner_entries.apply_copy(copy)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
@@ -7,14 +7,16 @@
 
 from cowslipstep.model import (
     Acknowledgement,
-    ConfigurationCopy,
     ConfigurationQuery,
     Message,
 )
 from cowslipstep.model.loads import LoadReport, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable, ReplyCallback, Traffic
 from cowslipstep.routing import MeshMember, Relay, Role
-from cowslipstep.serving._peer_catch_up import PeerCatchUp
+from cowslipstep.serving._peer_catch_up import (
+    PeerCatchUp,
+    copy_configuration,
+)
 from cowslipstep.serving._peer_links import PeerLinks
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._relay_role import CompleteReport, PartialReport
@@ -87,13 +89,8 @@
         match message:
             case LoadReport():
                 self._receive_report(message)
-            case ConfigurationQuery():
-                configuration = self._state.configuration
-                reply(
-                    ConfigurationCopy(
-                        configuration.version, configuration.document
-                    )
-                )
+            case ConfigurationQuery(known_version):
+                reply(copy_configuration(self._state, known_version))
             case RunnersQuery(known_revision):
                 reply(copy_runners(self._state.runner_table, known_revision))
             case _:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
@@ -10,7 +10,9 @@
 from cowslipstep.delivery import combine_verdicts, may_resume, may_retry
 from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
+from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._delivery_state import DeliveryState, start_delivery
+from cowslipstep.serving._key_permission import key_permission, key_refusal
 from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._request_log import log_attempt, log_failure
 from cowslipstep.serving._state import ServingState
@@ -84,6 +86,7 @@
     def _next_upstream(self, delivery: DeliveryState) -> ChosenUpstream:
         if delivery.overdue or delivery.attempts >= _MAX_ATTEMPTS:
             raise _final_error(delivery)
+        _raise_if_key_refused(self._state, delivery)
         chosen = self._choose_upstream(delivery)
         match chosen:
             case NotRun():
@@ -139,6 +142,18 @@
         log_failure(delivery, chosen, failure)
 
 
+def _raise_if_key_refused(state: ServingState, delivery: DeliveryState) -> None:
+    table = state.configuration.table
+    if table is None:
+        return
+    refusal = key_refusal(
+        delivery.routed, table, key_permission(state), boot_time_s()
+    )
+    if refusal is not None:
+        delivery.verdict = combine_verdicts(delivery.verdict, refusal)
+        raise _final_error(delivery)
+
+
 def _final_error(delivery: DeliveryState) -> RequestError:
     match delivery.verdict:
         case MayHaveRun() as verdict:
--- a/apps/cowslipstepd/tests/test_grant_age.py
+++ b/apps/cowslipstepd/tests/test_grant_age.py
@@ -59,7 +59,7 @@
 
     sent: list[int] = field(factory=list)
 
-    def relay(self, _pool, call, run):
+    def relay(self, call, run):
         """Respond to a call as an upstream would."""
         self.sent.append(call.address.port)
         run.response_begun = True
--- a/apps/cowslipstepd/tests/test_peer_catch_up.py
+++ b/apps/cowslipstepd/tests/test_peer_catch_up.py
@@ -10,6 +10,8 @@
 from cowslipstep.model import ConfigurationCopy, ConfigurationQuery
 from cowslipstep.model.loads import LoadReport
 from cowslipstep.serving import _peer_catch_up
+from cowslipstep.serving._configuration_in_force import Freshness
+from cowslipstep.settings import ServingBounds
 
 # A new configuration must be in force at all daemons within this time.
 APPLIED_S = 3
@@ -26,6 +28,7 @@
         self.version = 1
         self.queries: list[ConfigurationQuery] = []
         self.newest_version = 1
+        self.freshness = Freshness()
         self.catch_up = _peer_catch_up.PeerCatchUp(
             types.SimpleNamespace(
                 configuration=self,
@@ -33,6 +36,7 @@
                     revision=0, platform_lost=False
                 ),
                 relay_role=types.SimpleNamespace(relies_on_relay=True),
+                settings=types.SimpleNamespace(bounds=ServingBounds()),
             ),
         )
 
--- a/libs/model/src/cowslipstep/model/__init__.py
+++ b/libs/model/src/cowslipstep/model/__init__.py
@@ -51,6 +51,7 @@
     OrderMessage,
     StoredResponse,
 )
+from cowslipstep.model._permissions import Permission
 from cowslipstep.model._readiness import GroupReadiness, ReadinessReport
 from cowslipstep.model._requests import Request
 from cowslipstep.model._token_bucket import TokenBucket
--- a/libs/model/src/cowslipstep/model/_membership.py
+++ b/libs/model/src/cowslipstep/model/_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import frozen
 
 from cowslipstep.model._fleet import Address
@@ -112,10 +114,21 @@
     It is the reply to ``ConfigurationQuery``, with an empty document if the
     sender has no newer one; it is also sent to a peer whose heartbeat has
     an older version.
+
+    Parameters
+    ----------
+    version
+        Version that the sender applies.
+    document
+        Its text; empty if the receiver has the version already.
+    confirmed_age_s
+        Time for which the sender has not confirmed that the platform stores no
+        newer version, seconds; infinite if it never has.
     """
 
     version: int
     document: str
+    confirmed_age_s: float = math.inf
 
 
 @frozen
--- a/libs/model/src/cowslipstep/model/_verdicts.py
+++ b/libs/model/src/cowslipstep/model/_verdicts.py
@@ -44,12 +44,15 @@
         The idempotency key is older than the retention time.
     key_reused
         The idempotency key was used with a different request.
+    keys_unconfirmed
+        The daemon could not confirm lately which API keys are in force.
     caller_gone
         The caller closed the connection.
     """
 
     bad_request = 'bad_request'
     unauthorized = 'unauthorized'
+    keys_unconfirmed = 'keys_unconfirmed'
     unknown_model = 'unknown_model'
     unknown_rank = 'unknown_rank'
     unknown_service = 'unknown_service'
--- a/libs/peers/src/cowslipstep/peers/_decode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_membership.py
@@ -34,7 +34,7 @@
 
 
 def _configuration_copy(raw: Any) -> ConfigurationCopy:
-    return ConfigurationCopy(raw.version, raw.document)
+    return ConfigurationCopy(raw.version, raw.document, raw.confirmedAgeS)
 
 
 def _daemon_entry(raw: Any) -> DaemonEntry:
--- a/libs/peers/src/cowslipstep/peers/_encode_membership.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_membership.py
@@ -29,10 +29,11 @@
             _write_daemon_entry(frame.init('daemonEntry'), message)
         case ConfigurationQuery(known_version):
             frame.configurationQuery = known_version
-        case ConfigurationCopy(version, document):
+        case ConfigurationCopy(version, document, confirmed_age_s):
             copy = frame.init('configurationCopy')
             copy.version = version
             copy.document = document
+            copy.confirmedAgeS = confirmed_age_s
         case GroupLedgerQuery(fabric_domain):
             frame.groupsQuery = fabric_domain
         case GroupLedgerCopies(ledgers):
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -147,6 +147,8 @@
 struct ConfigurationCopy {
   version @0 :UInt64;
   document @1 :Text;
+  # Infinite if the sender does not say it, so that nothing rests on it.
+  confirmedAgeS @2 :Float64 = inf;
 }
 
 # Copy of the ledger of the groups of one fabric domain, with its version.
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import field, frozen, validators
 
 from cowslipstep.model import Address
 
 _POSITIVE = validators.gt(0)
+# A shorter time leaves none for a call to the platform.
+_MIN_REVOCATION_S = 1.0
 
 
 @frozen
@@ -25,12 +29,19 @@
     retry_slack
         Unused retries that may be saved for a burst, over all daemons
         together.
+    revocation_s
+        Time after which no daemon accepts an API key that the configuration
+        no longer has, seconds, whatever the daemon can reach; infinite for no
+        such limit.
     """
 
     grace_s: float = field(default=8, validator=_POSITIVE)
     registration_s: float = field(default=2, validator=_POSITIVE)
     retry_ratio: float = field(default=0.1, validator=validators.ge(0))
     retry_slack: float = field(default=10, validator=validators.ge(0))
+    revocation_s: float = field(
+        default=math.inf, validator=validators.ge(_MIN_REVOCATION_S)
+    )
 
 
 @frozen
