Keep the groups of runners indexed, and sum reports once for all followers

Change: GroupIndex follows entries one at a time; the cache of serving groups drops only those that a change affects; a relay sums once in 20 ms and subtracts the receiver's report. Zeros at the end of waiting counts are not sent.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -80,7 +80,7 @@
         return self._state.serving_groups.serving(
             service,
             engine,
-            self._state.runner_table.runners,
+            self._state.runner_table.groups.groups,
         )
 
     def _load_then_distance(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -11,7 +11,6 @@
     GroupKey,
     MembersByRank,
     ReportedGroup,
-    reported_groups,
 )
 from cowslipstep.serving._runner_probes import PROBE_PERIOD_S, RunnerProbes
 from cowslipstep.serving._state import ServingState
@@ -74,9 +73,7 @@
         """Probe until the task is ended."""
         while True:
             eventlet.sleep(PROBE_PERIOD_S)
-            reported = reported_groups(
-                self._state.runner_table.runners.values()
-            )
+            reported = self._state.runner_table.groups.groups
             self._known_members = merge_members(self._known_members, reported)
             self._state.serving_groups.update_reachable_unregistered(
                 reachable_members(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
@@ -8,7 +8,7 @@
 from attrs import evolve
 
 from cowslipstep.model.loads import LoadReport
-from cowslipstep.routing import Relay, sum_reports
+from cowslipstep.routing import Relay, subtract_report, sum_reports
 from cowslipstep.serving._demand import DemandEstimator
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._state import ServingState
@@ -42,6 +42,8 @@
         self._sequence_numbers = itertools.count(1)
         self._cached: LoadReport | None = None
         self._cached_at_s: float = 0
+        self._total: LoadReport | None = None
+        self._summed: dict[str, LoadReport] = {}
 
     def report_for(self, name: str) -> LoadReport:
         """Return the report for a peer."""
@@ -53,15 +55,31 @@
                 return own
 
     def _relay_report(self, own: LoadReport, name: str) -> LoadReport:
-        in_own_domain = self._state.relay_role.own_domain.contains(name)
+        if self._state.relay_role.own_domain.contains(name):
+            return self._follower_report(own, name)
         passed_on = [
             report
             for report in self._state.loads.reports
             if report.daemon != name
-            and not report.covers_all_daemons
-            and (in_own_domain or not report.from_relay)
+            and not (report.covers_all_daemons or report.from_relay)
         ]
-        return sum_reports(own, passed_on, covers_all_daemons=in_own_domain)
+        return sum_reports(own, passed_on)
+
+    def _follower_report(self, own: LoadReport, name: str) -> LoadReport:
+        """Return the sum of all reports but that of the receiver."""
+        if self._total is None or self._total.sequence != own.sequence:
+            self._summed = {
+                report.daemon: report
+                for report in self._state.loads.reports
+                if not report.covers_all_daemons
+            }
+            self._total = sum_reports(
+                own, tuple(self._summed.values()), covers_all_daemons=True
+            )
+        receiver = self._summed.get(name)
+        if receiver is None:
+            return self._total
+        return subtract_report(self._total, receiver)
 
     def _own_report(self) -> LoadReport:
         now_s = time.monotonic()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from loguru import logger
 
-from cowslipstep.fleet import DiscoveredRunner
+from cowslipstep.fleet import DiscoveredRunner, GroupIndex, GroupKey
 from cowslipstep.model import DocumentError
 from cowslipstep.model.loads import RunnersCopy
 
@@ -20,6 +20,8 @@
     ----------
     runners
         Runners by name.
+    groups
+        Groups that they report.
     documents
         Their entries as stored at the platform.
     revision
@@ -35,6 +37,7 @@
     """
 
     runners: dict[str, DiscoveredRunner] = field(factory=dict)
+    groups: GroupIndex = field(factory=GroupIndex)
     documents: dict[str, str] = field(factory=dict)
     revision: int = 0
     changed: dict[str, int] = field(factory=dict)
@@ -64,14 +67,14 @@
     decode
         Decodes an entry.
     on_change
-        Called after each change.
+        Called after each change with the groups that it affects.
     """
 
     def __init__(
         self,
         table: RunnerTable,
         decode: Callable[[str, str], DiscoveredRunner],
-        on_change: Callable[[], None],
+        on_change: Callable[[set[GroupKey]], object],
     ) -> None:
         self._table = table
         self._decode = decode
@@ -98,7 +101,7 @@
         self._table.runners[name] = runner
         self._table.documents[name] = document
         self._table.record_change(name)
-        self._on_change()
+        self._on_change(self._table.groups.put(runner))
 
     def remove(self, name: str) -> None:
         """Remove a runner."""
@@ -106,7 +109,7 @@
             self._table.record_change(name)
         if self._table.runners.pop(name, None) is not None:
             logger.info('runner {} is gone', name)
-            self._on_change()
+            self._on_change(self._table.groups.remove(name))
 
     def expire(self, name: str) -> None:
         """Remove a runner whose entry did not come back after an outage."""
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -29,13 +29,15 @@
     StageModel,
 )
 from cowslipstep.fleet._engines import EngineProfile, ModelProfile
+from cowslipstep.fleet._group_index import GroupIndex
 from cowslipstep.fleet._planner import FleetPlanner
 from cowslipstep.fleet._reported_groups import (
     GroupKey,
     MembersByRank,
     ReportedGroup,
+    group_service,
     reported_groups,
-    serving_groups,
+    serving_group,
 )
 from cowslipstep.fleet._requests import (
     CallerRequest,
--- a/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
@@ -71,6 +71,12 @@
         return all(_state(runner) in ready for runner in self.members.values())
 
 
+def group_service(reported_group: ReportedGroup) -> str:
+    """Return the service of a group's members; empty without members."""
+    services = (runner.service for runner in reported_group.members.values())
+    return next(services, '')
+
+
 def reported_groups(
     runners: Iterable[DiscoveredRunner],
 ) -> dict[GroupKey, ReportedGroup]:
@@ -87,44 +93,29 @@
     return reported
 
 
-def serving_groups(
-    runners: Iterable[DiscoveredRunner],
+def serving_group(
+    reported_group: ReportedGroup,
     engine: EngineProfile,
-    reachable_unregistered: MembersByRank,
-) -> tuple[ServingGroup, ...]:
-    """Return the complete groups whose leader accepts requests.
+    reachable_unregistered: Mapping[int, DiscoveredRunner],
+) -> ServingGroup | None:
+    """Return a group if it is complete and its leader accepts requests.
 
-    Groups with a draining member are left out.
+    ``None`` also if a member is draining.
 
     Parameters
     ----------
-    runners
-        Registered runners of one service.
+    reported_group
+        Runners that report the group.
     engine
         Times and limits that their engines publish.
     reachable_unregistered
         Members by rank that are no longer registered but still answer; they
-        count as members of their groups.
+        count as members of the group.
     """
-    groups = (
-        _serving_group(
-            reported_group,
-            engine,
-            {**reachable_unregistered.get(key, {}), **reported_group.members},
-        )
-        for key, reported_group in reported_groups(runners).items()
-    )
-    return tuple(group for group in groups if group is not None)
-
-
-def _serving_group(
-    reported_group: ReportedGroup,
-    engine: EngineProfile,
-    members: Mapping[int, DiscoveredRunner],
-) -> ServingGroup | None:
     model = engine.model(reported_group.model)
     if model is None or reported_group.leader_state is not MemberState.open:
         return None
+    members = {**reachable_unregistered, **reported_group.members}
     ranks = range(model.group_size)
     if reported_group.draining or not members.keys() >= set(ranks):
         return None
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -62,10 +62,14 @@
 
 
 def _write_waiting(builder: Any, waiting: tuple[int, ...]) -> None:
-    if not any(waiting):
+    # Zeros at the end are left out: few levels are in use.
+    levels = len(waiting)
+    while levels and not waiting[levels - 1]:
+        levels -= 1
+    if not levels:
         return
-    counts = builder.init('waiting', len(waiting))
-    for urgency, count in enumerate(waiting):
+    counts = builder.init('waiting', levels)
+    for urgency, count in enumerate(waiting[:levels]):
         counts[urgency] = count
 
 
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -46,7 +46,7 @@
     Role,
 )
 from cowslipstep.routing._rendezvous import rendezvous_order
-from cowslipstep.routing._report_sums import sum_reports
+from cowslipstep.routing._report_sums import subtract_report, sum_reports
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
 from cowslipstep.routing._upstream_loads import UpstreamLoads
 from cowslipstep.routing._usage_table import UsageTable, newest_usages
