Wait for nothing after the last attempt, and end an outage by any page

Cause: BackgroundChanges slept 16 s once more after its last attempt, so that a planned stop in an outage waited for nothing; RunnerObserver.replace returned early where a peer's copy was newer than the page, and platform_lost stayed set, so that a controller decided no more.

Change: as many attempts, no wait after the last; the flag is cleared.

Shown first: test_no_wait_follows_the_last_attempt (16 where an attempt was expected) and test_older_page_also_ends_an_outage fail on the code before.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_background_changes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_background_changes.py
@@ -12,8 +12,8 @@
 from cowslipstep.daemon._segment_batches import OrderLedgerUnavailable
 from cowslipstep.delivery import ChangeOutcome, OrderChange
 
-# One attempt before each delay; none after the last.
-_RETRY_DELAYS_S = (0.5, 1, 2, 4, 8, 16)
+# One attempt before each delay, and one after the last.
+_RETRY_DELAYS_S = (0.5, 1, 2, 4, 8)
 
 Task = Any
 
@@ -50,14 +50,10 @@
     ) -> None:
         """Apply a change; retry it during a short outage of the platform."""
         for delay_s in _RETRY_DELAYS_S:
-            try:
-                change_entry(self._ledger, order, change)
-            except OrderLedgerUnavailable as error:
-                logger.info(
-                    'change of an order entry not confirmed yet: {}', error
-                )
-                eventlet.sleep(delay_s)
-                continue
+            if self._is_applied(order, change):
+                return
+            eventlet.sleep(delay_s)
+        if self._is_applied(order, change):
             return
         # Without the response or withdrawal the claim holds its key, so the
         # order cannot run again before the entry expires.
@@ -65,6 +61,14 @@
             'change of an order entry not confirmed; key in use until expiry'
         )
 
+    def _is_applied(self, order: KeyedOrder, change: OrderChange) -> bool:
+        try:
+            change_entry(self._ledger, order, change)
+        except OrderLedgerUnavailable as error:
+            logger.info('change of an order entry not confirmed yet: {}', error)
+            return False
+        return True
+
 
 def change_entry(
     ledger: ChangeApplier,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_observer.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_observer.py
@@ -41,6 +41,7 @@
         if page.revision < table.revision:
             # A peer's copy has brought the table further than this page; the
             # watch continues from the page.
+            table.platform_lost = False
             return
         table.advance(page.revision)
         missing = dict(table.runners)
--- a/apps/cowslipstepd/tests/test_background_changes.py
+++ b/apps/cowslipstepd/tests/test_background_changes.py
@@ -50,3 +50,17 @@
     STATE.end_hooks = [changes.wait]
     stop_as_planned(Server(), STATE)
     assert sorted(ledger.applied) == ['first', 'second']
+
+
+def test_no_wait_follows_the_last_attempt(monkeypatch):
+    steps = []
+    ledger = types.SimpleNamespace(apply=lambda _located: _fail(steps))
+    monkeypatch.setattr(eventlet, 'sleep', steps.append)
+    BackgroundChanges(ledger).start(ORDER, 'first').wait()
+    assert steps[-1] == 'attempt'
+    assert steps.count('attempt') == 6
+
+
+def _fail(steps):
+    steps.append('attempt')
+    raise OrderLedgerUnavailable('no response', may_be_applied=True)
--- a/apps/cowslipstepd/tests/test_serving_state.py
+++ b/apps/cowslipstepd/tests/test_serving_state.py
@@ -82,6 +82,16 @@
     assert not entries.table.platform_lost
 
 
+def test_older_page_also_ends_an_outage(entries: RunnerEntries) -> None:
+    observer = observe(entries)
+    observer.replace(page(1, 'a'))
+    observer.on_outage()
+    entries.apply_copy(RunnersCopy(6, (DOCUMENT_B,)))
+    observer.replace(page(5, 'a'))
+    assert not entries.table.platform_lost
+    assert set(entries.table.runners) == {'a', 'b'}
+
+
 def test_invalid_entry_removes_its_runner(entries: RunnerEntries) -> None:
     observer = RunnerObserver(entries, registration_s=60)
     observer.replace(page(1, 'a'))
