Avoid upstreams that do not respond to several other daemons

Cause: a dark leader has few requests in progress, so that each of 195 daemons chose it first, lost a request there and chose it again 2 s later; nobody used what others had learned. A group whose member was lost took requests that timed out until its entry expired.

Change: load reports carry doubts: upstreams to which no connection was made, that moved, or that began no response in time, with the number of daemons.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -12,7 +12,11 @@
     ModelProfile,
     ServingGroup,
 )
-from cowslipstep.routing import GroupView
+from cowslipstep.routing import (
+    GroupView,
+    doubted_upstreams,
+    trusted_upstreams,
+)
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._state import ServingState
 
@@ -103,12 +107,18 @@
         candidates: list[_Candidate],
         name_of: Callable[[_Candidate], str],
     ) -> list[_Candidate]:
-        trusted = [
+        suspicions = self._state.suspicions
+        names = tuple(map(name_of, candidates))
+        trusted = trusted_upstreams(
+            names,
+            tuple(filter(suspicions.is_suspected, names)),
+            doubted_upstreams(self._state.loads.reports),
+        )
+        return [
             candidate
             for candidate in candidates
-            if not self._state.suspicions.is_suspected(name_of(candidate))
+            if name_of(candidate) in trusted
         ]
-        return trusted or candidates
 
 
 def _leader_name(group: ServingGroup) -> str:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
@@ -97,6 +97,7 @@
             loads=state.loads.own.loads(),
             demands=self._demand.own(),
             suspected_upstreams=state.suspicions.suspected_upstreams,
+            doubts=state.suspicions.doubts,
             has_served=state.has_served,
             is_controller=state.is_controller,
             reachable_unregistered=self._reachability.own_reachable,
--- a/apps/cowslipstepd/tests/test_relayed_loads.py
+++ b/apps/cowslipstepd/tests/test_relayed_loads.py
@@ -50,7 +50,7 @@
             loads=UpstreamLoads(clock.monotonic),
             settings=types.SimpleNamespace(name=entry.name),
             configuration=types.SimpleNamespace(version=1),
-            suspicions=types.SimpleNamespace(suspected_upstreams=()),
+            suspicions=types.SimpleNamespace(suspected_upstreams=(), doubts=()),
             runner_table=types.SimpleNamespace(revision=1, platform_lost=False),
             has_served=True,
             is_controller=False,
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -85,6 +85,14 @@
     groups: float
 
 
+@frozen
+class UpstreamDoubt:
+    """Number of daemons to which an upstream has not responded lately."""
+
+    upstream: str
+    daemons: int
+
+
 @frozen
 class LoadReport:
     """Load report of one daemon to its peers; replaces its earlier ones.
@@ -106,6 +114,9 @@
     suspected_upstreams
         Upstreams that the sender suspects, or that failed one of its requests
         lately.
+    doubts
+        Upstreams that did not respond lately: to which no connection could
+        be made, or that did not begin a response in time.
     has_served
         Whether it has received any request from a caller.
     is_controller
@@ -133,6 +144,7 @@
     runners_revision: int = 0
     from_relay: bool = False
     covers_all_daemons: bool = False
+    doubts: tuple[UpstreamDoubt, ...] = ()
 
 
 LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/model/src/cowslipstep/model/loads/__init__.py
+++ b/libs/model/src/cowslipstep/model/loads/__init__.py
@@ -7,5 +7,6 @@
     RunnerDocument,
     RunnersCopy,
     RunnersQuery,
+    UpstreamDoubt,
     UpstreamLoad,
 )
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -11,6 +11,7 @@
     RunnerDocument,
     RunnersCopy,
     RunnersQuery,
+    UpstreamDoubt,
     UpstreamLoad,
 )
 
@@ -54,6 +55,9 @@
         runners_revision=raw.runnersRevision,
         from_relay=raw.relayed,
         covers_all_daemons=raw.whole,
+        doubts=tuple(
+            UpstreamDoubt(doubt.upstream, doubt.daemons) for doubt in raw.doubts
+        ),
     )
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterable, Sequence
+from typing import Any, TypeVar
 
 from cowslipstep.model.loads import (
     LoadMessage,
     LoadReport,
-    ModelDemand,
     RunnersCopy,
     RunnersQuery,
-    UpstreamLoad,
 )
 
+_Written = TypeVar('_Written')
+
 
 def write_load_message(frame: Any, message: LoadMessage) -> None:
     """Write the union field of the frame for this type of message."""
@@ -45,22 +46,15 @@
     builder.relayed = report.from_relay
     builder.whole = report.covers_all_daemons
     builder.runnersRevision = report.runners_revision
-    _write_loads(builder, report.loads)
-    _write_demands(builder, report.demands)
+    for load_entry, load in _new_entries(builder, 'loads', report.loads):
+        load_entry.upstream = load.upstream
+        load_entry.requests = load.requests
+        _write_waiting(load_entry, load.waiting_by_urgency)
+    _write_demands_and_doubts(builder, report)
     _write_names(builder, 'suspects', report.suspected_upstreams)
     _write_names(builder, 'heard', report.reachable_unregistered)
 
 
-def _write_loads(builder: Any, loads: tuple[UpstreamLoad, ...]) -> None:
-    if not loads:
-        return
-    entries = builder.init('loads', len(loads))
-    for entry, load in zip(entries, loads, strict=True):
-        entry.upstream = load.upstream
-        entry.requests = load.requests
-        _write_waiting(entry, load.waiting_by_urgency)
-
-
 def _write_waiting(builder: Any, waiting: tuple[int, ...]) -> None:
     # Zeros at the end are left out: few levels are in use.
     levels = len(waiting)
@@ -73,13 +67,25 @@
         counts[urgency] = count
 
 
-def _write_demands(builder: Any, demands: tuple[ModelDemand, ...]) -> None:
-    if not demands:
-        return
-    entries = builder.init('demands', len(demands))
-    for index, demand in enumerate(demands):
-        entries[index].model = demand.model
-        entries[index].groups = demand.groups
+def _write_demands_and_doubts(builder: Any, report: LoadReport) -> None:
+    for demand_entry, demand in _new_entries(
+        builder, 'demands', report.demands
+    ):
+        demand_entry.model = demand.model
+        demand_entry.groups = demand.groups
+    for doubt_entry, doubt in _new_entries(builder, 'doubts', report.doubts):
+        doubt_entry.upstream = doubt.upstream
+        doubt_entry.daemons = doubt.daemons
+
+
+def _new_entries(
+    builder: Any, field: str, written: Sequence[_Written]
+) -> Iterable[tuple[Any, _Written]]:
+    """Return what is written with the entries of a new list for it."""
+    if not written:
+        # An empty list is left out.
+        return ()
+    return zip(builder.init(field, len(written)), written, strict=True)
 
 
 def _write_names(builder: Any, field: str, names: tuple[str, ...]) -> None:
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -211,6 +211,13 @@
   relayed @10 :Bool;
   # Loads include those of all daemons but the receiver.
   whole @11 :Bool;
+  doubts @12 :List(UpstreamDoubt);
+}
+
+# Number of daemons to which an upstream has not responded lately.
+struct UpstreamDoubt {
+  upstream @0 :Text;
+  daemons @1 :UInt16;
 }
 
 struct RunnerDocument {
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -49,6 +49,10 @@
 from cowslipstep.routing._report_differences import subtract_report
 from cowslipstep.routing._report_sums import sum_reports
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
+from cowslipstep.routing._upstream_doubts import (
+    doubted_upstreams,
+    trusted_upstreams,
+)
 from cowslipstep.routing._upstream_loads import UpstreamLoads
 from cowslipstep.routing._usage_table import UsageTable, newest_usages
 from cowslipstep.routing._usual_requests import UsualRequest, UsualRequests
--- a/libs/routing/src/cowslipstep/routing/_report_sums.py
+++ b/libs/routing/src/cowslipstep/routing/_report_sums.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from attrs import evolve
 
-from cowslipstep.model.loads import LoadReport, ModelDemand, UpstreamLoad
+from cowslipstep.model.loads import (
+    LoadReport,
+    ModelDemand,
+    UpstreamDoubt,
+    UpstreamLoad,
+)
 
 
 def sum_reports(
@@ -47,6 +53,7 @@
         reachable_unregistered=_distinct_names(
             report.reachable_unregistered for report in reports
         ),
+        doubts=_sum_doubts(reports),
         has_served=any(report.has_served for report in reports),
         is_controller=any(report.is_controller for report in reports),
         from_relay=True,
@@ -88,5 +95,14 @@
     return tuple(ModelDemand(model, busy) for model, busy in groups.items())
 
 
+def _sum_doubts(reports: Iterable[LoadReport]) -> tuple[UpstreamDoubt, ...]:
+    daemons: Counter[str] = Counter()
+    for doubt in itertools.chain.from_iterable(
+        report.doubts for report in reports
+    ):
+        daemons[doubt.upstream] += doubt.daemons
+    return tuple(itertools.starmap(UpstreamDoubt, daemons.items()))
+
+
 def _distinct_names(listed: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
     return tuple(dict.fromkeys(itertools.chain.from_iterable(listed)))
