List the configuration anew after a start, not from a stale copy

Cause: a daemon's first list could be seconds old, so that after a restart a key that had been withdrawn before was accepted again until the watch caught up.

Shown by: test_watch_confirms_the_time_before_its_calls, both kinds of list.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -104,6 +104,9 @@
                     if state.relay_role.relies_on_relay
                     else WATCH_TIMEOUT_S
                 ),
+                # After a restart, keys that were withdrawn before it must not
+                # be accepted again.
+                first_may_be_stale=False,
                 confirm=state.configuration.freshness.confirm,
             ),
         ),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -61,6 +61,8 @@
         Wait before the first list.
     timeout_s
         Returns how long a watch call may wait for a change.
+    first_may_be_stale
+        Whether the first list may be seconds old, which costs less.
     confirm
         Called with a moment before a call whose response was delivered: all
         earlier changes are known. Reading of a clock that does not stop while
@@ -71,6 +73,7 @@
     is_relayed: Callable[[], bool]
     start_delay_s: float = 0
     timeout_s: Callable[[], float] = lambda: WATCH_TIMEOUT_S
+    first_may_be_stale: bool = True
     confirm: Callable[[float], None] = _ignore
 
 
@@ -126,9 +129,9 @@
                 eventlet.sleep(_RETRY_DELAY_S)
 
     def _watch(self) -> None:
-        # The first list may be stale: the watch from its revision returns the
-        # changes that it misses.
-        stale = not self._listed
+        # The watch from the revision of a stale list returns the changes that
+        # it misses.
+        stale = self._schedule.first_may_be_stale and not self._listed
         asked_at_s = boot_time_s()
         page = self._client.list_kind(self._kind, stale=stale)
         self._listed = True
--- a/apps/cowslipstepd/tests/test_key_permission.py
+++ b/apps/cowslipstepd/tests/test_key_permission.py
@@ -143,7 +143,13 @@
             raise StopIteration
 
 
-def test_watch_confirms_the_time_before_its_calls(monkeypatch) -> None:
+LIST_CASES = ((True, []), (False, [100]))
+
+
+@pytest.mark.parametrize(('stale', 'listed_at_s'), LIST_CASES)
+def test_watch_confirms_the_time_before_its_calls(
+    monkeypatch, stale: bool, listed_at_s: list[float]
+) -> None:
     clock = Clock()
     monkeypatch.setattr(_kind_watch, 'boot_time_s', lambda: clock.now_s)
     monkeypatch.setattr(_kind_watch, 'eventlet', clock)
@@ -154,13 +160,16 @@
     )
     confirmed: list[float] = []
     schedule = _kind_watch.WatchSchedule(
-        lambda: 1, bool, confirm=confirmed.append
+        lambda: 1,
+        bool,
+        first_may_be_stale=stale,
+        confirm=confirmed.append,
     )
     store = Store(clock, failing_from_s=107)
     with pytest.raises(StopIteration):
         _kind_watch.KindWatch(store, 'k', observer, schedule).run()
-    # The first list may be stale, so that it confirms nothing.
-    assert confirmed == [102, 104, 106]
+    # A stale list confirms nothing.
+    assert confirmed == [*listed_at_s, 102, 104, 106]
 
 
 class Peer:
