Let peers confirm keys of a daemon that the platform refuses

Cause: with up to 12 daemons nobody relays, so that a daemon which the store turns away refused requests with keys after the bound though its peers knew the keys to be current.

Change: a daemon that the platform has not confirmed for three fifths of the bound asks the peer whose report arrives, as a follower asks its relay.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
@@ -17,9 +17,11 @@
 # A watch that lags behind a peer for this long may hang: a working watch
 # delivers a change within a third of this time.
 _STALLED_WATCH_S = 1
-# Part of the time after which a withdrawn key is refused everywhere, at which a
-# follower asks its relay to confirm the configuration.
-_RENEWAL_SHARE = 0.35
+# Parts of the time after which a withdrawn key is refused everywhere, at which a
+# peer is asked to confirm the configuration: a follower asks its relay early,
+# others only if the platform has not confirmed it.
+_FOLLOWER_RENEWAL_SHARE = 0.35
+_RENEWAL_SHARE = 0.6
 
 
 def copy_configuration(
@@ -102,15 +104,15 @@
         return RunnersQuery(runner_table.revision)
 
     def _needs_confirmation(self) -> bool:
-        """Return whether the relay should confirm the keys in force again."""
-        age_s = (
-            boot_time_s() - self._state.configuration.freshness.confirmed_at_s
+        """Return whether a peer should confirm the keys in force again."""
+        confirmed_at_s = self._state.configuration.freshness.confirmed_at_s
+        share = (
+            _FOLLOWER_RENEWAL_SHARE
+            if self._state.relay_role.relies_on_relay
+            else _RENEWAL_SHARE
         )
         revocation_s = self._state.settings.bounds.revocation_s
-        return (
-            self._state.relay_role.relies_on_relay
-            and age_s > _RENEWAL_SHARE * revocation_s
-        )
+        return boot_time_s() - confirmed_at_s > share * revocation_s
 
     def _fetch(self, query: Message, link: PeerLink) -> None:
         asked_at_s = boot_time_s()
--- a/apps/cowslipstepd/tests/test_key_permission.py
+++ b/apps/cowslipstepd/tests/test_key_permission.py
@@ -175,13 +175,17 @@
 class Peer:
     """A daemon with a configuration that was confirmed at some time."""
 
+    is_follower = True
+
     def __init__(self, *documents: str, confirmed_at_s: float) -> None:
         self.configuration = in_force(*documents)
         self.configuration.freshness.confirm(confirmed_at_s)
         self.settings = types.SimpleNamespace(
             bounds=ServingBounds(revocation_s=LIFETIME_S)
         )
-        self.relay_role = types.SimpleNamespace(relies_on_relay=True)
+        self.relay_role = types.SimpleNamespace(
+            relies_on_relay=self.is_follower
+        )
 
 
 @pytest.mark.parametrize(
@@ -194,9 +198,11 @@
         ('broken', 10),
     ],
 )
-def test_relay_passes_on_the_age_of_confirmation(
-    monkeypatch, relay_document, confirmed_s
+@pytest.mark.parametrize('is_follower', [True, False])
+def test_peer_passes_on_the_age_of_confirmation(
+    monkeypatch, relay_document, confirmed_s, is_follower
 ) -> None:
+    monkeypatch.setattr(Peer, 'is_follower', is_follower)
     relay = Peer('1 k', relay_document, confirmed_at_s=113)
     follower = Peer('1 k', confirmed_at_s=10)
     clock = Clock()
