--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
@@ -17,8 +17,8 @@
 # A watch that lags behind a peer for this long may hang: a working watch
 # delivers a change within a third of this time.
 _STALLED_WATCH_S = 1
-# Parts of the time after which a withdrawn key is refused everywhere, at which a
-# peer is asked to confirm the configuration: a follower asks its relay early,
+# Parts of the time after which a withdrawn key is refused everywhere, at which
+# a peer is asked to confirm the configuration: a follower asks its relay early,
 # others only if the platform has not confirmed it.
 _FOLLOWER_RENEWAL_SHARE = 0.35
 _RENEWAL_SHARE = 0.6
