--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -147,6 +147,8 @@
 struct ConfigurationCopy {
   version @0 :UInt64;
   document @1 :Text;
+  # Infinite if the sender does not say it, so that nothing rests on it.
+  confirmedAgeS @2 :Float64 = inf;
 }
 
 # Copy of the ledger of the groups of one fabric domain, with its version.
@@ -209,6 +211,13 @@
   relayed @10 :Bool;
   # Loads include those of all daemons but the receiver.
   whole @11 :Bool;
+  doubts @12 :List(UpstreamDoubt);
+}
+
+# Number of daemons to which an upstream has not responded lately.
+struct UpstreamDoubt {
+  upstream @0 :Text;
+  daemons @1 :UInt16;
 }
 
 struct RunnerDocument {
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -37,6 +37,7 @@
 from cowslipstep.routing._overload import BEST_EFFORT_URGENCY, admit_request
 from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._prefix_map import PrefixMap
+from cowslipstep.routing._placement import ByFreeSlots, LeastTime, Placement
 from cowslipstep.routing._relays import (
     RELAY_TIMEOUT_S,
     Follower,
@@ -46,8 +47,13 @@
     Role,
 )
 from cowslipstep.routing._rendezvous import rendezvous_order
+from cowslipstep.routing._report_differences import subtract_report
 from cowslipstep.routing._report_sums import sum_reports
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
+from cowslipstep.routing._upstream_doubts import (
+    doubted_upstreams,
+    trusted_upstreams,
+)
 from cowslipstep.routing._upstream_loads import UpstreamLoads
 from cowslipstep.routing._usage_table import UsageTable, newest_usages
 from cowslipstep.routing._usual_requests import UsualRequest, UsualRequests
