Confirm keys by a list where the platform has discarded its history

Cause: found in reading: the watch that confirms the keys starts at the last known revision; where that history is gone it failed until the watch of the configuration ended, up to 5 s, or 25 s at a follower, and requests with keys were refused.

Change: the configuration is listed instead, which confirms it as well.

Shown first: test_keys_are_confirmed_without_history fails on the code before.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_key_confirmation.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_key_confirmation.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from cowslipstep.model import CowslipstepError
+from cowslipstep.platform import HistoryGone
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._configuration_in_force import ConfigurationObserver
 from cowslipstep.serving._key_permission import accepts_keys
@@ -62,18 +63,24 @@
         return age_s > share * revocation_s
 
     def _ask_platform(self) -> None:
-        configuration = self._state.configuration
         asked_at_s = boot_time_s()
         try:
-            changes = self._state.platform.watch_kind(
-                self._key.kind, configuration.freshness.revision, wait_s=0
-            )
+            self._read_changes()
         except CowslipstepError as error:
             logger.debug('keys not confirmed, retrying: {}', error)
             eventlet.sleep(_RETRY_DELAY_S)
             return
-        self._observer.apply(changes)
-        configuration.freshness.confirm(asked_at_s)
+        self._state.configuration.freshness.confirm(asked_at_s)
+
+    def _read_changes(self) -> None:
+        platform = self._state.platform
+        revision = self._state.configuration.freshness.revision
+        try:
+            changes = platform.watch_kind(self._key.kind, revision, wait_s=0)
+        except HistoryGone:
+            self._observer.replace(platform.list_kind(self._key.kind))
+        else:
+            self._observer.apply(changes)
 
     def _log_changed_acceptance(self) -> None:
         accepted = accepts_keys(self._state)
--- a/apps/cowslipstepd/tests/test_key_permission.py
+++ b/apps/cowslipstepd/tests/test_key_permission.py
@@ -19,8 +19,16 @@
 )
 from cowslipstep.model import DocumentError, NotRun, Permission, Reason
 from cowslipstep.model.loads import LoadReport
-from cowslipstep.platform import KindChanges, ObjectPage, PlatformUnavailable
+from cowslipstep.platform import (
+    HistoryGone,
+    KindChanges,
+    ObjectKey,
+    ObjectPage,
+    PlatformUnavailable,
+    StoredObject,
+)
 from cowslipstep.serving import (
+    _key_confirmation,
     _key_permission,
     _kind_watch,
     _peer_catch_up,
@@ -223,3 +231,33 @@
     )
     assert follower.configuration.freshness.confirmed_at_s == confirmed_s
     assert follower.configuration.version == relay.configuration.version
+
+
+class ForgetfulStore:
+    """A store that has discarded its history, with one configuration."""
+
+    def watch_kind(self, *_arguments, wait_s: float) -> KindChanges:
+        """Refuse the watch."""
+        raise HistoryGone('watch')
+
+    def list_kind(self, kind: str) -> ObjectPage:
+        """Return the configuration."""
+        stored = StoredObject(ObjectKey(kind, 'main'), 9, '2 l')
+        return ObjectPage((stored,), '', 9)
+
+
+def test_keys_are_confirmed_without_history(monkeypatch) -> None:
+    clock = Clock()
+    monkeypatch.setattr(_key_confirmation, 'boot_time_s', lambda: clock.now_s)
+    monkeypatch.setattr(_key_permission, 'boot_time_s', lambda: clock.now_s)
+    monkeypatch.setattr(_key_confirmation, 'eventlet', clock)
+    daemon = Peer('1 k', confirmed_at_s=100)
+    daemon.configuration.freshness.advance(5)
+    daemon.platform = ForgetfulStore()
+    daemon.dialects = types.SimpleNamespace(
+        configuration_key=ObjectKey('config', 'main')
+    )
+    with pytest.raises(StopIteration):
+        _key_confirmation.KeyConfirmation(daemon).run()
+    assert daemon.configuration.version == 2
+    assert daemon.configuration.freshness.confirmed_at_s > 115
