--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -17,16 +17,11 @@
 from cowslipstep.routing import (
     BEST_EFFORT_URGENCY,
     BestEffort,
-    ByFreeSlots,
     GroupView,
-    LeastTime,
-    MeshMember,
     ModelTimes,
     OnTime,
     Overloaded,
-    Placement,
     RequestDemand,
-    Role,
     UsualRequests,
     admit_request,
     group_busy_s,
@@ -149,7 +144,6 @@
                 engine, model, self._usual_requests.usual(model.name, engine)
             ),
             self._rng,
-            _placement(self._state.relay_role.current, engine),
         )
         match admission:
             case OnTime(view, expected_s):
@@ -161,15 +155,6 @@
         return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
 
 
-def _placement(role: Role, engine: EngineProfile) -> Placement:
-    match role:
-        case MeshMember():
-            return LeastTime()
-        case _:
-            # Loads come through relays, so that they are older.
-            return ByFreeSlots(engine.slots)
-
-
 def _demand(delivery: DeliveryState) -> RequestDemand:
     route = delivery.routed.route
     # The objective covers the time until the first event. A stream that is
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -37,7 +37,6 @@
 from cowslipstep.routing._overload import BEST_EFFORT_URGENCY, admit_request
 from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._prefix_map import PrefixMap
-from cowslipstep.routing._placement import ByFreeSlots, LeastTime, Placement
 from cowslipstep.routing._relays import (
     RELAY_TIMEOUT_S,
     Follower,
--- a/libs/routing/src/cowslipstep/routing/_overload.py
+++ b/libs/routing/src/cowslipstep/routing/_overload.py
@@ -27,12 +27,6 @@
     ModelTimes,
     first_event_s,
 )
-from cowslipstep.routing._placement import (
-    LeastTime,
-    Placement,
-    TimedView,
-    choose_view,
-)
 
 # Best-effort requests that may wait at each group, as a share of its slots.
 # Each may take a slot from a request that arrives a moment later and could
@@ -44,7 +38,9 @@
 # Share of the objective that the predicted time may use; the rest allows for
 # the way back to the caller and for load reports that arrive late.
 _OBJECTIVE_SHARE = 0.9
-_LEAST_TIME = LeastTime()
+# Limit of a random offset of predicted times, so that daemons with the same
+# load reports choose different ones of equally loaded groups.
+_TIE_JITTER_S = 0.01
 _MIN_RETRY_S = 0.25
 _MAX_RETRY_S = 1.5
 # Random part of the retry delay, as a share of it, so that refused callers do
@@ -57,12 +53,10 @@
     demand: RequestDemand,
     times: ModelTimes,
     rng: random.Random,
-    placement: Placement = _LEAST_TIME,
 ) -> Admission | None:
     """Choose the group for a request, or refuse the request.
 
-    Returns ``None`` if there is no group. ``placement`` chooses among the
-    groups where the request begins in time.
+    Returns ``None`` if there is no group.
     """
     timed = [
         (
@@ -73,21 +67,16 @@
     ]
     if not timed:
         return None
-    on_time = _on_time_views(timed, demand)
-    if on_time:
-        chosen_s, chosen = choose_view(on_time, placement, rng)
-        return OnTime(chosen, chosen_s)
+    best_s, best = min(
+        timed,
+        key=lambda entry: entry[0] + rng.uniform(0, _TIE_JITTER_S),
+    )
+    if best_s <= demand.objective_s * _OBJECTIVE_SHARE:
+        return OnTime(best, best_s)
     fallback = _least_best_effort(timed, times.engine)
     if fallback is not None and fallback[0] < demand.remaining_s:
         return BestEffort(fallback[1], fallback[0])
-    return Overloaded(_retry_delay_s(timed, rng))
-
-
-def _on_time_views(
-    timed: Iterable[TimedView], demand: RequestDemand
-) -> list[TimedView]:
-    latest_s = demand.objective_s * _OBJECTIVE_SHARE
-    return [entry for entry in timed if entry[0] <= latest_s]
+    return Overloaded(_retry_delay_s(best_s, rng))
 
 
 def _least_best_effort(
@@ -110,7 +99,6 @@
     return view.load.less_urgent_waiting(BEST_EFFORT_URGENCY - 1)
 
 
-def _retry_delay_s(timed: Iterable[TimedView], rng: random.Random) -> float:
-    expected_s = min(time_s for time_s, _ in timed)
+def _retry_delay_s(expected_s: float, rng: random.Random) -> float:
     bounded_s = min(max(expected_s, _MIN_RETRY_S), _MAX_RETRY_S)
     return bounded_s * (1 + rng.uniform(0, _RETRY_SPREAD_SHARE))
