Log and count why a response ends before it is complete

Cause: a response whose body was cut left no line but that of the failed attempt, a caller that closed within the body none, and it was counted as completed.

Change: a warning for a response that the daemon cuts off, with verdict and reason; a line for a caller that closes; both count with their outcome.

The second case of test_caller_that_hangs_up_is_counted_apart fails on the code before (outcome "completed").

--- a/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
@@ -83,7 +83,7 @@
         except RequestError as error:
             failure = error
         except CallerGone:
-            logger.bind(request_id=_request_id(environ)).debug(
+            logger.bind(request_id=_request_id(environ)).info(
                 'caller closed the connection, request ended'
             )
             start_response(status_line(_CLIENT_CLOSED), [])
@@ -166,5 +166,28 @@
 
 
 def _body(parts: Any, environ: Environ) -> Iterator[bytes]:
-    with contextlib.closing(parts), raise_on_hangup(environ):
+    with (
+        contextlib.closing(parts),
+        _logged_end(environ),
+        raise_on_hangup(environ),
+    ):
         yield from parts
+
+
+@contextlib.contextmanager
+def _logged_end(environ: Environ) -> Iterator[None]:
+    """Log why a response ends before it is complete."""
+    bound = logger.bind(request_id=_request_id(environ))
+    try:
+        yield
+    except CallerGone:
+        bound.info('caller closed the connection, response ended')
+        raise
+    except RequestError as error:
+        bound.bind(
+            verdict=error.verdict.code,
+            reason=error.verdict.reason.value,
+        ).warning(
+            'response cut off, connection to the caller closed: {}', error
+        )
+        raise
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from cowslipstep.daemon._caller_server import CallerServer
+from cowslipstep.daemon._hangup import CallerGone
 from cowslipstep.daemon._http import Environ, StartResponse, status_line
 from cowslipstep.daemon._listening import ListenError, listen_http
 from cowslipstep.daemon._metrics_text import render_cooperatively, send_lines
@@ -41,7 +42,7 @@
         outcome = _COMPLETED
         try:
             yield
-        except GeneratorExit:
+        except (CallerGone, GeneratorExit):
             outcome = _HUNG_UP
             raise
         except RequestError as error:
--- a/apps/cowslipstepd/tests/test_serving_metrics.py
+++ b/apps/cowslipstepd/tests/test_serving_metrics.py
@@ -8,6 +8,7 @@
 import pytest
 from _route_cases import ROUTE
 
+from cowslipstep.daemon._hangup import CallerGone
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason, RequestError
@@ -51,10 +52,13 @@
     assert '_seconds' not in text
 
 
-def test_caller_that_hangs_up_is_counted_apart(delivery: DeliveryState) -> None:
+@pytest.mark.parametrize('hangup', [GeneratorExit, CallerGone])
+def test_caller_that_hangs_up_is_counted_apart(
+    delivery: DeliveryState, hangup: type[BaseException]
+) -> None:
     metrics = RequestMetrics()
-    with pytest.raises(GeneratorExit), metrics.outcome_counted(delivery):
-        raise GeneratorExit
+    with pytest.raises(hangup), metrics.outcome_counted(delivery):
+        raise hangup
     assert 'outcome="hung_up"' in '\n'.join(metrics.render())
 
 
