Let tests of the serving path run many cases in one process

One case a process took 1.7 s, most of it the start. A case is now a request with the scripts of the runners that it may reach; all cases of a test run beside each other. A caller can send the head and the body of a request apart.

--- a/apps/cowslipstepd/tests/_callers.py
+++ b/apps/cowslipstepd/tests/_callers.py
@@ -12,6 +12,7 @@
 from cowslipstep.fleet import Route
 
 _READ_TIMEOUT_S = 15
+_BODY = b'{}'
 
 
 @frozen
@@ -35,6 +36,11 @@
     whole: bool
     elapsed_s: float
 
+    @property
+    def response(self) -> tuple[int, bytes, bool]:
+        """Status, body, and whether the body is framed as complete."""
+        return self.status, self.body, self.whole
+
 
 class Caller:
     """A caller that keeps its connection.
@@ -52,17 +58,34 @@
 
     def exchange(self, route: Route) -> Received:
         """Send one request and return its response."""
+        self.send_head(route)
+        self.send_body()
+        return self.receive()
+
+    def send_head(self, route: Route) -> None:
+        """Send the head of a request."""
         self._sent += 1
+        self._send(
+            f'POST {route.path_prefix}a HTTP/1.1\r\n'
+            f'Host: {route.host}\r\nRequest-Id: r{self._sent}\r\n'
+            f'Content-Length: {len(_BODY)}\r\n\r\n'.encode()
+        )
+
+    def send_body(self) -> None:
+        """Send the body of a request."""
+        self._send(_BODY)
+
+    def receive(self) -> Received:
+        """Return the response to a request whose body was just sent."""
         began_s = time.monotonic()
-        with contextlib.suppress(OSError):
-            self._sock.sendall(
-                f'POST {route.path_prefix}a HTTP/1.1\r\n'
-                f'Host: {route.host}\r\nRequest-Id: r{self._sent}\r\n'
-                'Content-Length: 2\r\n\r\n{}'.encode()
-            )
         status, body, whole = _read_response(self._sock)
         return Received(status, body, whole, time.monotonic() - began_s)
 
+    def _send(self, sent: bytes) -> None:
+        # A daemon that has closed the connection shows when it is read.
+        with contextlib.suppress(OSError):
+            self._sock.sendall(sent)
+
 
 def _read_response(sock: Any) -> tuple[int, bytes, bool]:
     response = HTTPResponse(sock)
--- a/apps/cowslipstepd/tests/_green_processes.py
+++ b/apps/cowslipstepd/tests/_green_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import inspect
+import os
 import pathlib
 import pickle  # noqa: S403
 import subprocess  # noqa: S404
@@ -43,6 +44,7 @@
         command,
         input=pickle.dumps(arguments),
         stdout=subprocess.PIPE,
+        env={**os.environ, 'LOGURU_LEVEL': 'WARNING'},
         check=True,
         timeout=_PROCESS_TIMEOUT_S,
     )
--- a/apps/cowslipstepd/tests/_header_dialect.py
+++ b/apps/cowslipstepd/tests/_header_dialect.py
@@ -15,6 +15,7 @@
 # Model of all requests.
 MODEL = 'small'
 _REQUEST_ID = 'request-id'
+_HOP_BY_HOP = frozenset(('connection', 'content-length', 'transfer-encoding'))
 
 
 class HeaderDialect:
@@ -60,15 +61,26 @@
         headers: Iterable[Header],
     ) -> ResponseHead:
         """Decode the status and headers of a runner's response."""
-        named = {name.lower(): text for name, text in headers}
-        refusal: NotRun | MayHaveRun | None = None
-        if 'not-run' in named:
-            refusal = NotRun(Reason.upstream_refused)
-        elif 'signature' not in named:
-            refusal = MayHaveRun(Reason.upstream_failed)
-        forwarded = (('Signature', named.get('signature', '')),)
-        return ResponseHead(status, forwarded, refusal)
+        listed = tuple(headers)
+        named = {name.lower(): text for name, text in listed}
+        return ResponseHead(
+            status,
+            tuple(
+                header
+                for header in listed
+                if header[0].lower() not in _HOP_BY_HOP
+            ),
+            _refusal(named),
+        )
 
     def own_headers(self, request_id: str) -> tuple[Header, ...]:
         """Encode the headers of a response of the daemon itself."""
         return ((_REQUEST_ID, request_id),)
+
+
+def _refusal(named: dict[str, str]) -> NotRun | MayHaveRun | None:
+    if 'not-run' in named:
+        return NotRun(Reason.upstream_refused)
+    if 'signature' not in named:
+        return MayHaveRun(Reason.upstream_failed)
+    return None
--- a/apps/cowslipstepd/tests/_serving_harness.py
+++ b/apps/cowslipstepd/tests/_serving_harness.py
@@ -13,8 +13,8 @@
 from _engine_cases import engine_of
 from _header_dialect import MODEL, HeaderDialect
 from _route_cases import ROUTE
-from _scripted_runners import ScriptedRunners
-from attrs import evolve
+from _scripted_runners import Script, ScriptedRunners
+from attrs import evolve, frozen
 
 from cowslipstep.daemon._caller_server import CallerServer
 from cowslipstep.fleet import (
@@ -54,9 +54,42 @@
     max_gap_s=0.2,
 )
 ROUTES = (REPEATABLE, ONCE, STREAM)
+_CONCURRENT_CASES = 30
 _ANYWHERE = Address('127.0.0.1', 1)
 
 
+@frozen
+class Case:
+    """A request and the scripts of the runners that it may reach.
+
+    Parameters
+    ----------
+    route
+        Route of the request.
+    scripts
+        One script for each attempt; the last one repeats.
+    runners
+        Number of runners.
+    """
+
+    route: Route
+    scripts: tuple[Script, ...]
+    runners: int = 2
+
+
+@frozen
+class Outcome:
+    """What the caller received, and the heads that runners received."""
+
+    received: Received
+    heads: tuple[bytes, ...]
+
+    @property
+    def runs(self) -> int:
+        """Number of attempts that reached a runner."""
+        return len(self.heads)
+
+
 class Harness:
     """A daemon's serving path: a server for callers before scripted runners.
 
@@ -114,6 +147,19 @@
         )
 
 
+def outcomes(*cases: Case) -> list[Outcome]:
+    """Return the outcomes of cases, each with runners of its own."""
+    return list(eventlet.GreenPool(_CONCURRENT_CASES).imap(_outcome, cases))
+
+
+def _outcome(case: Case) -> Outcome:
+    runners = ScriptedRunners(case.runners, *case.scripts)
+    harness = Harness(runners, runners)
+    harness.configure(*ROUTES, case.route)
+    received = harness.exchange(case.route)
+    return Outcome(received, tuple(runners.heads))
+
+
 def _settings() -> ServingSettings:
     return ServingSettings(
         'd0',
