--- /dev/null
+++ b/apps/cowslipstepd/tests/_callers.py
@@ -0,0 +1,101 @@
+"""Callers that send requests over connections that they keep."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from http.client import HTTPException, HTTPResponse, IncompleteRead
+from typing import Any
+
+from attrs import frozen
+
+from cowslipstep.fleet import Route
+
+_READ_TIMEOUT_S = 15
+_BODY = b'{}'
+
+
+@frozen
+class Received:
+    """What a caller received for one request.
+
+    Parameters
+    ----------
+    status
+        HTTP status; zero if the connection ended without a response.
+    body
+        Body, as far as it came.
+    whole
+        Whether the body is framed as complete.
+    elapsed_s
+        Time from the request to the end of the response.
+    """
+
+    status: int
+    body: bytes
+    whole: bool
+    elapsed_s: float
+
+    @property
+    def response(self) -> tuple[int, bytes, bool]:
+        """Status, body, and whether the body is framed as complete."""
+        return self.status, self.body, self.whole
+
+
+class Caller:
+    """A caller that keeps its connection.
+
+    Parameters
+    ----------
+    sock
+        Its connection.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        sock.settimeout(_READ_TIMEOUT_S)
+        self._sock = sock
+        self._sent = 0
+
+    def exchange(self, route: Route) -> Received:
+        """Send one request and return its response."""
+        self.send_head(route)
+        self.send_body()
+        return self.receive()
+
+    def send_head(self, route: Route) -> None:
+        """Send the head of a request."""
+        self._sent += 1
+        self._send(
+            f'POST {route.path_prefix}a HTTP/1.1\r\n'
+            f'Host: {route.host}\r\nRequest-Id: r{self._sent}\r\n'
+            f'Content-Length: {len(_BODY)}\r\n\r\n'.encode()
+        )
+
+    def send_body(self) -> None:
+        """Send the body of a request."""
+        self._send(_BODY)
+
+    def receive(self) -> Received:
+        """Return the response to a request whose body was just sent."""
+        began_s = time.monotonic()
+        status, body, whole = _read_response(self._sock)
+        return Received(status, body, whole, time.monotonic() - began_s)
+
+    def _send(self, sent: bytes) -> None:
+        # A daemon that has closed the connection shows when it is read.
+        with contextlib.suppress(OSError):
+            self._sock.sendall(sent)
+
+
+def _read_response(sock: Any) -> tuple[int, bytes, bool]:
+    response = HTTPResponse(sock)
+    try:
+        response.begin()
+    except (HTTPException, OSError):
+        return 0, b'', False
+    try:
+        return response.status, response.read(), True
+    except IncompleteRead as cut:
+        return response.status, cut.partial, False
+    except OSError:
+        return response.status, b'', False
