Give a silent upstream up only once another one responds

What callers saw: streams that were cut in the middle, and 502 responses, while the runner was sound and went on after a second. Beside a change of the configuration, or other planned work, that is a response lost.

Cause: silence was treated as failure. After twice the longest pause (0.4 s at least), or twice the predicted time plus 0.4 s before the first event, the connection to the upstream was closed, and only then another one was searched. If it refused, failed or was late, or if there was none, the stream was cut; the last attempt that a route allows had the same short timeout although nothing could follow it.

Change: silence calls back into the attempt, which goes on meanwhile. A substitute is tried beside it if the route and the retry budget allow one; the silent connection is closed when the substitute has begun to respond, and read on if it has not. Without a substitute only the deadline ends the wait. Each attempt holds its own incomplete event. An upstream that later states that it has not run the request no longer counts as a possible run.

Why it works: nothing that is under way is given up for something that is not.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define
+from attrs import define, evolve
 
 _EVENT_SEPARATOR = b'\n\n'
 _END_EVENT = b'data: [DONE]\n\n'
@@ -64,6 +64,12 @@
         """Size of the incomplete last event."""
         return len(self._partial_event)
 
+    def resumed(self) -> StreamProgress:
+        """Return the progress of a stream that is resumed after this part."""
+        progress = evolve(self)
+        progress.drop_partial_event()
+        return progress
+
     def drop_partial_event(self) -> None:
         """Drop the incomplete last event before the stream is resumed."""
         self._partial_event = b''
--- a/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
@@ -4,9 +4,11 @@
 
 import math
 import time
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
+from attrs import frozen
 from eventlet.hubs import trampoline
 
 # Other tasks run after this many bytes were received without a wait.
@@ -17,6 +19,24 @@
     """The peer has sent more bytes than a response may have."""
 
 
+@frozen
+class Silence:
+    """What happens while a peer sends nothing that counts.
+
+    Parameters
+    ----------
+    after_s
+        Time until the silence begins, seconds.
+    on_silence
+        Called by the task that waits once the silence has begun. It returns
+        the time until it is called again, seconds, or raises an exception that
+        ends the wait.
+    """
+
+    after_s: float
+    on_silence: Callable[[], float]
+
+
 class BoundedReader:
     """Receives into buffers within a time and up to a number of bytes.
 
@@ -37,14 +57,24 @@
         self._deadline_s = math.inf
         self._bytes_left = math.inf
         self._bytes_since_yield = 0
+        self._silent_at_s = math.inf
+        self._silence: Silence | None = None
 
-    def set_limits(self, timeout_s: float, max_bytes: float) -> None:
+    def set_limits(
+        self,
+        timeout_s: float,
+        max_bytes: float,
+        silence: Silence | None = None,
+    ) -> None:
         """Allow this many bytes from now on, and as many seconds of waiting.
 
         Bytes that have arrived can still be read after the timeout.
         """
-        self._deadline_s = time.monotonic() + timeout_s
+        now_s = time.monotonic()
+        self._deadline_s = now_s + timeout_s
         self._bytes_left = max_bytes
+        self._silence = silence
+        self._silent_at_s = now_s + silence.after_s if silence else math.inf
 
     def recv_into(
         self,
@@ -78,9 +108,19 @@
             try:
                 return plain_sock.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
-                trampoline(
-                    plain_sock,
-                    read=True,
-                    timeout=max(0, self._deadline_s - time.monotonic()),
-                    timeout_exc=TimeoutError('no bytes within the timeout'),
-                )
+                self._wait_readable(plain_sock)
+
+    def _wait_readable(self, plain_sock: Any) -> None:
+        wait_until_s = min(self._deadline_s, self._silent_at_s)
+        try:
+            trampoline(
+                plain_sock,
+                read=True,
+                timeout=max(0, wait_until_s - time.monotonic()),
+                timeout_exc=TimeoutError('no bytes within the timeout'),
+            )
+        except TimeoutError:
+            if self._silence is None or self._deadline_s <= self._silent_at_s:
+                raise
+            pause_s = self._silence.on_silence()
+            self._silent_at_s = time.monotonic() + pause_s
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
@@ -27,7 +27,7 @@
     possible_runs
         Upstreams that may have run it.
     avoided
-        Upstreams at which an attempt failed; no other attempt uses them.
+        Upstreams that failed or were silent; no other attempt uses them.
     attempts
         Number of attempts so far.
     verdict
@@ -86,6 +86,8 @@
         match verdict:
             case MayHaveRun():
                 self.possible_runs.add(name)
+            case NotRun():
+                self.possible_runs.discard(name)
 
 
 def start_delivery(routed: RoutedRequest, arrived_s: float) -> DeliveryState:
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -0,0 +1,93 @@
+"""Streams of whole events, of one attempt each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from attrs import frozen
+
+from cowslipstep.daemon._stream_progress import StreamProgress
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.model import MayHaveRun, Reason
+from cowslipstep.serving._bounded_reader import Silence
+from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._upstream_http import OpenResponse
+
+# Silence after which another upstream is tried, as a multiple of the longest
+# planned pause of a stream.
+_SILENCE_GAP_FACTOR = 2
+_MIN_SILENCE_TIMEOUT_S = 0.4
+# Largest event of a stream; it is held in memory until it is complete.
+_MAX_EVENT_BYTES = 1048576
+
+
+@frozen
+class EventStream:
+    """The stream of one attempt, after its head was read.
+
+    Parameters
+    ----------
+    response
+        The response.
+    on_silence
+        Called while the upstream sends no whole event, see ``Silence``.
+    """
+
+    response: OpenResponse
+    on_silence: Callable[[], float]
+
+    def events(
+        self, delivery: DeliveryState, first_event_timeout_s: float
+    ) -> Iterator[bytes]:
+        """Yield whole events; a silence begins that long after the head.
+
+        Raises
+        ------
+        UpstreamFailure
+            If the stream breaks off, or does not end in time.
+        """
+        # Another attempt may begin and fail while this one is silent, so each
+        # one holds its own incomplete event.
+        progress = delivery.progress.resumed()
+        # Only whole events end a silence, so that an upstream that sends a byte
+        # now and then does not hold the request.
+        silent_at_s = delivery.now_s + first_event_timeout_s
+        while chunk := self._read_chunk(delivery, silent_at_s):
+            events = progress.add_chunk(chunk)
+            _raise_if_unbounded(delivery, progress)
+            if events:
+                delivery.progress = progress
+                yield events
+                silent_at_s = delivery.now_s + _silence_timeout_s(delivery)
+        if progress.has_partial_event:
+            raise UpstreamFailure(
+                MayHaveRun(Reason.upstream_cut),
+                'stream ended within an event, expected its end',
+            )
+
+    def _read_chunk(self, delivery: DeliveryState, silent_at_s: float) -> bytes:
+        return self.response.read_chunk(
+            delivery.remaining_s,
+            Silence(silent_at_s - delivery.now_s, self.on_silence),
+        )
+
+
+def _silence_timeout_s(delivery: DeliveryState) -> float:
+    max_gap_s = delivery.routed.route.max_gap_s
+    return max(_SILENCE_GAP_FACTOR * max_gap_s, _MIN_SILENCE_TIMEOUT_S)
+
+
+def _raise_if_unbounded(
+    delivery: DeliveryState, progress: StreamProgress
+) -> None:
+    """Raise if a stream goes on after the deadline, or an event has no end."""
+    if delivery.overdue:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_timeout),
+            'stream goes on after the deadline of the request',
+        )
+    if progress.partial_event_bytes > _MAX_EVENT_BYTES:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_cut),
+            f'expected events of at most {_MAX_EVENT_BYTES} bytes, got more',
+        )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -62,6 +62,11 @@
         )
         self._counters.add(CounterKey('failed_tries', labels))
 
+    def record_silence(self, delivery: DeliveryState) -> None:
+        """Count an attempt whose upstream is silent."""
+        labels = (('service', delivery.routed.service),)
+        self._counters.add(CounterKey('silent_tries', labels))
+
     def render(self) -> Iterator[str]:
         """Yield lines in the text format of Prometheus."""
         yield from self._counters.render()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
@@ -10,23 +10,22 @@
 from cowslipstep.delivery import combine_verdicts, may_resume, may_retry
 from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
-from cowslipstep.serving._clocks import boot_time_s
+from cowslipstep.serving._attempts import (
+    MAX_ATTEMPTS,
+    SEARCH_PERIOD_S,
+    Attempts,
+    TakenOver,
+    present_key_refusal,
+)
 from cowslipstep.serving._delivery_state import DeliveryState, start_delivery
-from cowslipstep.serving._key_permission import key_permission, key_refusal
 from cowslipstep.serving._metrics import RequestMetrics
-from cowslipstep.serving._request_log import log_attempt, log_failure
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream, UpstreamChoice
-from cowslipstep.serving._upstream_sender import ResponsePart, UpstreamSender
+from cowslipstep.serving._upstream_sender import ResponsePart
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
-# Includes refused attempts, which do not count as runs of the request; limits
-# the time spent on refusals.
-_MAX_ATTEMPTS = 5
-# Time between two searches for an upstream that resumes a stream.
-_RESUME_POLL_PERIOD_S = 0.1
 # Retry-After of a refusal that names no other; an upstream may be free then.
 _RETRY_AFTER_S = 0.4
 
@@ -46,7 +45,7 @@
         self._state = state
         self._metrics = metrics
         self._choice = UpstreamChoice(state)
-        self._sender = UpstreamSender(state)
+        self._attempts = Attempts(state, metrics, self._choice)
 
     def deliver(
         self,
@@ -69,22 +68,25 @@
         self._state.retry_budget(delivery.routed.service).record_request()
         self._choice.record_demand(delivery)
         with self._metrics.outcome_counted(delivery):
-            yield from self._attempts(delivery)
+            yield from self._respond(delivery)
 
-    def _attempts(self, delivery: DeliveryState) -> Iterator[ResponsePart]:
+    def _respond(self, delivery: DeliveryState) -> Iterator[ResponsePart]:
+        attempt = self._attempts.begin(delivery, self._next_upstream(delivery))
         while True:
-            chosen = self._next_upstream(delivery)
-            delivery.attempts += 1
-            log_attempt(self._state, delivery, chosen)
             try:
-                yield from self._sender.send(delivery, chosen)
+                yield from attempt.parts
+            except TakenOver as taken_over:
+                attempt = taken_over.attempt
             except UpstreamFailure as failure:
-                self._record_failure(delivery, chosen, failure)
-                continue
-            return
+                self._attempts.record_failure(delivery, attempt, failure)
+                attempt = self._attempts.begin(
+                    delivery, self._next_upstream(delivery)
+                )
+            else:
+                return
 
     def _next_upstream(self, delivery: DeliveryState) -> ChosenUpstream:
-        if delivery.overdue or delivery.attempts >= _MAX_ATTEMPTS:
+        if delivery.overdue or delivery.attempts >= MAX_ATTEMPTS:
             raise _final_error(delivery)
         _raise_if_key_refused(self._state, delivery)
         chosen = self._choose_upstream(delivery)
@@ -107,7 +109,7 @@
             and not delivery.overdue
             and isinstance(chosen, NotRun)
         ):
-            eventlet.sleep(_RESUME_POLL_PERIOD_S)
+            eventlet.sleep(SEARCH_PERIOD_S)
             chosen = self._choice.choose(delivery)
         return chosen
 
@@ -129,26 +131,9 @@
             and self._state.retry_budget(delivery.routed.service).spend()
         )
 
-    def _record_failure(
-        self,
-        delivery: DeliveryState,
-        chosen: ChosenUpstream,
-        failure: UpstreamFailure,
-    ) -> None:
-        name = chosen.runner.name
-        delivery.record_failure(name, failure.verdict)
-        self._metrics.record_failure(delivery, failure)
-        self._state.suspicions.record_failure(name, failure.verdict.reason)
-        log_failure(delivery, chosen, failure)
-
 
 def _raise_if_key_refused(state: ServingState, delivery: DeliveryState) -> None:
-    table = state.configuration.table
-    if table is None:
-        return
-    refusal = key_refusal(
-        delivery.routed, table, key_permission(state), boot_time_s()
-    )
+    refusal = present_key_refusal(state, delivery)
     if refusal is not None:
         delivery.verdict = combine_verdicts(delivery.verdict, refusal)
         raise _final_error(delivery)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -15,7 +15,7 @@
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
-from cowslipstep.serving._bounded_reader import BoundedReader
+from cowslipstep.serving._bounded_reader import BoundedReader, Silence
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
@@ -52,6 +52,8 @@
         Request body; empty for none.
     response_timeout_s
         Longest time until the head of the response is complete, seconds.
+    silence
+        What happens before that if nothing is received.
     """
 
     address: Address
@@ -60,6 +62,7 @@
     headers: dict[str, str]
     body: bytes
     response_timeout_s: float
+    silence: Silence | None = None
 
 
 class OpenResponse:
@@ -91,9 +94,18 @@
         """All headers of the response."""
         return list(self._response.headers.items())
 
-    def read_chunk(self, timeout_s: float) -> bytes:
+    def read_chunk(
+        self, timeout_s: float, silence: Silence | None = None
+    ) -> bytes:
         """Return the next bytes of the body; empty at its end.
 
+        Parameters
+        ----------
+        timeout_s
+            Longest wait for the next bytes.
+        silence
+            What happens before that if nothing is received.
+
         Raises
         ------
         UpstreamFailure
@@ -102,7 +114,9 @@
         """
         with _as_upstream_failure():
             self._reader.set_limits(
-                max(timeout_s, _MIN_TIMEOUT_S), _MAX_RECEIVED_CHUNK_BYTES
+                max(timeout_s, _MIN_TIMEOUT_S),
+                _MAX_RECEIVED_CHUNK_BYTES,
+                silence,
             )
             return self._response.read1(_READ_CHUNK_BYTES)
 
@@ -166,7 +180,7 @@
     with _as_upstream_failure():
         # The connection sets this timeout on its socket for sending.
         connection.timeout = timeout_s
-        reader.set_limits(timeout_s, _MAX_HEAD_BYTES)
+        reader.set_limits(timeout_s, _MAX_HEAD_BYTES, request.silence)
         connection.request(
             request.method,
             request.target,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import evolve
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import ResponseHead, UpstreamRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason
-from cowslipstep.serving._delivery_state import (
-    DeliveryState,
-    may_run_elsewhere,
-)
+from cowslipstep.serving._bounded_reader import Silence
+from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._event_streams import EventStream
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream
 from cowslipstep.serving._upstream_http import (
@@ -24,11 +23,18 @@
 
 ResponsePart = ResponseHead | bytes
 
-# Silence timeout of a stream, as a multiple of its longest planned pause.
-_SILENCE_GAP_FACTOR = 2
-_MIN_SILENCE_TIMEOUT_S = 0.4
-# Largest event of a stream; it is held in memory until it is complete.
-_MAX_EVENT_BYTES = 1048576
+
+def fail_on_silence() -> float:
+    """End an attempt whose upstream is silent.
+
+    Raises
+    ------
+    UpstreamFailure
+        Always.
+    """
+    raise UpstreamFailure(
+        MayHaveRun(Reason.upstream_timeout), 'the upstream is silent'
+    )
 
 
 class UpstreamSender:
@@ -45,10 +51,23 @@
         self._dialect = state.dialects.requests
 
     def send(
-        self, delivery: DeliveryState, chosen: ChosenUpstream
+        self,
+        delivery: DeliveryState,
+        chosen: ChosenUpstream,
+        on_silence: Callable[[], float] = fail_on_silence,
     ) -> Iterator[ResponsePart]:
         """Yield the head and body parts of one attempt's response.
 
+        Parameters
+        ----------
+        delivery
+            The request.
+        chosen
+            The upstream.
+        on_silence
+            Called while the upstream is silent, see ``Silence``. The response
+            goes on after it returns.
+
         Raises
         ------
         UpstreamFailure
@@ -58,7 +77,9 @@
         sent = _upstream_request(delivery, chosen)
         with (
             self._counted_request(chosen) as waiting,
-            open_response(self._http_request(sent, chosen)) as response,
+            open_response(
+                self._http_request(sent, chosen, on_silence)
+            ) as response,
         ):
             head = self._dialect.response_head(
                 sent,
@@ -68,7 +89,8 @@
             _raise_for_head(head)
             waiting.close()
             if delivery.routed.route.streaming and head.succeeded:
-                yield from self._stream(delivery, chosen, head, response)
+                stream = EventStream(response, on_silence)
+                yield from self._stream(delivery, chosen, head, stream)
             else:
                 yield from _complete_response(delivery, head, response)
 
@@ -87,7 +109,10 @@
             yield waiting
 
     def _http_request(
-        self, sent: UpstreamRequest, chosen: ChosenUpstream
+        self,
+        sent: UpstreamRequest,
+        chosen: ChosenUpstream,
+        on_silence: Callable[[], float],
     ) -> HttpRequest:
         return HttpRequest(
             chosen.runner.address,
@@ -95,7 +120,8 @@
             sent.request.target,
             self._dialect.headers(sent),
             sent.request.body,
-            chosen.response_timeout_s,
+            sent.remaining_s,
+            Silence(chosen.response_timeout_s, on_silence),
         )
 
     def _stream(
@@ -103,48 +129,15 @@
         delivery: DeliveryState,
         chosen: ChosenUpstream,
         head: ResponseHead,
-        response: OpenResponse,
+        stream: EventStream,
     ) -> Iterator[ResponsePart]:
-        delivery.progress.drop_partial_event()
-        # Only whole events end a silence, so that an upstream that sends a byte
-        # now and then does not hold the request.
-        silent_until_s = delivery.now_s + min(
-            chosen.response_timeout_s, delivery.remaining_s
-        )
-        chunk = response.read_chunk(silent_until_s - delivery.now_s)
-        while chunk:
-            _raise_if_unbounded(delivery)
-            events = delivery.progress.add_chunk(chunk)
-            if events:
-                self._state.suspicions.clear(chosen.runner.name)
-                yield from _passed_on(delivery, head, events)
-                silent_until_s = delivery.now_s + self._silence_timeout_s(
-                    delivery
-                )
-            chunk = response.read_chunk(silent_until_s - delivery.now_s)
-        _raise_if_cut(delivery)
+        for events in stream.events(delivery, chosen.response_timeout_s):
+            self._state.suspicions.clear(chosen.runner.name)
+            yield from _passed_on(delivery, head, events)
         if not delivery.response_begun:
             delivery.begin_response()
             yield head
 
-    def _silence_timeout_s(self, delivery: DeliveryState) -> float:
-        """Return how long a stream may be silent before it fails.
-
-        If it could not be resumed at another upstream, only the deadline of
-        the request limits the silence.
-        """
-        may_resume = (
-            may_run_elsewhere(delivery)
-            and self._state.retry_budget(delivery.routed.service).allows_retry
-        )
-        if not may_resume:
-            return delivery.remaining_s
-        route = delivery.routed.route
-        silence_s = max(
-            _SILENCE_GAP_FACTOR * route.max_gap_s, _MIN_SILENCE_TIMEOUT_S
-        )
-        return min(silence_s, delivery.remaining_s)
-
 
 def _upstream_request(
     delivery: DeliveryState, chosen: ChosenUpstream
@@ -170,20 +163,6 @@
     yield events
 
 
-def _raise_if_unbounded(delivery: DeliveryState) -> None:
-    """Raise if a stream goes on after the deadline, or an event has no end."""
-    if delivery.overdue:
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_timeout),
-            'stream goes on after the deadline of the request',
-        )
-    if delivery.progress.partial_event_bytes > _MAX_EVENT_BYTES:
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_cut),
-            f'expected events of at most {_MAX_EVENT_BYTES} bytes, got more',
-        )
-
-
 def _raise_for_head(head: ResponseHead) -> None:
     if head.for_other_request:
         raise UpstreamFailure(
@@ -202,14 +181,6 @@
         )
 
 
-def _raise_if_cut(delivery: DeliveryState) -> None:
-    if delivery.progress.has_partial_event:
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_cut),
-            'stream ended within an event, expected its end',
-        )
-
-
 def _complete_response(
     delivery: DeliveryState,
     head: ResponseHead,
--- a/apps/cowslipstepd/tests/test_runner_silence.py
+++ b/apps/cowslipstepd/tests/test_runner_silence.py
@@ -39,6 +39,8 @@
 EVENTS = event(0) + event(1) + event(2)
 STREAM_HEAD = response_head('Transfer-Encoding: chunked')
 BUSY = (Send(refusal()),)
+# Longer than the timeout of the route.
+STALL_S = 9
 # More requests than the slots of a runner.
 FULL_REQUESTS = 40
 
@@ -92,6 +94,22 @@
     assert responses(ended) == {(200, EVENTS, True)}
 
 
+@pytest.mark.parametrize('moment', MOMENTS)
+def test_silent_stream_goes_on_beside_another(moment: Moment) -> None:
+    scripts = moment(SILENCES_S[0]), (Pause(STALL_S),)
+    ended = in_green_process(outcomes, Case(STREAM, scripts))
+    assert responses(ended) == {(200, EVENTS, True)}
+
+
+@pytest.mark.parametrize('moment', MOMENTS)
+def test_another_runner_replaces_a_stalled_one(moment: Moment) -> None:
+    begun = 1 if moment is between_events else 0
+    rest = b''.join(map(event, range(begun, 3)))
+    resumed = (Send(STREAM_HEAD + chunk(rest) + LAST_CHUNK),)
+    ended = in_green_process(outcomes, Case(STREAM, (moment(STALL_S), resumed)))
+    assert responses(ended) == {(200, EVENTS, True)}
+
+
 def with_full_runners(script: Script) -> Received:
     """Return what is received while all runners but one are full."""
     runners = ScriptedRunners(3, script, BUSY)
