Read requests that arrive while a planned stop closes idle connections

What callers saw: a whole request got neither a response nor a refusal, though it may have run, around the planned stop of a daemon.

Cause: eventlet's server shuts idle connections down in both directions when its task is killed. A request that had arrived, but whose task had not run yet, was still read after that, sent to an upstream, and its response written to a connection that was closed for sending. The requests in progress did not count it.

Change: connections register while they are open; a stop shuts down only the receiving side of idle ones, lets their tasks run, and no connection becomes idle again.

Why it works: a request that has arrived is read and its response sent; without one the task reads the end and closes.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
@@ -10,6 +10,7 @@
 from eventlet.event import Event
 from loguru import logger
 
+from cowslipstep.daemon._caller_connections import CallerConnections
 from cowslipstep.daemon._http import Environ, StartResponse
 from cowslipstep.daemon._requests_in_progress import RequestsInProgress
 
@@ -61,6 +62,7 @@
         self._application = application
         self._is_stopping = is_stopping
         self._idle_timeout_s = idle_timeout_s
+        self._connections = CallerConnections()
         self._in_progress = RequestsInProgress()
         self._pool = GreenPool(_MAX_CONNECTIONS)
         self._task: Any = None
@@ -72,6 +74,7 @@
             self._listener,
             self._respond,
             custom_pool=self._pool,
+            protocol=self._connections.serve,
             log_output=False,
             minimum_chunk_size=1,
             socket_timeout=self._idle_timeout_s,
@@ -94,6 +97,9 @@
         """
         with Timeout(timeout_s, False):
             sleep(_LAST_REQUESTS_WAIT_S)
+            self._connections.close_idle()
+            # The tasks of idle connections read the requests that have arrived.
+            sleep(0)
             self._task.kill()
             self._in_progress.wait_until_none()
             return True
--- a/apps/cowslipstepd/tests/test_caller_server.py
+++ b/apps/cowslipstepd/tests/test_caller_server.py
@@ -30,6 +30,30 @@
     assert b'200 OK' in caller.recv(1000)
 
 
+# A request that arrived while idle connections were closed got no response.
+def test_request_crossing_the_close_is_answered(monkeypatch):
+    listener = eventlet.listen(('127.0.0.1', 0))
+    server = CallerServer(listener, respond, bool)
+    server.start()
+    caller = socket.create_connection(listener.getsockname()[:2])
+    caller.sendall(REQUEST.replace(b'Connection: close\r\n', b''))
+    assert b'200 OK' in caller.recv(1000)
+    server.close()
+    requests = iter((REQUEST,))
+
+    def send_after_wait(duration_s):  # noqa: WPS430
+        eventlet.sleep(duration_s)
+        # The plain socket sends without a switch to the server's tasks.
+        caller.fd.sendall(next(requests, b''))
+
+    monkeypatch.setattr(
+        'cowslipstep.daemon._caller_server.sleep', send_after_wait
+    )
+    assert server.wait_finished(STOP_TIMEOUT_S)
+    caller.setblocking(False)
+    assert b'200 OK' in caller.recv(1000)
+
+
 def test_idle_connection_is_closed_on_stop():
     listener = eventlet.listen(('127.0.0.1', 0))
     server = CallerServer(listener, respond, bool)
