Do not take the end of a connection for the end of a head

What callers saw: a 200 with an empty or short body, framed as whole, when a runner stopped in the middle of the head of its response and closed.

Cause: Python's HTTP parser reads the end of the connection as the empty line that ends the headers. Without the rest of the headers, the body ended at once. In a chunked body it reads it as the end of the line with the size of a chunk.

Change: the reader of an upstream's connection raises at its end unless the response has neither length nor chunks and its head is complete.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
@@ -19,6 +19,10 @@
     """The peer has sent more bytes than a response may have."""
 
 
+class EndedEarly(OSError):
+    """The peer closed the connection where the response cannot end."""
+
+
 @frozen
 class Silence:
     """What happens while a peer sends nothing that counts.
@@ -59,6 +63,7 @@
         self._bytes_since_yield = 0
         self._silent_at_s = math.inf
         self._silence: Silence | None = None
+        self._may_end = True
 
     def set_limits(
         self,
@@ -76,6 +81,13 @@
         self._silence = silence
         self._silent_at_s = now_s + silence.after_s if silence else math.inf
 
+    def allow_end(self, *, allowed: bool) -> None:
+        """Set whether the response may end with its connection from now on.
+
+        The HTTP parser takes the end of the connection for the end of a line.
+        """
+        self._may_end = allowed
+
     def recv_into(
         self,
         buffer: Any,
@@ -88,12 +100,16 @@
         ------
         ReadLimitExceeded
             If the peer has already sent as many bytes as allowed.
+        EndedEarly
+            If the connection was closed where the response cannot end.
         OSError
             If the connection was reset, or no bytes arrived in time.
         """
         if self._bytes_left <= 0:
             raise ReadLimitExceeded('the peer sends more bytes than allowed')
         received = self._receive(buffer, nbytes, flags)
+        if not received and not self._may_end:
+            raise EndedEarly('connection closed within the response')
         self._bytes_left -= received
         self._bytes_since_yield += received
         if self._bytes_since_yield >= _BYTES_BETWEEN_YIELDS:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -181,6 +181,7 @@
         # The connection sets this timeout on its socket for sending.
         connection.timeout = timeout_s
         reader.set_limits(timeout_s, _MAX_HEAD_BYTES, request.silence)
+        reader.allow_end(allowed=False)
         connection.request(
             request.method,
             request.target,
@@ -189,7 +190,13 @@
             preload_content=False,
             decode_content=False,
         )
-        return OpenResponse(connection.getresponse(), reader)
+        response = connection.getresponse()
+        reader.allow_end(allowed=_ends_with_connection(response))
+        return OpenResponse(response, reader)
+
+
+def _ends_with_connection(response: urllib3.HTTPResponse) -> bool:
+    return not response.chunked and response.length_remaining is None
 
 
 @contextlib.contextmanager
