--- a/apps/cowslipstepd/tests/_serving_harness.py
+++ b/apps/cowslipstepd/tests/_serving_harness.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import eventlet
@@ -54,6 +55,10 @@
     max_gap_s=0.2,
 )
 ROUTES = (REPEATABLE, ONCE, STREAM)
+SERVICES = (
+    ServiceConfiguration(ENGINES, engine_of(ModelProfile(MODEL, group_size=1))),
+    ServiceConfiguration(PLAIN),
+)
 _CONCURRENT_CASES = 30
 _ANYWHERE = Address('127.0.0.1', 1)
 
@@ -115,16 +120,20 @@
         application = CallerApplication(self.state, RequestMetrics())
         CallerServer(self._listener, application, bool).start()
 
-    def configure(self, *routes: Route) -> None:
-        """Put a new version of the configuration with these routes in force."""
+    def configure(
+        self,
+        *routes: Route,
+        services: Iterable[ServiceConfiguration] = SERVICES,
+        requires_keys: bool = False,
+    ) -> None:
+        """Put a new version of the configuration in force."""
         version = self.state.configuration.version + 1
-        engine = engine_of(ModelProfile(MODEL, group_size=1))
-        services = {
-            ENGINES: ServiceConfiguration(ENGINES, engine),
-            PLAIN: ServiceConfiguration(PLAIN),
-        }
         self._versions[str(version)] = ServingConfiguration(
-            version, routes, services, CallerLimits(100000)
+            version,
+            routes,
+            {service.name: service for service in services},
+            CallerLimits(100000),
+            requires_keys=requires_keys,
         )
         self.state.configuration.update(str(version))
 
