Resume a stream only with a response of the same kind

What callers saw: the text of an error, or a stream that ended as if it were complete, after their stream had broken off and the next runner responded with something else.

Cause: any successful response to the resumption was passed on as the rest of the stream, whatever its status and media type; an empty one ended it.

Change: a response resumes a stream only if its status and media type are those of the head that the caller was sent.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
@@ -8,6 +8,7 @@
 
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.delivery import combine_verdicts
+from cowslipstep.fleet import ResponseHead
 from cowslipstep.model import MayHaveRun, NotRun
 from cowslipstep.routing import RoutedRequest
 
@@ -35,6 +36,8 @@
     response_begun_s
         Clock reading at which the caller was sent the first part of the
         response; zero before.
+    head
+        Head that the caller was sent; ``None`` before.
     progress
         The part of a stream that was passed on.
     """
@@ -47,6 +50,7 @@
     attempts: int = 0
     verdict: NotRun | MayHaveRun | None = None
     response_begun_s: float = 0
+    head: ResponseHead | None = None
     progress: StreamProgress = field(factory=StreamProgress)
 
     @property
@@ -75,9 +79,10 @@
         passed_on = self.progress.last_id.decode()
         return passed_on or self.routed.request.last_event_id
 
-    def begin_response(self) -> None:
+    def begin_response(self, head: ResponseHead) -> None:
         """Record that the caller is sent the first part of the response."""
         self.response_begun_s = self.now_s
+        self.head = head
 
     def record_failure(self, name: str, verdict: NotRun | MayHaveRun) -> None:
         """Record a failed attempt at an upstream."""
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -87,6 +87,7 @@
                 response.headers,
             )
             _raise_for_head(head)
+            _raise_unless_continued(delivery, head)
             waiting.close()
             if delivery.routed.route.streaming and head.succeeded:
                 stream = EventStream(response, on_silence)
@@ -135,7 +136,7 @@
             self._state.suspicions.clear(chosen.runner.name)
             yield from _passed_on(delivery, head, events)
         if not delivery.response_begun:
-            delivery.begin_response()
+            delivery.begin_response(head)
             yield head
 
 
@@ -158,7 +159,7 @@
     events: bytes,
 ) -> Iterator[ResponsePart]:
     if not delivery.response_begun:
-        delivery.begin_response()
+        delivery.begin_response(head)
         yield head
     yield events
 
@@ -181,18 +182,25 @@
         )
 
 
+def _raise_unless_continued(
+    delivery: DeliveryState, head: ResponseHead
+) -> None:
+    """Raise if a response does not resume the one that has begun."""
+    if delivery.head is None or head.continues(delivery.head):
+        return
+    raise UpstreamFailure(
+        MayHaveRun(Reason.upstream_failed),
+        f'stream not resumed: status {head.status}, {head.media_type!r}',
+    )
+
+
 def _complete_response(
     delivery: DeliveryState,
     head: ResponseHead,
     response: OpenResponse,
 ) -> Iterator[ResponsePart]:
     body = response.read_all(delivery.deadline_s)
-    if delivery.response_begun:
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_failed),
-            f'stream not resumed by the upstream: status {head.status}',
-        )
-    delivery.begin_response()
+    delivery.begin_response(head)
     length = ('Content-Length', str(len(body)))
     yield evolve(head, headers=(*head.headers, length))
     yield body
--- a/libs/fleet/src/cowslipstep/fleet/_requests.py
+++ b/libs/fleet/src/cowslipstep/fleet/_requests.py
@@ -8,6 +8,7 @@
 from cowslipstep.model import MayHaveRun, NotRun
 
 Header = tuple[str, str]
+_CONTENT_TYPE = 'content-type'
 
 
 @frozen
@@ -118,3 +119,27 @@
     def succeeded(self) -> bool:
         """Whether the upstream ran the request successfully."""
         return self.refusal is None and self.status // 100 == 2
+
+    @property
+    def media_type(self) -> str:
+        """Media type of the body, without parameters; empty if not stated."""
+        for name, text in self.headers:
+            if name.lower() == _CONTENT_TYPE:
+                return text.partition(';')[0].strip().lower()
+        return ''
+
+    def continues(self, begun: ResponseHead) -> bool:
+        """Return whether its body may go on after a part of another one.
+
+        Examples
+        --------
+        >>> stream = ResponseHead(200, (('Content-Type', 'text/event-stream'),))
+        >>> page = ResponseHead(200, (('Content-Type', 'text/html'),))
+        >>> stream.continues(stream), page.continues(stream)
+        (True, False)
+        """
+        return (
+            self.succeeded
+            and self.status == begun.status
+            and self.media_type == begun.media_type
+        )
