Keep a page readable when one of its entries is not

Cause: a page, or the response to a watch, was parsed as one JSON text and each entry in it had to have valid metadata. Nesting beyond the limit of the decoder, a number of over 4,300 digits, a byte that is not UTF-8, a raw control character or a missing name in one entry raised an error that ended the task, again after each restart. So did a response that is no page; a revision that is no number or over 64 bits travelled on into the reports to peers, whose encoder raises C++ exceptions for them, which can crash the process on a green thread.

Change: if the fast decoder refuses a text, it is decoded again with the parts that are unreadable replaced by values that each decoder of a body refuses (NaN, or lone surrogates for bytes), so that just their entry is refused. Entries without valid metadata are left out of the list. Errors in parsing a response count as an outage of the platform, which a watch logs once and retries.

--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -24,6 +24,7 @@
     StoreResponses,
 )
 from cowslipstep.platform._host_list import HostList, read_host_list
+from cowslipstep.platform._json_documents import body_text
 from cowslipstep.platform._objects import (
     HistoryGone,
     ObjectKey,
--- a/libs/platform/src/cowslipstep/platform/_client.py
+++ b/libs/platform/src/cowslipstep/platform/_client.py
@@ -127,5 +127,4 @@
         self._caller.call(self._dialect.calls.delete(key, version))
 
     def _change(self, key: ObjectKey, call: PlatformCall) -> int:
-        document = self._caller.call(call).json()
-        return self._dialect.responses.parse_object(key, document).version
+        return self._parse_object(key, call, self._caller.call(call)).version
--- a/libs/platform/src/cowslipstep/platform/_kind_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_kind_reader.py
@@ -8,6 +8,10 @@
     ObjectPage,
     StoreDialect,
 )
+from cowslipstep.platform._json_documents import (
+    convert_parse_errors,
+    parse_json,
+)
 
 
 class KindReader:
@@ -63,10 +67,14 @@
             If there was no usable response.
         """
         call = self._dialect.calls.watch(kind, revision, wait_s)
-        response = self._caller.call(call).json()
-        return self._dialect.responses.parse_changes(kind, response)
+        response = self._caller.call(call)
+        with convert_parse_errors(call):
+            document = parse_json(response.data)
+            return self._dialect.responses.parse_changes(kind, document)
 
     def _read_page(self, kind: str, after: str, *, stale: bool) -> ObjectPage:
         call = self._dialect.calls.read_page(kind, after, stale=stale)
         response = self._caller.call(call)
-        return self._dialect.responses.parse_page(kind, response.json())
+        with convert_parse_errors(call):
+            document = parse_json(response.data)
+            return self._dialect.responses.parse_page(kind, document)
--- a/libs/platform/src/cowslipstep/platform/_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_reader.py
@@ -4,7 +4,13 @@
 
 from typing import Any
 
+import urllib3
+
 from cowslipstep.platform._calls import PlatformCall
+from cowslipstep.platform._json_documents import (
+    convert_parse_errors,
+    parse_json,
+)
 from cowslipstep.platform._kind_reader import KindReader
 from cowslipstep.platform._objects import ObjectKey, StoredObject
 
@@ -30,8 +36,8 @@
         PlatformUnavailable
             If there was no usable response.
         """
-        response = self._caller.call(self._dialect.calls.read(key))
-        return self._dialect.responses.parse_object(key, response.json())
+        call = self._dialect.calls.read(key)
+        return self._parse_object(key, call, self._caller.call(call))
 
     def watch(
         self,
@@ -52,7 +58,7 @@
         response = self._caller.call(call)
         if response.status == _NOT_MODIFIED_STATUS:
             return None
-        return self._dialect.responses.parse_object(key, response.json())
+        return self._parse_object(key, call, response)
 
     def read_all(self, kind: str) -> tuple[StoredObject, ...]:
         """Read all objects of a kind.
@@ -72,4 +78,17 @@
         PlatformUnavailable
             If there was no usable response.
         """
-        return self._caller.call(PlatformCall(_READ_METHOD, kind, path)).json()
+        call = PlatformCall(_READ_METHOD, kind, path)
+        response = self._caller.call(call)
+        with convert_parse_errors(call):
+            return parse_json(response.data)
+
+    def _parse_object(
+        self,
+        key: ObjectKey,
+        call: PlatformCall,
+        response: urllib3.BaseHTTPResponse,
+    ) -> StoredObject:
+        with convert_parse_errors(call):
+            document = parse_json(response.data)
+            return self._dialect.responses.parse_object(key, document)
