Log an invalid document once, not with each read

What operators saw: an invalid entry of a runner, or an invalid configuration, gave a line with each list and each copy from a peer for as long as it was stored. Found by a test.

Cause: only valid documents were kept for comparison.

Change: the table keeps a hash of each invalid entry, and the configuration in force the last invalid document; a document that was refused already is neither decoded (entries) nor logged again.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_in_force.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_in_force.py
@@ -68,6 +68,7 @@
         self._decode = decode
         self._table: RouteTable | None = None
         self._document = ''
+        self._invalid_document = ''
         self._freshness = Freshness()
 
     @property
@@ -100,8 +101,7 @@
         try:
             configuration = self._decode(document)
         except DocumentError as error:
-            logger.warning('configuration ignored, invalid document: {}', error)
-            self._freshness.is_decodable = False
+            self._ignore(document, error)
             return
         self._freshness.is_decodable = True
         if configuration.version <= self.version:
@@ -113,6 +113,12 @@
             characters=len(document),
         ).info('configuration in force')
 
+    def _ignore(self, document: str, error: DocumentError) -> None:
+        self._freshness.is_decodable = False
+        if document != self._invalid_document:
+            self._invalid_document = document
+            logger.warning('configuration ignored, invalid document: {}', error)
+
 
 class ConfigurationObserver:
     """Updates the configuration in force from the watch of its kind.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
@@ -79,6 +79,8 @@
         self._table = table
         self._decode = decode
         self._on_change = on_change
+        # Hashes of the invalid entries: those may be long.
+        self._invalid_entries: dict[str, int] = {}
 
     @property
     def table(self) -> RunnerTable:
@@ -87,17 +89,19 @@
 
     def put(self, name: str, document: str) -> None:
         """Set the entry of a runner; an invalid one removes the runner."""
-        if self._table.documents.get(name) == document:
+        if self._is_known(name, document):
             return
         try:
             runner = self._decode(name, document)
         except DocumentError as error:
+            self.remove(name)
+            self._invalid_entries[name] = hash(document)
             logger.warning(
                 'invalid runner entry, runner removed until it is valid: {}',
                 error,
             )
-            self.remove(name)
             return
+        self._invalid_entries.pop(name, None)
         self._table.runners[name] = runner
         self._table.documents[name] = document
         self._table.record_change(name)
@@ -105,6 +109,7 @@
 
     def remove(self, name: str) -> None:
         """Remove a runner."""
+        self._invalid_entries.pop(name, None)
         if self._table.documents.pop(name, None) is not None:
             self._table.record_change(name)
         if self._table.runners.pop(name, None) is not None:
@@ -130,3 +135,8 @@
             self.remove(missing)
         for name, document in documents.items():
             self.put(name, document)
+
+    def _is_known(self, name: str, document: str) -> bool:
+        if self._invalid_entries.get(name) == hash(document):
+            return True
+        return self._table.documents.get(name) == document
--- a/apps/cowslipstepd/tests/test_serving_state.py
+++ b/apps/cowslipstepd/tests/test_serving_state.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 
 import pytest
 from _route_cases import ROUTE
+from loguru import logger
 
 from cowslipstep.fleet import (
     CallerLimits,
@@ -66,6 +68,14 @@
     return RunnerEntries(RunnerTable(), decode, list)
 
 
+@pytest.fixture
+def warnings() -> Iterator[list[str]]:
+    lines: list[str] = []
+    sink = logger.add(lines.append, level='WARNING')
+    yield lines
+    logger.remove(sink)
+
+
 def test_missing_entry_is_removed_at_once(entries: RunnerEntries) -> None:
     observer = RunnerObserver(entries, registration_s=60)
     observer.replace(page(1, 'a', 'b'))
@@ -99,6 +109,18 @@
     assert not entries.table.runners
 
 
+def test_invalid_entry_is_logged_once(
+    entries: RunnerEntries, warnings: list[str]
+) -> None:
+    observer = observe(entries)
+    for revision in (1, 2, 3):
+        observer.replace(page(revision, 'a', document='broken'))
+    assert len(warnings) == 1
+    observer.replace(page(4, 'a'))
+    observer.replace(page(5, 'a', document='broken'))
+    assert len(warnings) == 2
+
+
 def test_copy_of_a_peer_is_applied_only_if_newer(
     entries: RunnerEntries,
 ) -> None:
@@ -170,6 +192,13 @@
     assert (in_force.version, in_force.document) == (4, '4')
 
 
+def test_invalid_configuration_is_logged_once(warnings: list[str]) -> None:
+    in_force = ConfigurationInForce(configuration)
+    for document in ('"none"', '"none"', '4', '"none"', '"other"'):
+        in_force.update(document)
+    assert len(warnings) == 2
+
+
 def request(path: str, key: str | None) -> CallerRequest:
     return CallerRequest('r', 'orders.example', 'GET', path, (), b'', key=key)
 
