--- a/tests/site/test_documents.py
+++ b/tests/site/test_documents.py
@@ -147,3 +147,81 @@
     document = {**CONFIGURATION, 'routes': [route]}
     with contextlib.suppress(DocumentError):
         decode_configuration(json.dumps(document))
+
+
+def spoiled_configuration(document: dict, *path: str | int, wrong: object):
+    """Return the text of a document in which one field is replaced."""
+    spoiled = json.loads(json.dumps(document))
+    parent = spoiled
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = wrong
+    return json.dumps(spoiled)
+
+
+FIRST_ROUTE = ('routes', 0)
+FIRST_ENGINE = ('services', 0, 'engine')
+FIRST_MODEL = (*FIRST_ENGINE, 'models', 0)
+NUMBER_FIELDS = (
+    ('version',),
+    ('limits', 'maxBodyBytes'),
+    ('tenants', 0, 'priority'),
+    *((*FIRST_ROUTE, name) for name in ('timeoutMs', 'targetLatencyMs')),
+    *((*FIRST_ROUTE, name) for name in ('priority', 'maxAttempts')),
+    (*FIRST_ROUTE, 'targetGapMs'),
+    *((*FIRST_ENGINE, name) for name in ('slots', 'step_ms', 'per_seq_ms')),
+    *((*FIRST_ENGINE, name) for name in ('read_per_s', 'stride', 'loadsPerS')),
+    (*FIRST_ENGINE, 'loads_at_once'),
+    (*FIRST_ENGINE, 'usual', 'answer'),
+    *((*FIRST_MODEL, name) for name in ('size', 'pace', 'share', 'loadS')),
+    (*FIRST_MODEL, 'warmS'),
+)
+TEXT_FIELDS = (
+    ('tenants', 0, 'name'),
+    ('tenants', 0, 'apiKeys', 0),
+    ('services', 0, 'name'),
+    *((*FIRST_ROUTE, name) for name in ('name', 'host', 'pathPrefix')),
+    (*FIRST_ROUTE, 'service'),
+    (*FIRST_MODEL, 'name'),
+)
+NOT_FINITE = (float('inf'), float('nan'))
+WRONG_NUMBERS = (-1, 2**64, *NOT_FINITE, '9', True, [])
+
+
+@pytest.mark.parametrize('path', NUMBER_FIELDS, ids=repr)
+@pytest.mark.parametrize('wrong', WRONG_NUMBERS, ids=repr)
+def test_number_out_of_range_is_refused(
+    path: tuple[str | int, ...], wrong: object
+) -> None:
+    document = dict(CONFIGURATION)
+    with pytest.raises(DocumentError):
+        decode_configuration(
+            spoiled_configuration(document, *path, wrong=wrong)
+        )
+
+
+@pytest.mark.parametrize('path', TEXT_FIELDS, ids=repr)
+@pytest.mark.parametrize('wrong', ['', 'a\x00', '\ud800', 5, None, []])
+def test_text_without_encoding_is_refused(
+    path: tuple[str | int, ...], wrong: object
+) -> None:
+    document = dict(CONFIGURATION)
+    with pytest.raises(DocumentError):
+        decode_configuration(
+            spoiled_configuration(document, *path, wrong=wrong)
+        )
+
+
+@pytest.mark.parametrize('weight', [0, -1, '9', float('nan'), None])
+def test_route_without_positive_weight_is_refused(weight: object) -> None:
+    weighted = [{'service': 'drafting', 'weight': weight}]
+    route = {**ROUTE, 'weightedBackends': weighted}
+    document = {**CONFIGURATION, 'routes': [route]}
+    with pytest.raises(DocumentError):
+        decode_configuration(json.dumps(document))
+
+
+@pytest.mark.parametrize('opening', ['[', '{"a":'])
+def test_deep_configuration_is_refused(opening: str) -> None:
+    with pytest.raises(DocumentError):
+        decode_configuration(opening * 100000)
