Ignore entries of daemons that are nested too deep or out of range

An odd entry among those of the daemons ended the task that watches them, again after each restart; or it was kept, and raised an error in the daemons that used it: port 0, a host name (a lookup in the only thread), an incarnation beyond 64 bits, NaN cores.

Cause: the decoder let RecursionError and AttributeError pass, and checked no type or range.

Change: the same checks as for the entries of runners, where the entry is decoded; all its errors are DocumentError.

Evidence: of the 26 cases of test_unreadable_daemon_hides_no_other_daemon 18 failed before, none after.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import time
+from typing import Any
 
 import eventlet
 from loguru import logger
 
-from cowslipstep.model import Address, CowslipstepError, DaemonEntry
+from cowslipstep.model import (
+    Address,
+    CowslipstepError,
+    DaemonEntry,
+    DocumentError,
+)
 from cowslipstep.platform import (
     ObjectKey,
     PlatformClient,
@@ -19,6 +26,16 @@
 
 DAEMONS_KIND = 'daemons'
 _RETRY_DELAY_S = 0.5
+_MAX_INCARNATION = 0xFFFFFFFFFFFFFFFF
+_MAX_CORES = 65536
+# Errors that decoding a malformed entry may raise.
+_DECODING_ERRORS = (
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 def own_entry(settings: ServingSettings) -> DaemonEntry:
@@ -47,21 +64,44 @@
 
     Raises
     ------
-    KeyError
-        If a field is missing.
-    TypeError, ValueError
-        If a field has another type, or the text is not JSON.
+    DocumentError
+        If the text is not JSON, or a field is missing, has another type or is
+        out of range.
     """
-    document = json.loads(stored.body)
+    try:
+        return _daemon_entry(stored.key.name, json.loads(stored.body))
+    except _DECODING_ERRORS as error:
+        raise DocumentError(str(stored.key), type(error).__name__) from error
+
+
+def _daemon_entry(name: str, document: dict[str, Any]) -> DaemonEntry:
+    failure_domain = document['failureDomain']
+    if not isinstance(failure_domain, str):
+        raise TypeError('expected the name of a failure domain')
+    incarnation = document['incarnation']
+    if not isinstance(incarnation, int):
+        raise TypeError('expected a whole number')
+    cores = document.get('cores', 1)
+    if not (0 <= incarnation <= _MAX_INCARNATION and 0 < cores <= _MAX_CORES):
+        raise ValueError('incarnation or number of cores is out of range')
     return DaemonEntry(
-        stored.key.name,
-        Address.parse(document['address']),
-        document['failureDomain'],
-        document['incarnation'],
-        document.get('cores', 1),
+        name,
+        _reachable_address(document['address']),
+        failure_domain,
+        incarnation,
+        cores,
     )
 
 
+def _reachable_address(text: str) -> Address:
+    address = Address.parse(text)
+    # A host name would be looked up with each connection.
+    ipaddress.ip_address(address.ip)
+    if not address.port:
+        raise ValueError('no connection can be made to port 0')
+    return address
+
+
 def _is_written(client: PlatformClient, entry: DaemonEntry) -> bool:
     try:
         _write(client, entry)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from cowslipstep.model import DaemonEntry
+from cowslipstep.model import DaemonEntry, DocumentError
 from cowslipstep.platform import KindChanges, ObjectPage, StoredObject
 from cowslipstep.serving._registration import decode_daemon
 
@@ -56,9 +56,7 @@
             return
         try:
             entry = decode_daemon(stored)
-        except (KeyError, TypeError, ValueError) as error:
-            logger.warning(
-                'invalid daemon entry {} ignored: {}', stored.key, error
-            )
+        except DocumentError as error:
+            logger.warning('invalid daemon entry ignored: {}', error)
             return
         self._others[entry.name] = entry
