--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -28,6 +28,7 @@
     'north',
     9,
 )
+VERY_MANY = '{0},5'.format('9' * 300)
 SETTINGS = """
 nodeName = "edge-1"
 ip = "10.1.0.40"
@@ -85,6 +86,10 @@
     'header',
     [
         ('X-Cowslipstep-Token-Usage', 'many'),
+        ('X-Cowslipstep-Token-Usage', '-1,5'),
+        ('X-Cowslipstep-Token-Usage', '5,-1'),
+        ('X-Cowslipstep-Token-Usage', VERY_MANY),
+        ('X-Cowslipstep-Token-Usage', '5,1000000001'),
         ('X-Cowslipstep-Deadline-Ms', 'soon'),
     ],
 )
@@ -93,6 +98,11 @@
         read(ID, header)
 
 
+def test_very_long_deadline_is_shortened() -> None:
+    request = read(ID, ('X-Cowslipstep-Deadline-Ms', str(10**400)))
+    assert request.timeout_s == pytest.approx(1000000)
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'verdict'),
     [
