Count a body that is nested too deep as an invalid one

A health document, a refusal or a list of cache events that is nested beyond the limit of the decoder, sent by a host, ended the task that probes it (again after each restart), the request, or the task that reads the events. A health document of a wrong type ended the probing task, too.

Cause: RecursionError is no ValueError, and TypeError was not among the errors of a probe.

Change: all three places count such a body as invalid; a host whose health document is invalid missed the probe.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cached_prefixes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cached_prefixes.py
@@ -61,7 +61,11 @@
 def _fetch_hashes(address: Address) -> list[int]:
     try:
         return list(parse_prefixes(_fetch_events(address)))
-    except (urllib3.exceptions.HTTPError, ValueError) as error:
+    except (
+        urllib3.exceptions.HTTPError,
+        ValueError,
+        RecursionError,
+    ) as error:
         # Without hints, routing ignores the caches of the group and engines
         # compute prompts again that they could have found in a cache.
         logger.info(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health_calls.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health_calls.py
@@ -40,12 +40,19 @@
         response.begin()
         if response.status != _OK:
             raise HTTPException(f'expected status 200, got {response.status}')
-        document = json.loads(response.read())
+        document = _parse(response.read())
     if response.will_close:
         connection.close()
     return document
 
 
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        return json.loads(body)
+    except RecursionError:
+        raise ValueError('the body is nested too deep') from None
+
+
 def parse_health(document: dict[str, Any], sent_at_s: float) -> HostReport:
     """Return the report in a health document.
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
@@ -38,6 +38,8 @@
     urllib3.exceptions.HTTPError,
     ValueError,
     KeyError,
+    TypeError,
+    AttributeError,
 )
 
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
@@ -10,6 +10,13 @@
 
 _SERVICE_UNAVAILABLE = 503
 _MAX_REFUSAL_BYTES = 4096
+# Errors of reading and decoding the body of a refusal.
+_READ_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
+    RecursionError,
+)
 _SERVER_ERROR = 500
 
 
@@ -61,6 +68,6 @@
     """
     try:
         document = json.loads(response.read(_MAX_REFUSAL_BYTES))
-    except (urllib3.exceptions.HTTPError, OSError, ValueError):
+    except _READ_ERRORS:
         return False
     return isinstance(document, dict) and document.get('ran') is False
--- a/apps/cowslipstepd/tests/test_health_calls.py
+++ b/apps/cowslipstepd/tests/test_health_calls.py
@@ -59,6 +59,7 @@
     [
         ((503, b'{"n": 1}', 'keep-alive'), HTTPException),
         ((200, b'no JSON', 'keep-alive'), ValueError),
+        ((200, b'[' * 100000, 'keep-alive'), ValueError),
     ],
 )
 def test_invalid_responses_are_errors(connection, response, error) -> None:
