Search another place for a silent request once until its response begins

Cause: since silent upstreams are kept, each silent request asked for a substitute each 0.1 s, also before its response had begun, and took best-effort places of overloaded groups as they became free.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -144,9 +144,12 @@
                 return math.inf
             self._record_silence(delivery, attempt)
         chosen = self._choose_substitute(delivery)
-        if chosen is not None:
-            self._take_over(delivery, self.begin(delivery, chosen))
-        return SEARCH_PERIOD_S
+        if chosen is None:
+            # Places that become free are for new requests as well; only a
+            # response that the caller has a part of is worth the search.
+            return SEARCH_PERIOD_S if delivery.response_begun else math.inf
+        self._take_over(delivery, self.begin(delivery, chosen))
+        return 0
 
     def _take_over(self, delivery: DeliveryState, attempt: Attempt) -> None:
         attempt.is_substitute = True
