Do not take a server's own shutdown for the end of its caller

What callers saw: a request that reached a daemon while it closed idle connections for a planned stop got status 499 or 500, or its connection ended, though the caller still waited.

Cause: such a connection is shut down for receiving, and reads as ended from then on. The watch of the caller's connection took that for a hangup, and ended the request as soon as it waited for an upstream.

The application of the test did not wait, so it could not show this.

Change: a connection that reads as ended counts as closed by the caller only if TCP no longer states it as established.

Why it works: the caller's FIN or reset changes that state, a local shutdown of the receiving side does not.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
@@ -12,6 +12,10 @@
 from cowslipstep.daemon._http import Environ
 
 
+# First byte of TCP_INFO.
+_TCP_ESTABLISHED = b'\x01'
+
+
 class CallerGone(Exception):
     """The caller closed its connection before the response was complete."""
 
@@ -34,7 +38,7 @@
 
 def _watch(connection: socket.socket, waiting_task: object) -> None:
     trampoline(connection.fileno(), read=True)
-    if not _has_unread_bytes(connection):
+    if not _has_unread_bytes(connection) and not _is_established(connection):
         kill(waiting_task, CallerGone())
 
 
@@ -43,3 +47,15 @@
         return bool(connection.recv(1, socket.MSG_PEEK))
     except OSError:
         return False
+
+
+def _is_established(connection: socket.socket) -> bool:
+    """Return whether neither side has closed the connection.
+
+    It also reads as ended once this side has shut down receiving.
+    """
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return state == _TCP_ESTABLISHED
--- a/apps/cowslipstepd/tests/test_caller_server.py
+++ b/apps/cowslipstepd/tests/test_caller_server.py
@@ -6,13 +6,17 @@
 from eventlet.green import socket
 
 from cowslipstep.daemon._caller_server import CallerServer
+from cowslipstep.daemon._hangup import raise_on_hangup
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
 SECOND_PART_DELAY_S = 0.05
+RESPONSE_DELAY_S = 0.05
 STOP_TIMEOUT_S = 3
 
 
-def respond(_environ, start_response):
+def respond(environ, start_response):
+    with raise_on_hangup(environ):
+        eventlet.sleep(RESPONSE_DELAY_S)
     start_response('200 OK', [('Content-Length', '2')])
     return [b'ok']
 
