Reject a stream that restarts where it should be resumed

What callers saw: events 0, 1, 0, 1, 2 as one complete stream, after it had broken off and the next runner ignored Last-Event-Id.

Cause: the serving path passed on whatever events a resumption began with; only the product's own path checked them.

Evidence: test_restart_does_not_continue_a_stream, ten ways to break off before two restarts: on the code before, events repeat in streams framed as whole.

Change: a resumption fails if it begins with the first or the last event that was passed on; both paths ask StreamProgress.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from cowslipstep.daemon._run_state import RunState
-from cowslipstep.daemon._stream_progress import StreamProgress, first_id
+from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream import (
     UpstreamCall,
     UpstreamFailure,
@@ -108,7 +108,7 @@
 
 
 def _raise_if_restarted(stream: StreamProgress, chunk: bytes) -> None:
-    if first_id(chunk) in {stream.first_id, stream.last_id}:
+    if stream.is_restarted_by(chunk):
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_failed),
             'the upstream restarted the stream instead of resuming it',
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
@@ -64,6 +64,22 @@
         """Size of the incomplete last event."""
         return len(self._partial_event)
 
+    def is_restarted_by(self, events: bytes) -> bool:
+        r"""Return whether the events of a resumption repeat this part.
+
+        Examples
+        --------
+        >>> progress = StreamProgress(last_id=b'1', first_id=b'0')
+        >>> progress.is_restarted_by(b'id: 0\ndata: {}\n\n')
+        True
+        >>> progress.is_restarted_by(b'id: 2\ndata: {}\n\n')
+        False
+        """
+        return bool(self.last_id) and first_id(events) in {
+            self.first_id,
+            self.last_id,
+        }
+
     def resumed(self) -> StreamProgress:
         """Return the progress of a stream that is resumed after this part."""
         progress = evolve(self)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -49,6 +49,7 @@
         # Another attempt may begin and fail while this one is silent, so each
         # one holds its own incomplete event.
         progress = delivery.progress.resumed()
+        has_begun = False
         # Only whole events end a silence, so that an upstream that sends a byte
         # now and then does not hold the request.
         silent_at_s = delivery.now_s + first_event_timeout_s
@@ -56,6 +57,9 @@
             events = progress.add_chunk(chunk)
             _raise_if_unbounded(delivery, progress)
             if events:
+                if not has_begun:
+                    _raise_if_restarted(delivery.progress, events)
+                has_begun = True
                 delivery.progress = progress
                 yield events
                 silent_at_s = delivery.now_s + _silence_timeout_s(delivery)
@@ -77,6 +81,14 @@
     return max(_SILENCE_GAP_FACTOR * max_gap_s, _MIN_SILENCE_TIMEOUT_S)
 
 
+def _raise_if_restarted(passed_on: StreamProgress, events: bytes) -> None:
+    if passed_on.is_restarted_by(events):
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_failed),
+            'the upstream restarted the stream instead of resuming it',
+        )
+
+
 def _raise_if_unbounded(
     delivery: DeliveryState, progress: StreamProgress
 ) -> None:
--- a/apps/cowslipstepd/tests/test_broken_streams.py
+++ b/apps/cowslipstepd/tests/test_broken_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from types import MappingProxyType
 
 import pytest
@@ -117,6 +118,19 @@
         assert b'Last-Event-Id: 1' in outcome.heads[1]
 
 
+# Events came twice from a runner that ran a broken stream from its start.
+def test_restart_does_not_continue_a_stream() -> None:
+    restarts = [
+        (Send(response(events, EVENT_STREAM)),)
+        for events in (SENT + event(2), event(1) + event(2))
+    ]
+    cases = [
+        Case(STREAM, scripts) for scripts in itertools.product(BROKEN, restarts)
+    ]
+    ended = in_green_process(outcomes, *cases)
+    assert responses(ended) == {(200, SENT, False)}
+
+
 def test_stream_may_end_with_its_connection() -> None:
     whole = (Send(OPEN_HEAD + SENT), Close())
     in_parts = (Send(OPEN_HEAD), Pause(0.1), Send(SENT), Close())
