Bound the time of a substitute until its response begins

What callers saw: nothing until the end of their time, though the first runner had gone on after a second: status 200 after 6.0 of 6 s.

Cause: while a substitute is tried, the silent upstream is not read. The limit of half the remaining time held for the head and again for the first event, and not at all for a body that is passed on whole.

Evidence: test_response_goes_on_beside_a_stalled_one, case body: 6.006 s on the code before, where 4.8 s are allowed.

Change: one clock reading limits the head, the first event and a whole body of a substitute together.

Result: the test passes in both cases, with the 8 others of test_runner_silence.py that have another runner beside the silent one.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -174,12 +174,7 @@
         match self._choice.choose(delivery):
             case ChosenUpstream() as chosen if budget.spend():
                 timeout_s = _SUBSTITUTE_TIME_SHARE * delivery.remaining_s
-                return evolve(
-                    chosen,
-                    response_timeout_s=min(
-                        chosen.response_timeout_s, timeout_s
-                    ),
-                )
+                return evolve(chosen, begins_by_s=delivery.now_s + timeout_s)
         return None
 
     def _record_silence(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from attrs import frozen
@@ -59,12 +60,15 @@
         Place in the upstream's queue; 0 goes first.
     expected_s
         Predicted time until the beginning of its response; zero if unknown.
+    begins_by_s
+        Clock reading by which the response must begin for the caller.
     """
 
     runner: DiscoveredRunner
     response_timeout_s: float
     urgency: int = 0
     expected_s: float = 0
+    begins_by_s: float = math.inf
 
 
 class UpstreamChoice:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 from collections.abc import Callable, Iterator
 
 from attrs import evolve
@@ -93,7 +94,7 @@
                 stream = EventStream(response, on_silence)
                 yield from self._stream(delivery, chosen, head, stream)
             else:
-                yield from _complete_response(delivery, head, response)
+                yield from _complete_response(delivery, chosen, head, response)
 
     @contextlib.contextmanager
     def _counted_request(
@@ -121,7 +122,7 @@
             sent.request.target,
             self._dialect.headers(sent),
             sent.request.body,
-            sent.remaining_s,
+            min(sent.remaining_s, chosen.begins_by_s - time.monotonic()),
             Silence(chosen.response_timeout_s, on_silence),
         )
 
@@ -132,7 +133,10 @@
         head: ResponseHead,
         stream: EventStream,
     ) -> Iterator[ResponsePart]:
-        for events in stream.events(delivery, chosen.response_timeout_s):
+        timeout_s = min(
+            chosen.response_timeout_s, chosen.begins_by_s - delivery.now_s
+        )
+        for events in stream.events(delivery, timeout_s):
             self._state.suspicions.clear(chosen.runner.name)
             yield from _passed_on(delivery, head, events)
         if not delivery.response_begun:
@@ -196,10 +200,11 @@
 
 def _complete_response(
     delivery: DeliveryState,
+    chosen: ChosenUpstream,
     head: ResponseHead,
     response: OpenResponse,
 ) -> Iterator[ResponsePart]:
-    body = response.read_all(delivery.deadline_s)
+    body = response.read_all(min(delivery.deadline_s, chosen.begins_by_s))
     delivery.begin_response(head)
     length = ('Content-Length', str(len(body)))
     yield evolve(head, headers=(*head.headers, length))
--- a/apps/cowslipstepd/tests/test_runner_silence.py
+++ b/apps/cowslipstepd/tests/test_runner_silence.py
@@ -32,13 +32,14 @@
 )
 from attrs import evolve
 
-from cowslipstep.fleet import Route
+from cowslipstep.fleet import RequestKind, Route
 
 Moment = Callable[[float], Script]
 SILENCES_S = (1, 1.25, 1.5)
 EVENTS = event(0) + event(1) + event(2)
 STREAM_HEAD = response_head('Transfer-Encoding: chunked')
 BUSY = (Send(refusal()),)
+GENERATION = evolve(STREAM, kind=RequestKind.idempotent)
 # Longer than the timeout of the route.
 STALL_S = 9
 # More requests than the slots of a runner.
@@ -154,6 +155,17 @@
     assert responses(ended) == {(200, b'done', True)}
 
 
+# A stalled substitute kept a sound response from being read.
+@pytest.mark.parametrize('cut', [5, -2], ids=['head', 'body'])
+def test_response_goes_on_beside_a_stalled_one(cut: int) -> None:
+    stalled = (Send(response(b'done')[:cut]), Pause(STALL_S))
+    scripts = silent_response(0, SILENCES_S[0]), stalled
+    ended = in_green_process(outcomes, Case(GENERATION, scripts))
+    assert responses(ended) == {(200, b'done', True)}
+    # Time is left when the substitute is given up.
+    assert ended[0].received.elapsed_s < 0.8 * GENERATION.timeout_s
+
+
 def test_silence_does_not_repeat_a_request() -> None:
     ended = in_green_process(outcomes, *silent_cases(ONCE, 3))
     assert {outcome.runs for outcome in ended} == {1}
