Mark connections that receive no more instead of asking TCP

Cause: whether a connection is still established was read from TCP_INFO, which not every socket layer fills in; a wrong answer would hide callers that have left.

Change: the server marks the requests of connections whose receiving side it has shut down; the watch for hangups leaves these out. All others are watched as before.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
@@ -8,6 +8,9 @@
 
 from eventlet import wsgi
 
+from cowslipstep.daemon._hangup import RECEIVING_CLOSED
+from cowslipstep.daemon._http import Environ
+
 
 class CallerConnections:
     """The open connections of a server for callers."""
@@ -42,8 +45,7 @@
         self._closing = True
         for connection in tuple(self._open):
             if connection.is_idle:
-                with contextlib.suppress(OSError):
-                    connection.request.shutdown(socket.SHUT_RD)
+                connection.close_receiving()
 
 
 class _CallerConnection(wsgi.HttpProtocol):
@@ -53,6 +55,7 @@
         self, connections: CallerConnections, conn_state: Any, server: Any
     ) -> None:
         self._connections = connections
+        self._receiving_closed = False
         super().__init__(conn_state, server)
 
     @property
@@ -60,6 +63,18 @@
         """Whether no request is read or served."""
         return self.conn_state[2] == wsgi.STATE_IDLE
 
+    def close_receiving(self) -> None:
+        """Receive no more than what has arrived."""
+        self._receiving_closed = True
+        with contextlib.suppress(OSError):
+            self.request.shutdown(socket.SHUT_RD)
+
+    def get_environ(self) -> Environ:  # noqa: WPS615
+        """Return the environ of a request."""
+        environ: Environ = super().get_environ()
+        environ[RECEIVING_CLOSED] = self._receiving_closed
+        return environ
+
     def setup(self) -> None:
         """Begin to serve the connection."""
         super().setup()
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
@@ -11,9 +11,8 @@
 
 from cowslipstep.daemon._http import Environ
 
-
-# First byte of TCP_INFO.
-_TCP_ESTABLISHED = b'\x01'
+# Key of an environ: whether this side no longer receives on the connection.
+RECEIVING_CLOSED = 'cowslipstep.receiving_closed'
 
 
 class CallerGone(Exception):
@@ -26,8 +25,12 @@
 
     The exception is raised at the point where the task waits. Once the caller
     has sent its next request, a close is no longer detected: the unread bytes
-    of that request precede it on the connection.
+    of that request precede it on the connection. Nor is it detected on a
+    connection whose receiving side is shut down, which always reads as ended.
     """
+    if environ.get(RECEIVING_CLOSED):
+        yield
+        return
     connection = environ['wsgi.input'].get_socket()
     watcher = spawn(_watch, connection, getcurrent())
     try:
@@ -38,7 +41,7 @@
 
 def _watch(connection: socket.socket, waiting_task: object) -> None:
     trampoline(connection.fileno(), read=True)
-    if not _has_unread_bytes(connection) and not _is_established(connection):
+    if not _has_unread_bytes(connection):
         kill(waiting_task, CallerGone())
 
 
@@ -47,15 +50,3 @@
         return bool(connection.recv(1, socket.MSG_PEEK))
     except OSError:
         return False
-
-
-def _is_established(connection: socket.socket) -> bool:
-    """Return whether neither side has closed the connection.
-
-    It also reads as ended once this side has shut down receiving.
-    """
-    try:
-        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    except OSError:
-        return False
-    return state == _TCP_ESTABLISHED
