Treat a stream without events as broken off

Callers got a 200 with an empty body, framed as whole, for a request whose upstream had ended after the head of its response. A head without a length or chunks leaves the end of the connection as the end of the body, so that the end of the upstream looked like the end of an empty stream, and the head was passed on as a complete response: no retry, no count of the failure.

Change: a stream that ends before its first event, in a response that has not begun, is an upstream_cut that may have run. The caller gets the retry that the route allows, or 502. A resumed stream may still end without events.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -135,8 +135,12 @@
             self._state.suspicions.clear(chosen.runner.name)
             yield from _passed_on(delivery, head, events)
         if not delivery.response_begun:
-            delivery.begin_response()
-            yield head
+            # Without a length or chunks, the end of an upstream looks like
+            # the end of its stream.
+            raise UpstreamFailure(
+                MayHaveRun(Reason.upstream_cut),
+                'stream ended before its first event',
+            )
 
 
 def _upstream_request(
--- a/apps/cowslipstepd/tests/test_broken_streams.py
+++ b/apps/cowslipstepd/tests/test_broken_streams.py
@@ -126,6 +126,24 @@
     assert {outcome.runs for outcome in ended} == {1}
 
 
+@pytest.mark.parametrize(
+    'empty',
+    [
+        (Send(OPEN_HEAD), Close()),
+        (Send(OPEN_HEAD), Pause(0.1), Close()),
+        (Send(CHUNKED_HEAD + LAST_CHUNK),),
+        (Send(response(b'', EVENT_STREAM)),),
+    ],
+)
+def test_stream_without_events_is_no_success(empty: tuple[Step, ...]) -> None:
+    # A runner that ends after its head passed for an empty, complete stream.
+    whole = (Send(OPEN_HEAD + SENT), Close())
+    cases = (Case(STREAM, (empty,)), Case(STREAM, (empty, whole)))
+    ended = in_green_process(outcomes, *cases)
+    assert ended[0].received.status == 502
+    assert ended[1].received.response == (200, SENT, True)
+
+
 def test_body_may_end_with_its_connection() -> None:
     script = (Send(response_head() + TEXT), Close())
     ended = in_green_process(outcomes, Case(ONCE, (script,)))
