Log the shared parts of prompts with attempts

Logs could not show what the requests whose upstreams ended had in common. `try begins` and `try failed` have them as prompt_parts.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
@@ -27,6 +27,7 @@
         oldest_report_s=round(state.loads.oldest_age_s, _MS_DECIMALS),
         configuration=state.configuration.version,
         runners=state.runner_table.revision,
+        prompt_parts=delivery.routed.request.shared_prompt_parts,
     ).info('try begins')
 
 
@@ -44,6 +45,7 @@
         begun=delivery.response_begun,
         expected_s=round(chosen.expected_s, _MS_DECIMALS),
         elapsed_s=round(delivery.now_s - delivery.arrived_s, _MS_DECIMALS),
+        prompt_parts=delivery.routed.request.shared_prompt_parts,
     ).info('try failed: {}', failure)
 
 
--- a/libs/fleet/src/cowslipstep/fleet/_requests.py
+++ b/libs/fleet/src/cowslipstep/fleet/_requests.py
@@ -40,6 +40,8 @@
         Largest number of tokens of the response.
     last_event_id
         Event after which a stream resumes; empty from the start.
+    shared_prompt_parts
+        Ids of the parts of its prompt that other requests may share, in order.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: str = ''
+    shared_prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -156,3 +156,25 @@
 def test_change_is_conditional_on_its_version() -> None:
     call = OBJECTS_DIALECT.calls.update(ObjectKey('ledger', 'f'), 4, '{}')
     assert json.loads(call.body)['metadata']['revision'] == 4
+
+
+@pytest.mark.parametrize(
+    ('listed', 'parts'),
+    [
+        ('', ()),
+        ('5c1e:800', ()),
+        ('5c1e:800,91bd:410,e440:250', ('5c1e', '91bd')),
+        ('5c1e:800, 91bd:410 ,e440:250', ('5c1e', '91bd')),
+        ('5c1e,91bd:x,e440', ('5c1e', '91bd')),
+        (',,', ()),
+        (':800,e440:250', ()),
+        ('a' * 65 + ':1,e440:250', ()),
+        ('a:1,' * 40, ('a',) * 32),
+    ],
+)
+def test_shared_prompt_parts_are_decoded(
+    listed: str, parts: tuple[str, ...]
+) -> None:
+    request = read(ID, ('X-Cowslipstep-Prefix-Hash', listed))
+    assert request.shared_prompt_parts == parts
+    assert ('X-Cowslipstep-Prefix-Hash', listed) in request.headers
