--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -7,7 +7,10 @@
 from attrs import frozen
 
 from cowslipstep.daemon._stream_progress import StreamProgress
-from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.daemon._upstream_failures import (
+    EndedBeforeFirstEvent,
+    UpstreamFailure,
+)
 from cowslipstep.model import MayHaveRun, Reason
 from cowslipstep.serving._bounded_reader import Silence
 from cowslipstep.serving._delivery_state import DeliveryState
@@ -76,6 +79,34 @@
         )
 
 
+def first_events_of(
+    delivery: DeliveryState, streamed: Iterator[bytes]
+) -> bytes:
+    """Return the first events; none if a resumed stream has no more.
+
+    Raises
+    ------
+    EndedBeforeFirstEvent
+        If the stream breaks off before, or has no events.
+    UpstreamFailure
+        If it fails otherwise.
+    """
+    try:
+        first_events = next(streamed, b'')
+    except UpstreamFailure as failure:
+        if failure.verdict.reason is not Reason.upstream_cut:
+            raise
+        raise EndedBeforeFirstEvent(failure.verdict, str(failure)) from failure
+    if not first_events and not delivery.response_begun:
+        # Without a length or chunks, the end of an upstream looks like the end
+        # of its stream.
+        raise EndedBeforeFirstEvent(
+            MayHaveRun(Reason.upstream_cut),
+            'stream ended before its first event',
+        )
+    return first_events
+
+
 def _silence_timeout_s(delivery: DeliveryState) -> float:
     max_gap_s = delivery.routed.route.max_gap_s
     return max(_SILENCE_GAP_FACTOR * max_gap_s, _MIN_SILENCE_TIMEOUT_S)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import time
 from collections.abc import Callable, Iterator
 
@@ -13,7 +14,7 @@
 from cowslipstep.model import MayHaveRun, NotRun, Reason
 from cowslipstep.serving._bounded_reader import Silence
 from cowslipstep.serving._delivery_state import DeliveryState
-from cowslipstep.serving._event_streams import EventStream
+from cowslipstep.serving._event_streams import EventStream, first_events_of
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream
 from cowslipstep.serving._upstream_http import (
@@ -136,12 +137,14 @@
         timeout_s = min(
             chosen.response_timeout_s, chosen.begins_by_s - delivery.now_s
         )
-        for events in stream.events(delivery, timeout_s):
+        streamed = stream.events(delivery, timeout_s)
+        first_events = first_events_of(delivery, streamed)
+        if not first_events:
+            return
+        self._state.harmful_prompts.clear(delivery.routed.request)
+        for events in itertools.chain((first_events,), streamed):
             self._state.suspicions.clear(chosen.runner.name)
             yield from _passed_on(delivery, head, events)
-        if not delivery.response_begun:
-            delivery.begin_response(head)
-            yield head
 
 
 def _upstream_request(
