--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -70,7 +70,12 @@
 
     def __init__(self, attempt: Attempt) -> None:
         super().__init__(attempt.chosen.runner.name)
-        self.attempt = attempt
+        self._attempt = attempt
+
+    @property
+    def attempt(self) -> Attempt:
+        """The attempt that has begun to respond."""
+        return self._attempt
 
 
 class Attempts:
