--- a/libs/routing/src/cowslipstep/routing/_harmful_prompts.py
+++ b/libs/routing/src/cowslipstep/routing/_harmful_prompts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
 from attrs import frozen
@@ -80,12 +81,12 @@
     failures: Sequence[PromptFailure],
 ) -> Combination:
     """Return what the failures of the worst part share; empty for none."""
-    parts = {part for failure in failures for part in failure.parts}
-    failures_by_part = (
-        [failure for failure in failures if part in failure.parts]
-        for part in parts
-    )
-    worst = max(filter(_suffice, failures_by_part), key=len, default=[])
+    failures_by_part: defaultdict[str, list[PromptFailure]] = defaultdict(list)
+    for failed in failures:
+        for part in dict.fromkeys(failed.parts):
+            failures_by_part[part].append(failed)
+    candidates = filter(_suffice, failures_by_part.values())
+    worst: list[PromptFailure] = max(candidates, key=len, default=[])
     if not worst:
         return frozenset()
     return frozenset.intersection(
