Reject a request whose body is cut

What callers saw: nothing; a runner ran a request with a part of its body, framed as whole, when a caller closed its side of the connection within the body.

Cause: the end of the connection was taken for the end of the body, whatever Content-Length states.

Change: a body that is shorter than stated is rejected with status 400, on both paths, which read bodies with the same function.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
@@ -16,8 +16,8 @@
     Raises
     ------
     RequestError
-        If the body is longer than ``max_bytes`` or ``Content-Length`` is not
-        a number.
+        If the body is longer than ``max_bytes`` or shorter than stated, or
+        ``Content-Length`` is not a number.
     """
     content_length = environ.get('CONTENT_LENGTH') or '0'
     if not content_length.isdecimal():
@@ -31,9 +31,15 @@
     body = environ['wsgi.input'].read(max_bytes + 1)
     if len(body) > max_bytes:
         raise _too_large(max_bytes)
+    _raise_if_cut(body, int(content_length))
     return body
 
 
+def _raise_if_cut(body: bytes, content_length: int) -> None:
+    if len(body) < content_length:
+        raise bad_request('the connection ended within the body')
+
+
 def bad_request(message: str) -> RequestError:
     """Return the error for an invalid request."""
     return RequestError(NotRun(Reason.bad_request), message, _BAD_REQUEST)
--- a/apps/cowslipstepd/tests/_serving_harness.py
+++ b/apps/cowslipstepd/tests/_serving_harness.py
@@ -137,9 +137,14 @@
         )
         self.state.configuration.update(str(version))
 
+    @property
+    def callers_address(self) -> tuple[str, int]:
+        """Where callers connect."""
+        return self._listener.getsockname()[:2]
+
     def connect(self) -> Caller:
         """Return a caller with a connection of its own."""
-        return Caller(eventlet.connect(self._listener.getsockname()[:2]))
+        return Caller(eventlet.connect(self.callers_address))
 
     def exchange(self, route: Route) -> Received:
         """Send one request on a connection of its own."""
