Keep waiting for a silent upstream if its substitute fails with an error

What callers saw: status 500 in place of a response, while the first runner was sound and went on after a second.

Cause: any head that is no refusal counted as a response of the substitute, so a signed 5xx took over and the silent connection was closed.

Evidence: test_error_does_not_replace_a_silent_response: 500 for a stream and a whole response on the code before.

Change: a substitute that responds with a server error has failed.

Result: the test passes, with 10 others of test_runner_silence.py that have another runner beside the silent one.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -70,6 +70,11 @@
     expected_s: float = 0
     begins_by_s: float = math.inf
 
+    @property
+    def is_substitute(self) -> bool:
+        """Whether the request still waits for a silent upstream besides."""
+        return self.begins_by_s < math.inf
+
 
 class UpstreamChoice:
     """Chooses upstreams by load, distance and failed attempts.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -22,6 +22,7 @@
     open_response,
 )
 
+_SERVER_ERROR = 500
 ResponsePart = ResponseHead | bytes
 
 
@@ -88,7 +89,7 @@
                 response.headers,
             )
             _raise_for_head(head)
-            _raise_unless_continued(delivery, head)
+            _raise_unless_accepted(delivery, chosen, head)
             waiting.close()
             if delivery.routed.route.streaming and head.succeeded:
                 stream = EventStream(response, on_silence)
@@ -186,10 +187,16 @@
         )
 
 
-def _raise_unless_continued(
-    delivery: DeliveryState, head: ResponseHead
+def _raise_unless_accepted(
+    delivery: DeliveryState, chosen: ChosenUpstream, head: ResponseHead
 ) -> None:
-    """Raise if a response does not resume the one that has begun."""
+    """Raise if a response does not resume or replace another one."""
+    if chosen.is_substitute and head.status >= _SERVER_ERROR:
+        # The response of the silent upstream may still come.
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_failed),
+            f'substitute responded with status {head.status}',
+        )
     if delivery.head is None or head.continues(delivery.head):
         return
     raise UpstreamFailure(
--- a/apps/cowslipstepd/tests/test_runner_silence.py
+++ b/apps/cowslipstepd/tests/test_runner_silence.py
@@ -166,6 +166,15 @@
     assert ended[0].received.elapsed_s < 0.8 * GENERATION.timeout_s
 
 
+# The error of a substitute replaced the response of a sound runner.
+def test_error_does_not_replace_a_silent_response() -> None:
+    error = (Send(response(b'failed', status='500 Internal Server Error')),)
+    whole = Case(GENERATION, (silent_response(0, 1), error))
+    in_parts = Case(STREAM, (before_first_event(1), error))
+    ended = in_green_process(outcomes, whole, in_parts)
+    assert responses(ended) == {(200, b'done', True), (200, EVENTS, True)}
+
+
 def test_silence_does_not_repeat_a_request() -> None:
     ended = in_green_process(outcomes, *silent_cases(ONCE, 3))
     assert {outcome.runs for outcome in ended} == {1}
