Give the stand-in state of a test the new field

test_stream_silence.py builds the state of the sender by hand and failed with AttributeError since prompts are checked (4 of 5); its checks are unchanged. Measured: 5 passed.

--- a/apps/cowslipstepd/tests/test_stream_silence.py
+++ b/apps/cowslipstepd/tests/test_stream_silence.py
@@ -77,6 +77,9 @@
     return types.SimpleNamespace(
         dialects=types.SimpleNamespace(requests=dialect),
         loads=UpstreamLoads(time.monotonic),
+        harmful_prompts=types.SimpleNamespace(
+            clear=bool, refusal=lambda _request: None
+        ),
         suspicions=Suspicions(time.monotonic),
         retry_budget=lambda _service: RetryBudget(saved=5),
         configuration=types.SimpleNamespace(table=None, version=0),
