--- a/apps/cowslipstepd/tests/test_stream_silence.py
+++ b/apps/cowslipstepd/tests/test_stream_silence.py
@@ -85,9 +85,6 @@
         retry_budget=lambda _service: RetryBudget(saved=5),
         configuration=types.SimpleNamespace(table=None, version=0),
         runner_table=types.SimpleNamespace(revision=0),
-        harmful_prompts=types.SimpleNamespace(
-            clear=lambda _request: None, refusal=lambda _request: None
-        ),
     )
 
 
