Do not serve a request whose head is cut

What callers saw: nothing; a runner ran a request that may run once with an empty body, when its caller closed the sending side within the head.

Cause: as with responses, Python's parser takes the end of the connection for the empty line that ends the head.

Evidence: test_request_cut_in_its_head_does_not_run fails on the code before: some of the cut heads run.

Change: the lines of a head are read through an object that notices the end; such a connection is closed. Connections register by a context manager.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+from collections.abc import Iterator
 from typing import Any
 
 from eventlet import wsgi
@@ -28,13 +29,14 @@
         """Serve a connection until it is closed."""
         _CallerConnection(self, conn_state, server)
 
-    def add(self, connection: _CallerConnection) -> None:
-        """Add an open connection."""
+    @contextlib.contextmanager
+    def opened(self, connection: _CallerConnection) -> Iterator[None]:
+        """Hold a connection until it is served no more."""
         self._open.add(connection)
-
-    def discard(self, connection: _CallerConnection) -> None:
-        """Remove a connection that is closed."""
-        self._open.discard(connection)
+        try:
+            yield
+        finally:
+            self._open.discard(connection)
 
     def close_idle(self) -> None:
         """Close idle connections, and others once they are idle.
@@ -48,9 +50,33 @@
                 connection.close_receiving()
 
 
+class _HeadLines:
+    """Reads the lines of a request's head and notices if it is cut.
+
+    The parser takes the end of the connection for the end of the head.
+    """
+
+    def __init__(self, lines: Any) -> None:
+        self._lines = lines
+        self._cut = False
+
+    @property
+    def cut(self) -> bool:
+        """Whether the connection ended within the head."""
+        return self._cut
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line."""
+        line: bytes = self._lines.readline(limit)
+        self._cut = self._cut or not line
+        return line
+
+
 class _CallerConnection(wsgi.HttpProtocol):
     """Serves the requests of one connection."""
 
+    rfile: Any
+
     def __init__(
         self, connections: CallerConnections, conn_state: Any, server: Any
     ) -> None:
@@ -75,15 +101,20 @@
         environ[RECEIVING_CLOSED] = self._receiving_closed
         return environ
 
-    def setup(self) -> None:
-        """Begin to serve the connection."""
-        super().setup()
-        self._connections.add(self)
-
-    def finish(self) -> None:
-        """Close the connection."""
-        self._connections.discard(self)
-        super().finish()
+    def handle(self) -> None:  # noqa: WPS110
+        """Serve requests until the connection is closed."""
+        with self._connections.opened(self):
+            super().handle()
+
+    def parse_request(self) -> bool:
+        """Parse the head of a request; return false if it is not served."""
+        lines = _HeadLines(self.rfile)
+        self.rfile = lines
+        parsed: bool = super().parse_request()
+        if lines.cut:
+            self.close_connection = True
+            return False
+        return parsed
 
     def handle_one_request(self) -> None:
         """Serve one request."""
