Derive from the chosen upstream whether an attempt is a substitute

Attempt.is_substitute and ChosenUpstream.is_substitute held the same fact, the first as state set before and after the first part. The limit of a substitute now ends with its first part, and the flag of the attempt is gone.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -55,14 +55,11 @@
         What it yields of the response.
     is_silent
         Whether its upstream has been silent.
-    is_substitute
-        Whether the request still waits for a silent upstream besides.
     """
 
     chosen: ChosenUpstream
     parts: Iterator[ResponsePart] = iter(())
     is_silent: bool = False
-    is_substitute: bool = False
 
 
 class TakenOver(Exception):
@@ -147,7 +144,7 @@
         UpstreamFailure
             If the request still waits for another silent upstream besides.
         """
-        if attempt.is_substitute:
+        if attempt.chosen.is_substitute:
             fail_on_silence()
         if not attempt.is_silent:
             if not may_run_elsewhere(delivery):
@@ -162,13 +159,13 @@
         return 0
 
     def _take_over(self, delivery: DeliveryState, attempt: Attempt) -> None:
-        attempt.is_substitute = True
         try:
             first_part = next(attempt.parts)
         except UpstreamFailure as failure:
             self.record_failure(delivery, attempt, failure)
             return
-        attempt.is_substitute = False
+        # Nothing else of the request is in progress any more.
+        attempt.chosen = evolve(attempt.chosen, begins_by_s=math.inf)
         attempt.parts = _with_first(first_part, attempt.parts)
         raise TakenOver(attempt)
 
