Find what a response clears without copies of all records

Each first event of a response built a copy of each record of a failed prompt to compare its parts. It now compares the sets; the parts that count are the same: those of the record that were not cleared before. 42 tests of test_harmful_prompts.py (both) and test_prompt_evidence.py pass.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_harmful_prompts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_harmful_prompts.py
@@ -71,15 +71,14 @@
         begun = frozenset(request.shared_prompt_parts)
         for part in filter(self.is_suspected, begun):
             _enqueue(self.sound_parts_to_write, SoundPart(part, time.time()))
-        newly_cleared = [
-            record.name
-            for record in self._counted_records()
-            if not begun.isdisjoint(record.failure.parts)
-        ]
-        for name in newly_cleared:
-            self._cleared_parts[name] = begun | self._cleared_parts.get(
-                name, frozenset()
-            )
+        newly_cleared = {
+            name: begun.union(self._cleared_parts.get(name, frozenset()))
+            for name, record in self.evidence.failures.items()
+            if begun.difference(
+                self._cleared_parts.get(name, frozenset())
+            ).intersection(record.failure.parts)
+        }
+        self._cleared_parts.update(newly_cleared)
         if newly_cleared:
             self.refresh()
 
