--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Poisoned prompts whose runners crash before their heads are never found."""
+"""Poisoned prompts: sound requests of the same route are refused for good."""
 
 import asyncio
 import itertools
@@ -8,11 +8,10 @@
 import standins as s
 
 GROUPS = 2
-HEAD_AT_ADMISSION = False
 BACK_AFTER_S = 4.0
 BASELINE_S = 8.0
 TROUBLE_S = 30.0
-POISON_EVERY_S = 1.5
+POISON_EVERY_S = 2.5
 SOUND_REQUESTERS = 12
 FIRST_EVENT_S = 0.25
 STABILITY_S = s.STABILITY_MS / 1000
@@ -27,7 +26,6 @@
         self.crashes = []
         self.tasks = []
         self.begun = set()
-        self.reached = []
 
     async def add_runner(self) -> None:
         name = f'i-{next(self.names):04d}'
@@ -37,21 +35,16 @@
         self.runners.append(runner)
 
     async def respond(self, runner, run, writer) -> bool:
-        """Answer; a poisoned request crashes the runner before its first byte."""
+        """Write a stream; a poisoned request crashes the runner."""
         parts = run.head.get('x-cowslipstep-prefix-hash')
-        if 'dead0001:' in parts:
-            self.reached.append(time.monotonic())
-        if HEAD_AT_ADMISSION:
-            writer.write(runner.stream_head(run))
-            await writer.drain()
+        writer.write(runner.stream_head(run))
+        await writer.drain()
         await asyncio.sleep(FIRST_EVENT_S)
         if 'dead0001:' in parts:
             self.tasks.append(asyncio.create_task(self.crash(runner)))
             await asyncio.sleep(1)
             return False
         self.begun.add(run.id)
-        if not HEAD_AT_ADMISSION:
-            writer.write(runner.stream_head(run))
         for number in range(1, 7):
             writer.write(s.chunk(s.event(number)))
             await writer.drain()
@@ -185,11 +178,6 @@
         f'{sum(after)} of {len(after)} from 2 x stabilityWindowMs after the '
         'fifth (or last) crash'
     )
-    reached = [at for at in world.reached if at > judged_crash + STABILITY_S]
-    record(
-        f'{len(reached)} poisoned requests reached runners later than '
-        'stabilityWindowMs after that crash'
-    )
     if len(before) < 20 or len(after) < 20:
         raise s.CannotRun('fewer than 20 sound requests')
     return sum(after) / len(after) >= 0.5 * sum(before) / len(before)
