Bound responses that come without a pause

Cause: limits that apply only while a task waits. Others ran after each 65,536 bytes received, whatever the number of chunks in them; each chunk copied all that was held of its event; deadline and silence were checked only before a wait, and the deadline of a plain response moved on with each chunk.

The counts of a new gauge, loop_pause_s, show the pauses on a running daemon.

Change: a task that reads ends its slice after 2 ms (libs/tasks); limits in time apply to bytes that are there, too, 0.2 s after the limit; events are gathered at a cost of O(n).

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_stream_progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 _EVENT_SEPARATOR = b'\n\n'
 _END_EVENT = b'data: [DONE]\n\n'
@@ -31,7 +31,7 @@
     last_id: bytes = b''
     first_id: bytes = b''
     ended: bool = False
-    _partial_event: bytes = b''
+    _partial_event: bytearray = field(factory=bytearray)
 
     def add_chunk(self, chunk: bytes) -> bytes:
         r"""Add a chunk of the stream and return the events that it completes.
@@ -44,13 +44,17 @@
         >>> progress.last_id, progress.tokens
         (b'0', 1)
         """
-        joined = self._partial_event + chunk
-        end = joined.rfind(_EVENT_SEPARATOR) + len(_EVENT_SEPARATOR)
-        if end < len(_EVENT_SEPARATOR):
-            self._partial_event = joined
+        partial = self._partial_event
+        # What was searched before is not searched again: an event may come in
+        # many small chunks.
+        search_from = max(0, len(partial) - len(_EVENT_SEPARATOR) + 1)
+        partial += chunk
+        separator_at = partial.rfind(_EVENT_SEPARATOR, search_from)
+        if separator_at < 0:
             return b''
-        events = joined[:end]
-        self._partial_event = joined[end:]
+        end = separator_at + len(_EVENT_SEPARATOR)
+        events = bytes(partial[:end])
+        del partial[:end]  # noqa: WPS420
         self._record_events(events)
         return events
 
@@ -88,7 +92,7 @@
 
     def drop_partial_event(self) -> None:
         """Drop the incomplete last event before the stream is resumed."""
-        self._partial_event = b''
+        self._partial_event = bytearray()
 
     def _record_events(self, events: bytes) -> None:
         self.tokens += events.count(_ID_ON_NEW_LINE) + events.startswith(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
@@ -2,53 +2,26 @@
 
 from __future__ import annotations
 
-import math
-import time
-from collections.abc import Callable
 from typing import Any
 
-import eventlet
-from attrs import frozen
 from eventlet.hubs import trampoline
 
-# Other tasks run after this many bytes were received without a wait.
-_BYTES_BETWEEN_YIELDS = 65536
-
-
-class ReadLimitExceeded(OSError):
-    """The peer has sent more bytes than a response may have."""
+from cowslipstep.serving._read_limits import ReadLimits, Silence
+from cowslipstep.tasks import TimeSlice
 
 
 class EndedEarly(OSError):
     """The peer closed the connection where the response cannot end."""
 
 
-@frozen
-class Silence:
-    """What happens while a peer sends nothing that counts.
-
-    Parameters
-    ----------
-    after_s
-        Time until the silence begins, seconds.
-    on_silence
-        Called by the task that waits once the silence has begun. It returns
-        the time until it is called again, seconds, or raises an exception that
-        ends the wait.
-    """
-
-    after_s: float
-    on_silence: Callable[[], float]
-
-
 class BoundedReader:
     """Receives into buffers within a time and up to a number of bytes.
 
     The limits hold for all bytes until they are set again: with a timeout for
     each call alone, a peer that sends a byte now and then would never time
-    out. Eventlet's socket reports a reset as the end of the connection, so
-    that a cut response without a Content-Length would look complete; this
-    reader raises instead.
+    out. Other tasks run while a peer sends without a pause. Eventlet's socket
+    reports a reset as the end of the connection, so that a cut response
+    without a Content-Length would look complete; this reader raises instead.
 
     Parameters
     ----------
@@ -58,28 +31,22 @@
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
-        self._deadline_s = math.inf
-        self._bytes_left = math.inf
-        self._bytes_since_yield = 0
-        self._silent_at_s = math.inf
-        self._silence: Silence | None = None
+        self._limits = ReadLimits()
         self._may_end = True
+        self._time_slice = TimeSlice()
 
-    def set_limits(
+    def limit(
         self,
         timeout_s: float,
         max_bytes: float,
         silence: Silence | None = None,
     ) -> None:
-        """Allow this many bytes from now on, and as many seconds of waiting.
+        """Allow this many bytes from now on, within as many seconds.
 
-        Bytes that have arrived can still be read after the timeout.
+        Bytes that have arrived can still be read after the timeout, for a
+        time that does not begin anew when the limits are set again.
         """
-        now_s = time.monotonic()
-        self._deadline_s = now_s + timeout_s
-        self._bytes_left = max_bytes
-        self._silence = silence
-        self._silent_at_s = now_s + silence.after_s if silence else math.inf
+        self._limits.limit(timeout_s, max_bytes, silence)
 
     def allow_end(self, *, allowed: bool) -> None:
         """Set whether the response may end with its connection from now on.
@@ -88,6 +55,13 @@
         """
         self._may_end = allowed
 
+    def let_others_run(self) -> None:
+        """Let other tasks run if this one has run for a while.
+
+        The parser may read many small parts from what one call received.
+        """
+        self._time_slice.end_if_over()
+
     def recv_into(
         self,
         buffer: Any,
@@ -103,19 +77,15 @@
         EndedEarly
             If the connection was closed where the response cannot end.
         OSError
-            If the connection was reset, or no bytes arrived in time.
+            If the connection was reset, no bytes arrived in time, or they go
+            on after it.
         """
-        if self._bytes_left <= 0:
-            raise ReadLimitExceeded('the peer sends more bytes than allowed')
+        self._limits.check_bytes()
         received = self._receive(buffer, nbytes, flags)
         if not received and not self._may_end:
             raise EndedEarly('connection closed within the response')
-        self._bytes_left -= received
-        self._bytes_since_yield += received
-        if self._bytes_since_yield >= _BYTES_BETWEEN_YIELDS:
-            # A peer that sends without pause must not occupy the process.
-            self._bytes_since_yield = 0
-            eventlet.sleep(0)
+        self.let_others_run()
+        self._limits.record(received)
         return received
 
     def _receive(self, buffer: Any, nbytes: int, flags: int) -> int:
@@ -127,16 +97,13 @@
                 self._wait_readable(plain_sock)
 
     def _wait_readable(self, plain_sock: Any) -> None:
-        wait_until_s = min(self._deadline_s, self._silent_at_s)
         try:
             trampoline(
                 plain_sock,
                 read=True,
-                timeout=max(0, wait_until_s - time.monotonic()),
+                timeout=self._limits.wait_s,
                 timeout_exc=TimeoutError('no bytes within the timeout'),
             )
-        except TimeoutError:
-            if self._silence is None or self._deadline_s <= self._silent_at_s:
-                raise
-            pause_s = self._silence.on_silence()
-            self._silent_at_s = time.monotonic() + pause_s
+        except TimeoutError as timeout:
+            self._limits.apply(timeout)
+        self._time_slice.restart()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -12,8 +12,8 @@
     UpstreamFailure,
 )
 from cowslipstep.model import MayHaveRun, Reason
-from cowslipstep.serving._bounded_reader import Silence
 from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._read_limits import Silence
 from cowslipstep.serving._upstream_http import OpenResponse
 
 # Silence after which another upstream is tried, as a multiple of the longest
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -19,6 +19,7 @@
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._key_permission import key_permission
+from cowslipstep.serving._loop_pauses import LoopPauses
 from cowslipstep.serving._state import ServingState
 
 _NOT_FOUND = 404
@@ -142,9 +143,16 @@
         gauges = Gauges()
         for name, reading in gauge_readings.items():
             gauges.set(CounterKey(name), reading)
+        _set_loop_pauses(gauges, state.loop_pauses)
         return gauges
 
 
+def _set_loop_pauses(gauges: Gauges, pauses: LoopPauses) -> None:
+    for quantile, pause_s in pauses.quantiles_s().items():
+        labels = (('quantile', str(quantile)),)
+        gauges.set(CounterKey('loop_pause_s', labels), pause_s)
+
+
 def _bounded(remaining_s: float) -> float:
     """Return a gauge for a time that may be infinite or in the past."""
     return max(0, min(remaining_s, _NO_LIMIT_S))
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -11,11 +11,13 @@
 from loguru import logger
 
 from cowslipstep.daemon._caller_server import CallerServer, stop_event
+from cowslipstep.daemon._tasks import start_task
 from cowslipstep.serving._assembly import start_daemon
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._evidence_tasks import start_evidence_tasks
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
+from cowslipstep.tasks import LoopWatch
 
 # The balancer stops sending connections after two failed readiness checks.
 _BALANCER_REACTION_S = 2.5
@@ -49,6 +51,7 @@
         signal.SIGHUP,
         lambda _number, _frame: reload_settings(state, load_settings),
     )
+    start_task('loop watch', LoopWatch(state.loop_pauses.record).run)
     server = start_daemon(state)
     start_evidence_tasks(state)
     stop.wait()
@@ -83,4 +86,7 @@
     elapsed_s = time.monotonic() - started_s
     grace_s = state.settings.bounds.grace_s - _EXIT_MARGIN_S
     finished = server.wait_finished(max(0, grace_s - elapsed_s))
-    logger.bind(finished=finished).info('planned stop ends')
+    logger.bind(
+        finished=finished,
+        longest_pause_s=state.loop_pauses.longest_s,
+    ).info('planned stop ends')
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -15,6 +15,7 @@
 from cowslipstep.serving._configuration_in_force import ConfigurationInForce
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
+from cowslipstep.serving._loop_pauses import LoopPauses
 from cowslipstep.serving._registration import own_entry
 from cowslipstep.serving._relay_role import RelayRole
 from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
@@ -81,6 +82,8 @@
         Upstreams at which requests failed lately.
     harmful_prompts
         Prompts that are refused because they end upstreams.
+    loop_pauses
+        Times in which no task of this daemon could run.
     own_entry
         Entry of this daemon at the platform.
     relay_role
@@ -121,6 +124,7 @@
         factory=lambda: Suspicions(time.monotonic),
     )
     harmful_prompts: HarmfulPrompts = field(factory=HarmfulPrompts)
+    loop_pauses: LoopPauses = field(factory=LoopPauses)
     own_entry: DaemonEntry = field(
         default=Factory(
             lambda state: own_entry(state.settings),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -15,7 +15,8 @@
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
-from cowslipstep.serving._bounded_reader import BoundedReader, Silence
+from cowslipstep.serving._bounded_reader import BoundedReader
+from cowslipstep.serving._read_limits import Silence
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
@@ -29,8 +30,7 @@
 # framing of a chunked body around it.
 _MAX_RECEIVED_CHUNK_BYTES = 2 * _READ_CHUNK_BYTES
 _SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
-# Minimum socket timeout: bytes that have arrived can still be read after the
-# deadline.
+# Minimum socket timeout, since a timeout of zero would not wait at all.
 _MIN_TIMEOUT_S = 0.001
 
 
@@ -110,14 +110,11 @@
         ------
         UpstreamFailure
             If the connection breaks, or no bytes of the body arrive for
-            ``timeout_s`` seconds.
+            ``timeout_s`` seconds, or they go on after that time.
         """
+        self._reader.let_others_run()
         with _as_upstream_failure():
-            self._reader.set_limits(
-                max(timeout_s, _MIN_TIMEOUT_S),
-                _MAX_RECEIVED_CHUNK_BYTES,
-                silence,
-            )
+            self._reader.limit(timeout_s, _MAX_RECEIVED_CHUNK_BYTES, silence)
             return self._response.read1(_READ_CHUNK_BYTES)
 
     def read_all(self, deadline_s: float) -> bytes:
@@ -129,14 +126,12 @@
             If the connection breaks, the deadline passes first, or the body
             is larger than ``MAX_BODY_BYTES``.
         """
-        chunks: list[bytes] = []
-        size = 0
-        while size <= MAX_BODY_BYTES:
+        body = bytearray()
+        while len(body) <= MAX_BODY_BYTES:
             chunk = self.read_chunk(deadline_s - time.monotonic())
             if not chunk:
-                return b''.join(chunks)
-            chunks.append(chunk)
-            size += len(chunk)
+                return bytes(body)
+            body += chunk
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_cut),
             f'expected a body of at most {MAX_BODY_BYTES} bytes, got more',
@@ -180,7 +175,7 @@
     with _as_upstream_failure():
         # The connection sets this timeout on its socket for sending.
         connection.timeout = timeout_s
-        reader.set_limits(timeout_s, _MAX_HEAD_BYTES, request.silence)
+        reader.limit(timeout_s, _MAX_HEAD_BYTES, request.silence)
         reader.allow_end(allowed=False)
         connection.request(
             request.method,
--- a/apps/cowslipstepd/tests/_scripted_runners.py
+++ b/apps/cowslipstepd/tests/_scripted_runners.py
@@ -43,7 +43,14 @@
     """Reset the connection."""
 
 
-Step = Send | Pause | Close | Reset
+@frozen
+class SendEndlessly:
+    """Send these bytes again and again until the connection is closed."""
+
+    sent: bytes
+
+
+Step = Send | SendEndlessly | Pause | Close | Reset
 # A runner that has carried out all steps keeps the connection open.
 Script = tuple[Step, ...]
 
@@ -154,6 +161,11 @@
     match step:
         case Send(sent):
             connection.sendall(sent)
+        case SendEndlessly(sent):
+            while True:
+                connection.sendall(sent)
+                # The runner itself must not occupy the process.
+                eventlet.sleep(0)
         case Pause(duration_s):
             eventlet.sleep(duration_s)
         case Close():
