Bound requests that come without a pause

What callers would see: a caller that sends its body in pieces of one byte keeps all others waiting, and one whose body or chunk size has no end is read for as long as it sends.

The body was gathered in one call that never waits while pieces are there; the rest of a refused body was discarded without a limit; the line of a chunk size had none.

Change: the file of a connection ends the slice of its task after 2 ms and bounds lines; of a refused request 8 MiB or 1 s are discarded; a body has 60 s.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
@@ -9,6 +9,7 @@
 
 from eventlet import wsgi
 
+from cowslipstep.daemon._caller_reader import DISCARD_REST, CallerReader
 from cowslipstep.daemon._hangup import RECEIVING_CLOSED
 from cowslipstep.daemon._http import Environ
 
@@ -99,10 +100,12 @@
         """Return the environ of a request."""
         environ: Environ = super().get_environ()
         environ[RECEIVING_CLOSED] = self._receiving_closed
+        environ[DISCARD_REST] = self.rfile.discard_rest
         return environ
 
     def handle(self) -> None:  # noqa: WPS110
         """Serve requests until the connection is closed."""
+        self.rfile = CallerReader(self.rfile, self.request)
         with self._connections.opened(self):
             super().handle()
 
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
@@ -0,0 +1,102 @@
+"""Reads what callers send, with limits on what is not understood yet."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import Any
+
+from cowslipstep.daemon._http import Environ
+from cowslipstep.tasks import TimeSlice
+
+# Key of an environ: a function after which the rest of a request is discarded.
+DISCARD_REST = 'cowslipstep.discard_rest'
+# Longest line that is read without a limit of its own, such as the size of a
+# chunk with its extensions.
+_MAX_LINE_BYTES = 65536
+# What is discarded of a refused request: closing a connection with unread bytes
+# resets it, and the caller would lose the response.
+_MAX_DISCARDED_BYTES = 8388608
+_MAX_DISCARD_S = 1
+
+
+class RequestTooLong(OSError):
+    """A caller goes on with a request that was refused, or with a line."""
+
+
+class CallerReader:
+    """Reads from the file of a connection; other tasks run meanwhile.
+
+    Parameters
+    ----------
+    lines
+        Buffered file of the connection.
+    sock
+        Socket of the connection.
+    """
+
+    def __init__(self, lines: Any, sock: Any) -> None:
+        self._lines = lines
+        self._sock = sock
+        self._time_slice = TimeSlice()
+        self._bytes_left: float = math.inf
+        self._discard_until_s = math.inf
+
+    @property
+    def closed(self) -> bool:
+        """Whether the file is closed."""
+        return bool(self._lines.closed)
+
+    def close(self) -> None:
+        """Close the file."""
+        self._lines.close()
+
+    def discard_rest(self) -> None:
+        """Read no more than a part of what remains of a request."""
+        self._bytes_left = _MAX_DISCARDED_BYTES
+        self._discard_until_s = time.monotonic() + _MAX_DISCARD_S
+        self._sock.settimeout(_MAX_DISCARD_S)
+
+    def read(self, size: int = -1) -> bytes:
+        """Return up to this many bytes; fewer at the end of the connection.
+
+        Raises
+        ------
+        RequestTooLong
+            If the caller goes on with a request that was refused.
+        """
+        return self._counted(self._lines.read(size))
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line, or as much of it as the limit allows.
+
+        Raises
+        ------
+        RequestTooLong
+            If a line has no end within the longest one that is read, or the
+            caller goes on with a request that was refused.
+        """
+        if limit >= 0:
+            return self._counted(self._lines.readline(limit))
+        line = self._counted(self._lines.readline(_MAX_LINE_BYTES + 1))
+        if len(line) > _MAX_LINE_BYTES:
+            raise RequestTooLong(
+                f'expected lines of at most {_MAX_LINE_BYTES} bytes'
+            )
+        return line
+
+    def _counted(self, received: bytes) -> bytes:
+        self._time_slice.end_if_over()
+        self._bytes_left -= len(received)
+        if self._bytes_left < 0 or time.monotonic() > self._discard_until_s:
+            raise RequestTooLong('the caller goes on with a refused request')
+        return received
+
+
+def discard_rest(environ: Environ) -> None:
+    """Read no more than a part of what remains of a request."""
+    environ.get(DISCARD_REST, _no_rest)()
+
+
+def _no_rest() -> None:
+    """Leave a body that comes from no connection."""
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import eventlet
+
+from cowslipstep.daemon._caller_reader import RequestTooLong, discard_rest
 from cowslipstep.daemon._http import Environ
 from cowslipstep.model import NotRun, Reason, RequestError
 
 _BAD_REQUEST = 400
 _MAX_CONTENT_LENGTH_DIGITS = 18
 _TOO_LARGE = 413
+_REQUEST_TIMEOUT = 408
+# A body is gathered in parts of this size, whatever the size of its chunks.
+_PART_BYTES = 65536
+# Longest time for which a body is received.
+_MAX_BODY_S = 60
 
 
 def read_body(environ: Environ, max_bytes: int) -> bytes:
@@ -17,8 +27,17 @@
     ------
     RequestError
         If the body is longer than ``max_bytes`` or shorter than stated, or
-        ``Content-Length`` is not a number.
+        ``Content-Length`` is not a number, or the body does not arrive in
+        time.
     """
+    try:
+        return _read_whole(environ, max_bytes)
+    except RequestError:
+        discard_rest(environ)
+        raise
+
+
+def _read_whole(environ: Environ, max_bytes: int) -> bytes:
     content_length = environ.get('CONTENT_LENGTH') or '0'
     if not content_length.isdecimal():
         raise bad_request('Content-Length is not a number')
@@ -28,16 +47,33 @@
         or int(content_length) > max_bytes
     ):
         raise _too_large(max_bytes)
-    body = environ['wsgi.input'].read(max_bytes + 1)
-    if len(body) > max_bytes:
-        raise _too_large(max_bytes)
-    _raise_if_cut(body, int(content_length))
+    body = _receive(environ['wsgi.input'], max_bytes)
+    if len(body) < int(content_length):
+        raise bad_request('the connection ended within the body')
     return body
 
 
-def _raise_if_cut(body: bytes, content_length: int) -> None:
-    if len(body) < content_length:
-        raise bad_request('the connection ended within the body')
+def _receive(source: Any, max_bytes: int) -> bytes:
+    body = bytearray()
+    late = RequestError(
+        NotRun(Reason.bad_request),
+        f'the body did not arrive within {_MAX_BODY_S} s',
+        _REQUEST_TIMEOUT,
+    )
+    with eventlet.Timeout(_MAX_BODY_S, late):
+        while part := _read_part(source):
+            body += part
+            if len(body) > max_bytes:
+                raise _too_large(max_bytes)
+    return bytes(body)
+
+
+def _read_part(source: Any) -> bytes:
+    try:
+        part: bytes = source.read(_PART_BYTES)
+    except RequestTooLong as error:
+        raise bad_request(str(error)) from error
+    return part
 
 
 def bad_request(message: str) -> RequestError:
