Bound responses of the platform in time and size

What callers would see: a list or watch of the platform that goes on without an end fills the memory of a daemon and keeps its tasks from running.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_initial_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_initial_state.py
@@ -4,8 +4,9 @@
 
 from cowslipstep.daemon._platform_limits import platform_limits
 from cowslipstep.daemon._state import DaemonState
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.metrics import CounterKey, Counters
-from cowslipstep.platform import CallRecord, PlatformClient
+from cowslipstep.platform import CallHooks, CallRecord, PlatformClient
 from cowslipstep.settings import DaemonSettings
 
 
@@ -19,7 +20,10 @@
         settings.platform_address,
         settings.name,
         platform_limits(settings, len(settings.peers) + 1),
-        lambda record: counters.add(_platform_call_key(record)),
+        CallHooks(
+            lambda record: counters.add(_platform_call_key(record)),
+            call_time_limit,
+        ),
     )
     return DaemonState(settings, platform, counters=counters)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -8,9 +8,15 @@
 
 from attrs import Factory, define, field
 
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.delivery import RetryBudget
 from cowslipstep.model import DaemonEntry
-from cowslipstep.platform import BudgetLimits, PlatformClient, PlatformLimits
+from cowslipstep.platform import (
+    BudgetLimits,
+    CallHooks,
+    PlatformClient,
+    PlatformLimits,
+)
 from cowslipstep.routing import UpstreamLoads
 from cowslipstep.serving._configuration_in_force import ConfigurationInForce
 from cowslipstep.serving._dialects import Dialects
@@ -42,7 +48,8 @@
         state.settings.platform_address,
         state.settings.name,
         state.platform_share,
-        dialect=state.dialects.store,
+        CallHooks(time_limit=call_time_limit),
+        state.dialects.store,
     )
 
 
--- a/apps/cowslipstepd/tests/test_endless_requests.py
+++ b/apps/cowslipstepd/tests/test_endless_requests.py
@@ -9,13 +9,13 @@
 import eventlet
 import pytest
 from _green_processes import in_green_process
+from _pauses import watch_pauses
 from attrs import frozen
 
 from cowslipstep.daemon._caller_server import CallerServer
 from cowslipstep.daemon._http import JsonResponse, send_json
 from cowslipstep.daemon._request_bodies import read_body
 from cowslipstep.model import RequestError
-from cowslipstep.tasks import LoopWatch
 
 HEAD = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
 PIECE = b'1\r\nx\r\n'
@@ -75,13 +75,6 @@
     return Ended(first_line(caller), elapsed_s, max(pauses))
 
 
-def watch_pauses() -> list[float]:
-    pauses: list[float] = [0]
-    watch = LoopWatch(lambda late_s, _busy_s: pauses.append(late_s), 0.005)
-    eventlet.spawn(watch.run)
-    return pauses
-
-
 def first_line(caller: Any) -> bytes:
     with contextlib.suppress(OSError):
         return caller.makefile('rb').readline()
--- a/apps/cowslipstepd/tests/test_endless_responses.py
+++ b/apps/cowslipstepd/tests/test_endless_responses.py
@@ -9,6 +9,7 @@
 import pytest
 from _callers import Received
 from _green_processes import in_green_process
+from _pauses import watch_pauses
 from _scripted_runners import (
     LAST_CHUNK,
     Close,
@@ -27,7 +28,6 @@
 
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.fleet import RequestKind, Route, WeightedService
-from cowslipstep.tasks import LoopWatch
 
 CHUNKED = Send(response_head('Transfer-Encoding: chunked'))
 # What callers may wait beyond the deadline of their request.
@@ -104,9 +104,7 @@
 
 def played(script: Script, route: Route) -> Played:
     harness = harness_with_endless(script, route)
-    pauses: list[float] = []
-    watch = LoopWatch(lambda late_s, _busy_s: pauses.append(late_s), 0.005)
-    eventlet.spawn(watch.run)
+    pauses = watch_pauses()
     exchange = eventlet.spawn(harness.exchange, route)
     longest_exchange_s = longest_sound_exchange_s(harness)
     return Played(exchange.wait(), max(pauses), longest_exchange_s)
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -7,6 +7,7 @@
     Priority,
     priority_of,
 )
+from cowslipstep.platform._call_hooks import CallHooks
 from cowslipstep.platform._calls import (
     CALL_TIMEOUT_S,
     CallOutcome,
--- a/libs/platform/src/cowslipstep/platform/_caller.py
+++ b/libs/platform/src/cowslipstep/platform/_caller.py
@@ -5,12 +5,11 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable, Iterator
-
-import urllib3
+from collections.abc import Iterator
 
 from cowslipstep.model import NotRun, Reason
 from cowslipstep.platform._budgets import CallBudgets
+from cowslipstep.platform._call_hooks import CallObserver
 from cowslipstep.platform._calls import CallOutcome, CallRecord, PlatformCall
 from cowslipstep.platform._circuit_breaker import CircuitBreaker
 from cowslipstep.platform._objects import (
@@ -19,9 +18,10 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from cowslipstep.platform._transport import PlatformTransport
-
-CallObserver = Callable[[CallRecord], None]
+from cowslipstep.platform._transport import (
+    PlatformResponse,
+    PlatformTransport,
+)
 
 
 class PlatformCaller:
@@ -54,7 +54,7 @@
         """Clock reading at the last response; minus infinity for none."""
         return self._last_response_at_s
 
-    def call(self, call: PlatformCall) -> urllib3.BaseHTTPResponse:
+    def call(self, call: PlatformCall) -> PlatformResponse:
         """Send one call and return its response.
 
         Raises
--- a/libs/platform/src/cowslipstep/platform/_client.py
+++ b/libs/platform/src/cowslipstep/platform/_client.py
@@ -7,8 +7,9 @@
 from cowslipstep.model import Address
 from cowslipstep.platform._budget import PlatformLimits
 from cowslipstep.platform._budgets import CallBudgets
-from cowslipstep.platform._caller import CallObserver, PlatformCaller
-from cowslipstep.platform._calls import CallRecord, PlatformCall
+from cowslipstep.platform._call_hooks import CallHooks
+from cowslipstep.platform._caller import PlatformCaller
+from cowslipstep.platform._calls import PlatformCall
 from cowslipstep.platform._conditional_change import ConditionalChange
 from cowslipstep.platform._dialect import StoreDialect
 from cowslipstep.platform._objects import ObjectKey
@@ -18,10 +19,6 @@
 from cowslipstep.platform._verified_change import change_verified
 
 
-def ignore_call(_record: CallRecord) -> None:
-    """Ignore the record of a call."""
-
-
 class PlatformClient(ObjectReader):
     """Reads, watches and conditionally changes platform objects.
 
@@ -33,8 +30,8 @@
         Name of this client in the ``User-Agent`` header.
     limits
         Limits of the calls that this client may send.
-    on_call
-        Called with a record of each call, for metrics.
+    hooks
+        What is done around each call.
     dialect
         Builds calls and parses responses.
     """
@@ -44,12 +41,15 @@
         address: Address,
         sender: str = 'cowslipstep',
         limits: PlatformLimits | None = None,
-        on_call: CallObserver = ignore_call,
+        hooks: CallHooks | None = None,
         dialect: StoreDialect = TEXT_DIALECT,
     ) -> None:
-        transport = PlatformTransport(address, sender, dialect.responses)
+        hooks = hooks or CallHooks()
+        transport = PlatformTransport(
+            address, sender, dialect.responses, hooks.time_limit
+        )
         self._budgets = CallBudgets(limits or PlatformLimits(), time.monotonic)
-        caller = PlatformCaller(transport, self._budgets, on_call)
+        caller = PlatformCaller(transport, self._budgets, hooks.on_call)
         super().__init__(caller, dialect)
 
     def change_limits(self, limits: PlatformLimits) -> None:
--- a/libs/platform/src/cowslipstep/platform/_kind_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_kind_reader.py
@@ -69,12 +69,12 @@
         call = self._dialect.calls.watch(kind, revision, wait_s)
         response = self._caller.call(call)
         with convert_parse_errors(call):
-            document = parse_json(response.data)
+            document = parse_json(response.body)
             return self._dialect.responses.parse_changes(kind, document)
 
     def _read_page(self, kind: str, after: str, *, stale: bool) -> ObjectPage:
         call = self._dialect.calls.read_page(kind, after, stale=stale)
         response = self._caller.call(call)
         with convert_parse_errors(call):
-            document = parse_json(response.data)
+            document = parse_json(response.body)
             return self._dialect.responses.parse_page(kind, document)
--- a/libs/platform/src/cowslipstep/platform/_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_reader.py
@@ -4,8 +4,6 @@
 
 from typing import Any
 
-import urllib3
-
 from cowslipstep.platform._calls import PlatformCall
 from cowslipstep.platform._json_documents import (
     convert_parse_errors,
@@ -13,6 +11,7 @@
 )
 from cowslipstep.platform._kind_reader import KindReader
 from cowslipstep.platform._objects import ObjectKey, StoredObject
+from cowslipstep.platform._transport import PlatformResponse
 
 _READ_METHOD = 'GET'
 _NOT_MODIFIED_STATUS = 304
@@ -81,14 +80,14 @@
         call = PlatformCall(_READ_METHOD, kind, path)
         response = self._caller.call(call)
         with convert_parse_errors(call):
-            return parse_json(response.data)
+            return parse_json(response.body)
 
     def _parse_object(
         self,
         key: ObjectKey,
         call: PlatformCall,
-        response: urllib3.BaseHTTPResponse,
+        response: PlatformResponse,
     ) -> StoredObject:
         with convert_parse_errors(call):
-            document = parse_json(response.data)
+            document = parse_json(response.body)
             return self._dialect.responses.parse_object(key, document)
--- a/libs/platform/src/cowslipstep/platform/_transport.py
+++ b/libs/platform/src/cowslipstep/platform/_transport.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Mapping
 from types import MappingProxyType
 
 import urllib3
+from attrs import frozen
 
 from cowslipstep.model import (
     Address,
@@ -18,6 +20,7 @@
     NotRun,
     Reason,
 )
+from cowslipstep.platform._call_hooks import TimeLimit
 from cowslipstep.platform._calls import PlatformCall
 from cowslipstep.platform._dialect import StoreResponses
 from cowslipstep.platform._objects import (
@@ -26,7 +29,13 @@
     PlatformUnavailable,
     VersionConflict,
 )
+from cowslipstep.tasks import TimeSlice
 
+_READ_BYTES = 65536
+# Far more than a page of objects has.
+_MAX_BODY_BYTES = 67108864
+# Time for a body, beyond the time limit of its call.
+_BODY_TIMEOUT_S = 10
 _CONNECT_TIMEOUT_S = 1
 _MAX_IDLE_CONNECTIONS = 4
 _MIN_ERROR_STATUS = 400
@@ -46,9 +55,20 @@
 )
 
 
+@frozen
+class PlatformResponse:
+    """Status and body of a response."""
+
+    status: int
+    body: bytes
+
+
 class PlatformTransport:
     """Sends calls to the platform.
 
+    A response is limited in time as a whole, whether its next byte is awaited
+    or there, and in size.
+
     Parameters
     ----------
     address
@@ -57,6 +77,8 @@
         Name in the ``User-Agent`` header.
     responses
         Gives the verdict of an error status.
+    time_limit
+        Limits the time of a call as a whole.
     """
 
     def __init__(
@@ -64,8 +86,10 @@
         address: Address,
         sender: str,
         responses: StoreResponses,
+        time_limit: TimeLimit,
     ) -> None:
         self._responses = responses
+        self._time_limit = time_limit
         self._pool = urllib3.HTTPConnectionPool(
             address.ip,
             address.port,
@@ -78,7 +102,7 @@
             socket_options=_SOCKET_OPTIONS,
         )
 
-    def send(self, call: PlatformCall) -> urllib3.BaseHTTPResponse:
+    def send(self, call: PlatformCall) -> PlatformResponse:
         """Send one call and return its response.
 
         Raises
@@ -92,17 +116,10 @@
         PlatformUnavailable
             If there was no usable response.
         """
-        timeout = urllib3.Timeout(
-            connect=_CONNECT_TIMEOUT_S,
-            read=call.timeout_s,
-        )
+        limit_s = _CONNECT_TIMEOUT_S + call.timeout_s + _BODY_TIMEOUT_S
         try:
-            response = self._pool.request(
-                call.method,
-                call.path,
-                body=call.body,
-                timeout=timeout,
-            )
+            with self._time_limit(limit_s):
+                response = self._exchange(call)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -111,18 +128,38 @@
                 NotRun(Reason.platform_down),
                 f'{call}: {refused}',
             ) from refused
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise PlatformUnavailable(
                 MayHaveRun(Reason.platform_down),
                 f'{call}: {error}',
             ) from error
         return self._checked(response, call)
 
+    def _exchange(self, call: PlatformCall) -> PlatformResponse:
+        response = self._pool.request(
+            call.method,
+            call.path,
+            body=call.body,
+            timeout=urllib3.Timeout(
+                connect=_CONNECT_TIMEOUT_S,
+                read=call.timeout_s,
+            ),
+            preload_content=False,
+        )
+        try:
+            body = _read_body(response)
+        except BaseException:
+            # The rest must not be read as the next response.
+            response.close()
+            raise
+        response.release_conn()
+        return PlatformResponse(response.status, body)
+
     def _checked(
         self,
-        response: urllib3.BaseHTTPResponse,
+        response: PlatformResponse,
         call: PlatformCall,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> PlatformResponse:
         error = _ERROR_BY_STATUS.get(response.status)
         if error is not None:
             raise error(str(call))
@@ -132,3 +169,17 @@
                 f'{call}: status {response.status}',
             )
         return response
+
+
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    ends_at_s = time.monotonic() + _BODY_TIMEOUT_S
+    time_slice = TimeSlice()
+    body = bytearray()
+    while chunk := response.read1(_READ_BYTES):
+        body += chunk
+        time_slice.end_if_over()
+        if len(body) > _MAX_BODY_BYTES:
+            raise OSError(f'the body exceeds {_MAX_BODY_BYTES} bytes')
+        if time.monotonic() > ends_at_s:
+            raise TimeoutError('the body goes on after its time limit')
+    return bytes(body)
