Bound frames of peers and responses on the product's own path

What callers would see: a peer or an upstream that sends a byte now and then, or without a pause, is read without an end by the daemon of the product's own interface.

Change: a frame has 10 s from its first byte; bodies and events of upstreams have the limits of the serving path and the time of their call; health, command and cache responses are limited as a whole.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cached_prefixes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cached_prefixes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterable, Iterator
 from typing import Any
 
@@ -9,10 +10,20 @@
 import urllib3
 from loguru import logger
 
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.model import Address
 from cowslipstep.routing import GroupSlots, PrefixMap
 
 _FETCH_TIMEOUT_S = 1
+# Time for a response as a whole.
+_FETCH_LIMIT_S = 3
+_MAX_EVENTS_BYTES = 8388608
+_FETCH_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
+    RecursionError,
+)
 _HASH_HEX_DIGITS = 16
 _HEX_BASE = 16
 
@@ -61,11 +72,7 @@
 def _fetch_hashes(address: Address) -> list[int]:
     try:
         return list(parse_prefixes(_fetch_events(address)))
-    except (
-        urllib3.exceptions.HTTPError,
-        ValueError,
-        RecursionError,
-    ) as error:
+    except _FETCH_ERRORS as error:
         # Without hints, routing ignores the caches of the group and engines
         # compute prompts again that they could have found in a cache.
         logger.info(
@@ -96,5 +103,11 @@
 
 def _fetch_events(address: Address) -> Any:
     url = f'http://{address}/cache-events?after=0'
-    with urllib3.PoolManager(retries=False) as http:
-        return http.request('GET', url, timeout=_FETCH_TIMEOUT_S).json()
+    with (
+        urllib3.PoolManager(retries=False) as http,
+        call_time_limit(_FETCH_LIMIT_S),
+    ):
+        response = http.request(
+            'GET', url, timeout=_FETCH_TIMEOUT_S, preload_content=False
+        )
+        return json.loads(response.read(_MAX_EVENTS_BYTES))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_commands.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_commands.py
@@ -16,9 +16,13 @@
 
 from cowslipstep.daemon._health_calls import parse_health
 from cowslipstep.daemon._prober import Prober
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.groups import AssignCommand, HostCommand, ReleaseCommand
 
 _COMMAND_TIMEOUT_S = 0.5
+# Time for a command as a whole: to connect, and to read the response.
+_COMMAND_LIMIT_S = 1
+_MAX_HEALTH_BYTES = 1048576
 _RESEND_PERIOD_S = 1
 _MAX_CONCURRENT_COMMANDS = 16
 _OK = 200
@@ -86,15 +90,16 @@
         timeout=_COMMAND_TIMEOUT_S,
     )
     body = json.dumps({**_document(command), 'fence': authority.fencing_token})
-    with contextlib.closing(connection):
+    with contextlib.closing(connection), call_time_limit(_COMMAND_LIMIT_S):
         connection.connect()
         # Checked right before sending: the lease may have expired while the
         # process was paused or the connection was being opened.
         if not authority.may_send():
             return None
-        connection.request('POST', '/orders', body=body)
+        connection.request('POST', '/orders', body=body, preload_content=False)
         response = connection.getresponse()
-        return response.json() if response.status == _OK else None
+        health = response.read(_MAX_HEALTH_BYTES)
+        return json.loads(health) if response.status == _OK else None
 
 
 def _document(command: HostCommand) -> dict[str, Any]:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health_calls.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health_calls.py
@@ -9,9 +9,12 @@
 
 from urllib3.connection import HTTPConnection
 
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.groups import HostReport, HostState
 
 _OK = 200
+_HEALTH_TIMEOUT_S = 0.5
+_MAX_HEALTH_BYTES = 1048576
 
 
 def request_health(connection: HTTPConnection) -> dict[str, Any]:
@@ -36,16 +39,23 @@
     host = f'{connection.host}:{connection.port}'
     connection.send(f'GET /health HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode())
     response = HTTPResponse(connection.sock, method='GET')
-    with contextlib.closing(response):
+    with contextlib.closing(response), call_time_limit(_HEALTH_TIMEOUT_S):
         response.begin()
         if response.status != _OK:
             raise HTTPException(f'expected status 200, got {response.status}')
-        document = _parse(response.read())
+        document = _parse(_read_bounded(response))
     if response.will_close:
         connection.close()
     return document
 
 
+def _read_bounded(response: HTTPResponse) -> bytes:
+    body = response.read(_MAX_HEALTH_BYTES + 1)
+    if len(body) > _MAX_HEALTH_BYTES:
+        raise HTTPException(f'expected at most {_MAX_HEALTH_BYTES} bytes')
+    return body
+
+
 def _parse(body: bytes) -> dict[str, Any]:
     try:
         return json.loads(body)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -7,6 +7,7 @@
 import urllib3
 from attrs import frozen
 
+from cowslipstep.daemon._part_limit import PartLimit
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream import (
@@ -18,6 +19,9 @@
 from cowslipstep.model import MayHaveRun, Reason
 
 _OK = 200
+# Largest body and largest event that are held until they are complete.
+_MAX_BODY_BYTES = 8388608
+_MAX_EVENT_BYTES = 1048576
 
 
 @frozen
@@ -49,7 +53,7 @@
         If there is no response or it is incomplete.
     """
     with open_call(call) as response:
-        yield from _buffered(response, run)
+        yield from _buffered(response, run, call.read_timeout_s)
 
 
 def relay_stream(
@@ -65,9 +69,9 @@
     """
     with open_call(call) as response:
         if response.status != _OK:
-            yield from _buffered(response, run)
+            yield from _buffered(response, run, call.read_timeout_s)
             return
-        yield from _events(response, run)
+        yield from _events(response, run, call.read_timeout_s)
     if not run.stream_progress.ended:
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_cut),
@@ -78,8 +82,13 @@
 def _buffered(
     response: urllib3.BaseHTTPResponse,
     run: RunState,
+    timeout_s: float,
 ) -> Iterator[ResponsePart]:
-    body = b''.join(read_chunks(response))
+    limit = PartLimit(_MAX_BODY_BYTES, timeout_s)
+    body = bytearray()
+    for chunk in read_chunks(response):
+        body += chunk
+        limit.check(len(body))
     if run.response_begun:
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_failed),
@@ -87,13 +96,15 @@
         )
     run.response_begun = True
     yield ResponseHead(response.status, _content_type(response), len(body))
-    yield body
+    yield bytes(body)
 
 
 def _events(
     response: urllib3.BaseHTTPResponse,
     run: RunState,
+    timeout_s: float,
 ) -> Iterator[ResponsePart]:
+    limit = PartLimit(_MAX_EVENT_BYTES, timeout_s)
     check_resumption = bool(run.stream_progress.last_id)
     for chunk in read_chunks(response):
         if check_resumption:
@@ -103,8 +114,10 @@
         if events and not run.response_begun:
             run.response_begun = True
             yield ResponseHead(response.status, _content_type(response))
+        limit.check(run.stream_progress.partial_event_bytes)
         if events:
             yield events
+            limit.restart()
 
 
 def _raise_if_restarted(stream: StreamProgress, chunk: bytes) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -12,7 +12,9 @@
     UpstreamFailure,
     raise_for_status,
 )
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
+from cowslipstep.tasks import TimeSlice
 
 _CONNECT_TIMEOUT_S = 1
 _MAX_CHUNK_BYTES = 65536
@@ -58,7 +60,9 @@
 def _send(
     connections: urllib3.HTTPConnectionPool, call: UpstreamCall
 ) -> urllib3.BaseHTTPResponse:
-    with _convert_errors():
+    # The timeout of a read does not end a head that comes byte by byte.
+    limit_s = _CONNECT_TIMEOUT_S + call.read_timeout_s
+    with _convert_errors(), call_time_limit(limit_s):
         return connections.request(
             call.method,
             call.path,
@@ -74,14 +78,16 @@
 
 
 def read_chunks(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield chunks of a body as they arrive.
+    """Yield chunks of a body as they arrive; other tasks run in between.
 
     Raises
     ------
     UpstreamFailure
         If the connection is closed early or the read times out.
     """
+    time_slice = TimeSlice()
     while True:
+        time_slice.end_if_over()
         with _convert_errors():
             chunk = response.read1(_MAX_CHUNK_BYTES)
         if not chunk:
--- a/libs/peers/src/cowslipstep/peers/_connection.py
+++ b/libs/peers/src/cowslipstep/peers/_connection.py
@@ -11,9 +11,12 @@
 from eventlet.semaphore import Semaphore
 
 from cowslipstep.peers._frames import Frame
-from cowslipstep.peers._wire import receive_frame, send_frame
+from cowslipstep.peers._wire import begin_frame, receive_frame, send_frame
+from cowslipstep.tasks import TimeSlice
 
 _SEND_TIMEOUT_S = 2
+# Time from the first byte of a frame to its last one.
+_FRAME_TIMEOUT_S = 10
 
 
 @define
@@ -42,6 +45,7 @@
         self._sock = sock
         self._traffic = traffic
         self._send_lock = Semaphore()
+        self._time_slice = TimeSlice()
 
     def send(self, frame: Frame) -> None:
         """Send a whole frame, or close the connection.
@@ -64,16 +68,21 @@
             self._traffic.sent_frames += 1
 
     def receive(self) -> Frame:
-        """Wait for the next frame.
+        """Wait for the next frame; other tasks run while many have arrived.
 
         Raises
         ------
         FrameError
             If the bytes received are not a valid frame.
         OSError
-            If the connection is closed.
+            If the connection is closed, or a frame does not arrive in time.
         """
-        received = receive_frame(self._sock)
+        self._time_slice.end_if_over()
+        started = begin_frame(self._sock)
+        with eventlet.Timeout(
+            _FRAME_TIMEOUT_S, TimeoutError('frame not received in time')
+        ):
+            received = receive_frame(self._sock, started)
         self._traffic.received_bytes += received.bytes_on_wire
         self._traffic.received_frames += 1
         return received.frame
--- a/libs/peers/src/cowslipstep/peers/_wire.py
+++ b/libs/peers/src/cowslipstep/peers/_wire.py
@@ -43,8 +43,26 @@
     return len(header) + len(payload)
 
 
-def receive_frame(sock: socket.socket) -> ReceivedFrame:
-    """Wait for the next frame.
+def begin_frame(sock: socket.socket) -> bytes:
+    """Wait for the next frame, and return its first byte.
+
+    Raises
+    ------
+    OSError
+        If the connection is closed.
+    """
+    return _receive_exactly(sock, 1)
+
+
+def receive_frame(sock: socket.socket, started: bytes = b'') -> ReceivedFrame:
+    """Receive a frame.
+
+    Parameters
+    ----------
+    sock
+        Socket of the connection.
+    started
+        What was already received of it.
 
     Raises
     ------
@@ -53,7 +71,7 @@
     OSError
         If the connection is closed.
     """
-    header = _receive_exactly(sock, _HEADER.size)
+    header = started + _receive_exactly(sock, _HEADER.size - len(started))
     length, checksum = _HEADER.unpack(header)
     if length > _MAX_FRAME_BYTES:
         raise FrameError(f'frame of {length} bytes exceeds the size limit')
