Bound connections of callers, and keep their listener alive

Cause: limits on connections were constants that ignored the configuration and the settings; accepting ran outside the supervised tasks, ended with the first accept that failed, and nothing asked for it.

Change: descriptors are shared out in one place; idle and head times come from the configuration in force and reach open connections; those idle longest make room; an accept that fails ends nothing; long-lived tasks are supervised, and readiness and the life of the process depend on them. Listeners of peers, the balancer and metrics alike.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
@@ -4,51 +4,87 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
-from eventlet import wsgi
+from eventlet import Timeout, wsgi
 
 from cowslipstep.daemon._caller_reader import DISCARD_REST, CallerReader
+from cowslipstep.daemon._connection_limits import (
+    ConnectionLimits,
+    default_limits,
+)
 from cowslipstep.daemon._hangup import RECEIVING_CLOSED
-from cowslipstep.daemon._http import Environ
+from cowslipstep.daemon._http import OVER_LIMIT, Environ
+from cowslipstep.daemon._idle_connections import IdleConnections
+
+_REQUEST_TIMEOUT = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 
 
 class CallerConnections:
-    """The open connections of a server for callers."""
+    """The open connections of a server for callers.
+
+    Parameters
+    ----------
+    current_limits
+        Returns the limits in force; open connections follow them, too.
+    """
 
-    def __init__(self) -> None:
-        self._open: set[_CallerConnection] = set()
+    def __init__(
+        self, current_limits: Callable[[], ConnectionLimits] = default_limits
+    ) -> None:
+        self._current_limits = current_limits
+        self._open: set[CallerConnection] = set()
+        self._idle = IdleConnections()
         self._closing = False
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """The limits in force."""
+        return self._current_limits()
+
     @property
     def closing(self) -> bool:
         """Whether connections are closed once they are idle."""
         return self._closing
 
-    def serve(self, conn_state: Any, server: Any) -> None:
-        """Serve a connection until it is closed."""
-        _CallerConnection(self, conn_state, server)
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    @property
+    def idle(self) -> IdleConnections:
+        """The connections that wait for a request."""
+        return self._idle
 
     @contextlib.contextmanager
-    def opened(self, connection: _CallerConnection) -> Iterator[None]:
-        """Hold a connection until it is served no more."""
+    def opened(self, connection: CallerConnection) -> Iterator[bool]:
+        """Hold a connection until it is served no more.
+
+        Yields whether it exceeds the limit, although those that are idle
+        longest are closed first.
+        """
         self._open.add(connection)
+        excess = self.open_count - self.limits.max_connections
+        closed = self._idle.close_longest(excess)
         try:
-            yield
+            yield excess > closed
         finally:
             self._open.discard(connection)
 
     def close_idle(self) -> None:
-        """Close idle connections, and others once they are idle.
-
-        Only the receiving side is shut down: a request that has arrived is
-        still read, and its response can be sent.
-        """
+        """Close idle connections, and others once they are idle."""
         self._closing = True
-        for connection in tuple(self._open):
-            if connection.is_idle:
-                connection.close_receiving()
+        self._idle.close_longest(self._idle.count)
+
+
+def close_expired(connections: CallerConnections) -> None:
+    """Close the connections that have been idle for too long."""
+    connections.idle.close_expired(connections.limits.idle_timeout_s)
 
 
 class _HeadLines:
@@ -73,8 +109,18 @@
         return line
 
 
-class _CallerConnection(wsgi.HttpProtocol):
-    """Serves the requests of one connection."""
+class CallerConnection(wsgi.HttpProtocol):
+    """Serves the requests of one connection; creating it serves them all.
+
+    Parameters
+    ----------
+    connections
+        The connections of the server.
+    conn_state
+        Address, socket and state, as the WSGI server holds them.
+    server
+        The WSGI server.
+    """
 
     rfile: Any
 
@@ -83,15 +129,16 @@
     ) -> None:
         self._connections = connections
         self._receiving_closed = False
+        self._over_limit = False
+        self._head_timeout: Any = None
         super().__init__(conn_state, server)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is read or served."""
-        return self.conn_state[2] == wsgi.STATE_IDLE
-
     def close_receiving(self) -> None:
-        """Receive no more than what has arrived."""
+        """Receive no more than what has arrived.
+
+        Only the receiving side is shut down: a request that has arrived is
+        still read, and its response can be sent.
+        """
         self._receiving_closed = True
         with contextlib.suppress(OSError):
             self.request.shutdown(socket.SHUT_RD)
@@ -101,12 +148,14 @@
         environ: Environ = super().get_environ()
         environ[RECEIVING_CLOSED] = self._receiving_closed
         environ[DISCARD_REST] = self.rfile.discard_rest
+        environ[OVER_LIMIT] = self._over_limit
         return environ
 
     def handle(self) -> None:  # noqa: WPS110
         """Serve requests until the connection is closed."""
         self.rfile = CallerReader(self.rfile, self.request)
-        with self._connections.opened(self):
+        with self._connections.opened(self) as over_limit:
+            self._over_limit = over_limit
             super().handle()
 
     def parse_request(self) -> bool:
@@ -114,13 +163,35 @@
         lines = _HeadLines(self.rfile)
         self.rfile = lines
         parsed: bool = super().parse_request()
+        self._head_timeout.cancel()
         if lines.cut:
             self.close_connection = True
             return False
         return parsed
 
     def handle_one_request(self) -> None:
-        """Serve one request."""
-        super().handle_one_request()
-        if self._connections.closing:
+        """Wait for one request and serve it."""
+        if not self._wait_for_request():
+            self.close_connection = True
+            return
+        self._head_timeout = Timeout(self._connections.limits.head_timeout_s)
+        try:
+            super().handle_one_request()
+        except Timeout as timeout:
+            if timeout is not self._head_timeout:
+                raise
+            self.wfile.write(_REQUEST_TIMEOUT)
             self.close_connection = True
+        finally:
+            self._head_timeout.cancel()
+        if self._connections.closing or self._over_limit:
+            self.close_connection = True
+
+    def _wait_for_request(self) -> bool:
+        """Wait for the first byte; return false at the end."""
+        # The limit on the time is that of all idle connections.
+        self.request.settimeout(None)
+        with self._connections.idle.counted(self):
+            if self._connections.closing:
+                self.close_receiving()
+            return bool(self.rfile.wait_for_bytes())
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+from attrs import define
+
 from cowslipstep.daemon._http import Environ
 from cowslipstep.tasks import TimeSlice
 
@@ -24,6 +26,29 @@
     """A caller goes on with a request that was refused, or with a line."""
 
 
+@define
+class _Rest:
+    """What may still be read of a request.
+
+    Attributes
+    ----------
+    bytes_left
+        Number of bytes.
+    ends_at_s
+        Clock reading until which they may be read.
+    """
+
+    bytes_left: float = math.inf
+    ends_at_s: float = math.inf
+
+    def counted(self, received: bytes) -> bytes:
+        """Count and return received bytes; raise ``RequestTooLong``."""
+        self.bytes_left -= len(received)
+        if self.bytes_left < 0 or time.monotonic() > self.ends_at_s:
+            raise RequestTooLong('the caller goes on with a refused request')
+        return received
+
+
 class CallerReader:
     """Reads from the file of a connection; other tasks run meanwhile.
 
@@ -39,8 +64,7 @@
         self._lines = lines
         self._sock = sock
         self._time_slice = TimeSlice()
-        self._bytes_left: float = math.inf
-        self._discard_until_s = math.inf
+        self._rest = _Rest()
 
     @property
     def closed(self) -> bool:
@@ -51,10 +75,17 @@
         """Close the file."""
         self._lines.close()
 
+    def wait_for_bytes(self) -> bool:
+        """Wait for the next request; return false at the end."""
+        try:
+            return bool(self._lines.peek(1))
+        except OSError:
+            return False
+
     def discard_rest(self) -> None:
         """Read no more than a part of what remains of a request."""
-        self._bytes_left = _MAX_DISCARDED_BYTES
-        self._discard_until_s = time.monotonic() + _MAX_DISCARD_S
+        ends_at_s = time.monotonic() + _MAX_DISCARD_S
+        self._rest = _Rest(_MAX_DISCARDED_BYTES, ends_at_s)
         self._sock.settimeout(_MAX_DISCARD_S)
 
     def read(self, size: int = -1) -> bytes:
@@ -65,7 +96,8 @@
         RequestTooLong
             If the caller goes on with a request that was refused.
         """
-        return self._counted(self._lines.read(size))
+        self._time_slice.end_if_over()
+        return self._rest.counted(self._lines.read(size))
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line, or as much of it as the limit allows.
@@ -76,22 +108,16 @@
             If a line has no end within the longest one that is read, or the
             caller goes on with a request that was refused.
         """
+        self._time_slice.end_if_over()
         if limit >= 0:
-            return self._counted(self._lines.readline(limit))
-        line = self._counted(self._lines.readline(_MAX_LINE_BYTES + 1))
+            return self._rest.counted(self._lines.readline(limit))
+        line = self._rest.counted(self._lines.readline(_MAX_LINE_BYTES + 1))
         if len(line) > _MAX_LINE_BYTES:
             raise RequestTooLong(
                 f'expected lines of at most {_MAX_LINE_BYTES} bytes'
             )
         return line
 
-    def _counted(self, received: bytes) -> bytes:
-        self._time_slice.end_if_over()
-        self._bytes_left -= len(received)
-        if self._bytes_left < 0 or time.monotonic() > self._discard_until_s:
-            raise RequestTooLong('the caller goes on with a refused request')
-        return received
-
 
 def discard_rest(environ: Environ) -> None:
     """Read no more than a part of what remains of a request."""
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
@@ -4,20 +4,33 @@
 
 import signal
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
-from eventlet import GreenPool, Timeout, sleep, spawn, wsgi
+from eventlet import Timeout, sleep, wsgi
 from eventlet.event import Event
+from eventlet.greenio import shutdown_safe
 from loguru import logger
 
-from cowslipstep.daemon._caller_connections import CallerConnections
+from cowslipstep.daemon._caller_connections import (
+    CallerConnection,
+    CallerConnections,
+    close_expired,
+)
+from cowslipstep.daemon._caller_listener import CallerListener
+from cowslipstep.daemon._connection_limits import (
+    ConnectionLimits,
+    default_limits,
+)
 from cowslipstep.daemon._http import Environ, StartResponse
 from cowslipstep.daemon._requests_in_progress import RequestsInProgress
+from cowslipstep.daemon._tasks import TASKS, SupervisedTasks, repeat
 
 # A request that was sent before the socket closed arrives within this time.
 _LAST_REQUESTS_WAIT_S = 0.2
-_MAX_CONNECTIONS = 10000
-_IDLE_TIMEOUT_S = 60
+# Time that a caller may take to receive a part of a response.
+_SEND_TIMEOUT_S = 60
+_EXPIRY_PERIOD_S = 0.5
 
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
 
@@ -47,8 +60,10 @@
     is_stopping
         Returns whether responses shall close their connection, so that callers
         connect to another daemon.
-    idle_timeout_s
-        Time after which an idle connection is closed.
+    current_limits
+        Returns the limits on connections that are in force.
+    tasks
+        Supervises the tasks of the server.
     """
 
     def __init__(
@@ -56,36 +71,45 @@
         listener: Any,
         application: Application,
         is_stopping: Callable[[], bool],
-        idle_timeout_s: float = _IDLE_TIMEOUT_S,
+        current_limits: Callable[[], ConnectionLimits] = default_limits,
+        tasks: SupervisedTasks = TASKS,
     ) -> None:
-        self._listener = listener
-        self._application = application
         self._is_stopping = is_stopping
-        self._idle_timeout_s = idle_timeout_s
-        self._connections = CallerConnections()
+        self._connections = CallerConnections(current_limits)
+        self._listener = CallerListener(
+            listener, self._connections, self._serve
+        )
         self._in_progress = RequestsInProgress()
-        self._pool = GreenPool(_MAX_CONNECTIONS)
-        self._task: Any = None
-
-    def start(self) -> None:
-        """Start the task that accepts connections."""
-        self._task = spawn(
-            wsgi.server,
-            self._listener,
+        self._tasks = tasks
+        self._application = application
+        self._http = wsgi.Server(
+            listener,
+            listener.getsockname(),
             self._respond,
-            custom_pool=self._pool,
-            protocol=self._connections.serve,
-            log_output=False,
+            protocol=partial(CallerConnection, self._connections),
             minimum_chunk_size=1,
-            socket_timeout=self._idle_timeout_s,
+            log_output=False,
             debug=False,
+            socket_timeout=_SEND_TIMEOUT_S,
+        )
+
+    @property
+    def connections(self) -> CallerConnections:
+        """The open connections."""
+        return self._connections
+
+    def start(self) -> None:
+        """Start the tasks that accept connections and close idle ones."""
+        ip, port = self._http.address[:2]
+        self._tasks.start(f'listener of port {port}', self._listener.run)
+        self._tasks.start(
+            f'idle connections of port {port}',
+            repeat(_EXPIRY_PERIOD_S, partial(close_expired, self._connections)),
         )
-        ip, port = self._listener.getsockname()[:2]
         logger.bind(address=f'{ip}:{port}').info('daemon serves callers')
 
     def close(self) -> None:
         """Accept pending connections, then close the listening socket."""
-        sleep(0)
         self._listener.close()
 
     def wait_finished(self, timeout_s: float) -> bool:
@@ -100,11 +124,19 @@
             self._connections.close_idle()
             # The tasks of idle connections read the requests that have arrived.
             sleep(0)
-            self._task.kill()
             self._in_progress.wait_until_none()
             return True
         return False
 
+    def _serve(self, connection: Any, address: Any) -> None:
+        try:
+            self._http.process_request([address, connection, wsgi.STATE_IDLE])
+        except Exception:
+            logger.exception('connection of a caller failed and is closed')
+        finally:
+            shutdown_safe(connection)
+            connection.close()
+
     def _respond(
         self,
         environ: Environ,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_listening.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_listening.py
@@ -11,6 +11,10 @@
 from cowslipstep.model import Address, CowslipstepError
 
 
+# Callers that connect beyond it wait for seconds.
+_BACKLOG = 1024
+
+
 class ListenError(CowslipstepError):
     """A listening socket cannot be opened on an address."""
 
@@ -24,7 +28,9 @@
         If the address is in use or does not belong to this host.
     """
     with convert_listen_errors(address):
-        return eventlet.listen((address.ip, address.port), reuse_port=False)
+        return eventlet.listen(
+            (address.ip, address.port), backlog=_BACKLOG, reuse_port=False
+        )
 
 
 @contextlib.contextmanager
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
@@ -7,13 +7,15 @@
 import eventlet
 
 from cowslipstep.daemon._caller_reader import RequestTooLong, discard_rest
-from cowslipstep.daemon._http import Environ
+from cowslipstep.daemon._http import OVER_LIMIT, Environ
 from cowslipstep.model import NotRun, Reason, RequestError
 
 _BAD_REQUEST = 400
 _MAX_CONTENT_LENGTH_DIGITS = 18
 _TOO_LARGE = 413
 _REQUEST_TIMEOUT = 408
+_UNAVAILABLE = 503
+_RETRY_AFTER_S = 1
 # A body is gathered in parts of this size, whatever the size of its chunks.
 _PART_BYTES = 65536
 # Longest time for which a body is received.
@@ -28,15 +30,25 @@
     RequestError
         If the body is longer than ``max_bytes`` or shorter than stated, or
         ``Content-Length`` is not a number, or the body does not arrive in
-        time.
+        time, or the daemon has too many connections.
     """
     try:
-        return _read_whole(environ, max_bytes)
+        return _read_admitted(environ, max_bytes)
     except RequestError:
         discard_rest(environ)
         raise
 
 
+def _read_admitted(environ: Environ, max_bytes: int) -> bytes:
+    if environ.get(OVER_LIMIT):
+        raise RequestError(
+            NotRun(Reason.no_capacity, _RETRY_AFTER_S),
+            'the daemon has no room for more connections',
+            _UNAVAILABLE,
+        )
+    return _read_whole(environ, max_bytes)
+
+
 def _read_whole(environ: Environ, max_bytes: int) -> bytes:
     content_length = environ.get('CONTENT_LENGTH') or '0'
     if not content_length.isdecimal():
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -4,12 +4,12 @@
 
 from cowslipstep.daemon._caller_server import CallerServer
 from cowslipstep.daemon._listening import convert_listen_errors, listen_http
-from cowslipstep.daemon._tasks import start_task
 from cowslipstep.peers import PeerServer
 from cowslipstep.serving._applications import (
     CallerApplication,
     ReadinessApplication,
 )
+from cowslipstep.serving._caller_limits import caller_limits, operator_limits
 from cowslipstep.serving._configuration_in_force import ConfigurationObserver
 from cowslipstep.serving._controller import GroupController
 from cowslipstep.serving._demand import DemandEstimator
@@ -59,10 +59,12 @@
     reports = ReportBuilder(state, demand, reachability)
     _start_peer_tasks(state, PeerReports(state, registry, reports))
     _start_watches(state, registry)
-    start_task('confirmation of keys', KeyConfirmation(state).run)
-    start_task('reachability', reachability.run)
+    state.process.tasks.start(
+        'confirmation of keys', KeyConfirmation(state).run
+    )
+    state.process.tasks.start('reachability', reachability.run)
     views = FleetViews(state, demand, reachability)
-    start_task('group keeper', GroupController(state, views).run)
+    state.process.tasks.start('group keeper', GroupController(state, views).run)
     return _start_servers(state)
 
 
@@ -73,9 +75,14 @@
 def _start_peer_tasks(state: ServingState, peers: PeerReports) -> None:
     address = state.settings.peer_address
     with convert_listen_errors(address):
-        server = PeerServer(address, peers.receive, peers.traffic)
-    start_task('peer server', server.run)
-    start_task('load reports', peers.run)
+        server = PeerServer(
+            address,
+            peers.receive,
+            peers.traffic,
+            lambda: state.process.descriptors.peers,
+        )
+    state.process.tasks.start('peer server', server.run)
+    state.process.tasks.start('load reports', peers.run)
 
 
 def _start_watches(state: ServingState, registry: DaemonRegistry) -> None:
@@ -133,8 +140,8 @@
         ),
     )
     for watch in watches:
-        start_task(f'watch of {watch.kind}', watch.run)
-    start_task(
+        state.process.tasks.start(f'watch of {watch.kind}', watch.run)
+    state.process.tasks.start(
         'registration',
         lambda: register_daemon(state.platform, state.own_entry),
     )
@@ -146,6 +153,8 @@
         listen_http(settings.readiness_address),
         ReadinessApplication(state),
         bool,  # always false: connections of the balancer stay open
+        lambda: operator_limits(state),
+        state.process.tasks,
     )
     balancer.start()
     metrics = RequestMetrics()
@@ -153,9 +162,15 @@
         listen_http(settings.caller_address),
         CallerApplication(state, metrics),
         lambda: state.stopping,
+        lambda: caller_limits(state),
+        state.process.tasks,
     )
     callers.start()
     # The metrics server starts last, so that it cannot occupy the address of
     # the server for callers.
-    serve_metrics(MetricsApplication(state, metrics), settings.metrics_address)
+    serve_metrics(
+        MetricsApplication(state, metrics, callers.connections),
+        settings.metrics_address,
+        lambda: operator_limits(state),
+    )
     return callers
--- a/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
@@ -9,7 +9,7 @@
 from attrs import evolve
 from loguru import logger
 
-from cowslipstep.daemon._tasks import repeat, start_task
+from cowslipstep.daemon._tasks import repeat
 from cowslipstep.model import CowslipstepError
 from cowslipstep.platform import (
     PlatformClient,
@@ -54,12 +54,14 @@
         ),
     )
     writer = EvidenceWriter(state.platform, state.harmful_prompts)
-    start_task(f'watch of {watch.kind}', watch.run)
-    start_task(
+    state.process.tasks.start(f'watch of {watch.kind}', watch.run)
+    state.process.tasks.start(
         'evidence of failures', repeat(_WRITE_INTERVAL_S, writer.write_failure)
     )
-    start_task('evidence of sound parts', repeat(0, writer.write_sound_part))
-    start_task(
+    state.process.tasks.start(
+        'evidence of sound parts', repeat(0, writer.write_sound_part)
+    )
+    state.process.tasks.start(
         'expiry of evidence',
         repeat(_EXPIRY_PERIOD_S, lambda: _expire(state)),
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -4,11 +4,16 @@
 
 import contextlib
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from loguru import logger
 
+from cowslipstep.daemon._caller_connections import CallerConnections
 from cowslipstep.daemon._caller_server import CallerServer
+from cowslipstep.daemon._connection_limits import (
+    ConnectionLimits,
+    default_limits,
+)
 from cowslipstep.daemon._hangup import CallerGone
 from cowslipstep.daemon._http import Environ, StartResponse, status_line
 from cowslipstep.daemon._listening import ListenError, listen_http
@@ -102,11 +107,19 @@
         State of the daemon.
     requests
         Metrics of requests.
+    connections
+        Connections of callers.
     """
 
-    def __init__(self, state: ServingState, requests: RequestMetrics) -> None:
+    def __init__(
+        self,
+        state: ServingState,
+        requests: RequestMetrics,
+        connections: CallerConnections,
+    ) -> None:
         self._state = state
         self._requests = requests
+        self._connections = connections
 
     def __call__(
         self,
@@ -139,11 +152,14 @@
             'relay_fed': int(state.relay_role.relies_on_relay),
             'harmful_prompts': len(state.harmful_prompts.combinations),
             'requests_in_progress': state.loads.own.requests,
+            'caller_connections': self._connections.open_count,
+            'caller_connections_idle': self._connections.idle.count,
+            'broken_tasks': len(state.process.tasks.broken()),
         }
         gauges = Gauges()
         for name, reading in gauge_readings.items():
             gauges.set(CounterKey(name), reading)
-        _set_loop_pauses(gauges, state.loop_pauses)
+        _set_loop_pauses(gauges, state.process.loop_pauses)
         return gauges
 
 
@@ -159,7 +175,9 @@
 
 
 def serve_metrics(
-    application: MetricsApplication, address: Address | None
+    application: MetricsApplication,
+    address: Address | None,
+    current_limits: Callable[[], ConnectionLimits] = default_limits,
 ) -> None:
     """Serve metrics on an address, if there is one and it is free."""
     if address is None:
@@ -172,4 +190,4 @@
             'metrics not served, the daemon runs without them: {}', error
         )
         return
-    CallerServer(listener, application, bool).start()
+    CallerServer(listener, application, bool, current_limits).start()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_links.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_links.py
@@ -73,6 +73,7 @@
     def _open(self, entry: DaemonEntry) -> _LinkedPeer:
         link = PeerLink(PeerEndpoint(entry.address, self._own, self._traffic))
         tasks = [
+            # Failures of the link to one peer leave the daemon able to serve.
             start_task(f'link to {entry.name}', link.run),
             start_task(
                 f'reports to {entry.name}',
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -8,10 +8,12 @@
 
 import eventlet
 from attrs import evolve
+from eventlet.event import Event
 from loguru import logger
 
 from cowslipstep.daemon._caller_server import CallerServer, stop_event
-from cowslipstep.daemon._tasks import start_task
+from cowslipstep.daemon._tasks import repeat
+from cowslipstep.model import CowslipstepError
 from cowslipstep.serving._assembly import start_daemon
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._evidence_tasks import start_evidence_tasks
@@ -21,10 +23,17 @@
 
 # The balancer stops sending connections after two failed readiness checks.
 _BALANCER_REACTION_S = 2.5
+_TASKS_CHECK_PERIOD_S = 1
+# Time for which a task may fail again and again until the process ends.
+_GIVE_UP_S = 15
 # Part of the grace period that is left for the process to exit.
 _EXIT_MARGIN_S = 0.7
 
 
+class TasksBroken(CowslipstepError):
+    """A task that serving needs cannot be restarted."""
+
+
 def run_serving_daemon(
     load_settings: Callable[[], ServingSettings],
     dialects: Dialects,
@@ -43,6 +52,8 @@
     ------
     ListenError
         If an address is in use.
+    TasksBroken
+        If a task that serving needs cannot be restarted.
     """
     stop = stop_event()
     settings = load_settings()
@@ -51,18 +62,27 @@
         signal.SIGHUP,
         lambda _number, _frame: reload_settings(state, load_settings),
     )
-    start_task('loop watch', LoopWatch(state.loop_pauses.record).run)
+    state.process.tasks.start(
+        'loop watch', LoopWatch(state.process.loop_pauses.record).run
+    )
     server = start_daemon(state)
     start_evidence_tasks(state)
+    state.process.descriptors.log()
+    state.process.tasks.start(
+        'watch of tasks',
+        repeat(_TASKS_CHECK_PERIOD_S, lambda: _end_if_broken(state, stop)),
+    )
     stop.wait()
     _stop(server, state)
+    if state.process.tasks.broken():
+        raise TasksBroken('tasks that serving needs fail again and again')
 
 
 def reload_settings(
     state: ServingState,
     load_settings: Callable[[], ServingSettings],
 ) -> None:
-    """Apply the bounds of new settings.
+    """Apply the bounds of new settings and the limit of sockets.
 
     Other settings, such as addresses, need a restart. Settings that cannot be
     loaded are logged and ignored.
@@ -72,10 +92,26 @@
     except (OSError, ValueError) as error:
         logger.warning('settings not reloaded, the old ones stay: {!r}', error)
         return
-    state.settings = evolve(state.settings, bounds=settings.bounds)
+    state.settings = evolve(
+        state.settings,
+        bounds=settings.bounds,
+        max_sockets=settings.max_sockets,
+    )
+    state.process.apply(settings)
     logger.info('settings reloaded')
 
 
+def _end_if_broken(state: ServingState, stop: Event) -> None:
+    """Begin a planned stop if a task stays broken."""
+    broken_for_s = state.process.tasks.broken()
+    if max(broken_for_s.values(), default=0) < _GIVE_UP_S or stop.ready():
+        return
+    logger.bind(tasks=sorted(broken_for_s)).error(
+        'tasks that serving needs cannot be restarted, the daemon stops'
+    )
+    stop.send(None)
+
+
 def _stop(server: CallerServer, state: ServingState) -> None:
     """Drain: finish the requests in progress within the grace period."""
     started_s = time.monotonic()
@@ -88,5 +124,5 @@
     finished = server.wait_finished(max(0, grace_s - elapsed_s))
     logger.bind(
         finished=finished,
-        longest_pause_s=state.loop_pauses.longest_s,
+        longest_pause_s=state.process.loop_pauses.longest_s,
     ).info('planned stop ends')
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -21,7 +21,7 @@
 from cowslipstep.serving._configuration_in_force import ConfigurationInForce
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
-from cowslipstep.serving._loop_pauses import LoopPauses
+from cowslipstep.serving._process import Process, process_of
 from cowslipstep.serving._registration import own_entry
 from cowslipstep.serving._relay_role import RelayRole
 from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
@@ -89,8 +89,8 @@
         Upstreams at which requests failed lately.
     harmful_prompts
         Prompts that are refused because they end upstreams.
-    loop_pauses
-        Times in which no task of this daemon could run.
+    process
+        Tasks, pauses and descriptors of the process.
     own_entry
         Entry of this daemon at the platform.
     relay_role
@@ -131,7 +131,12 @@
         factory=lambda: Suspicions(time.monotonic),
     )
     harmful_prompts: HarmfulPrompts = field(factory=HarmfulPrompts)
-    loop_pauses: LoopPauses = field(factory=LoopPauses)
+    process: Process = field(
+        default=Factory(
+            lambda state: process_of(state.settings),
+            takes_self=True,
+        ),
+    )
     own_entry: DaemonEntry = field(
         default=Factory(
             lambda state: own_entry(state.settings),
@@ -163,7 +168,7 @@
         known = (
             self.configuration.table is not None and self.runner_table.was_read
         )
-        return known and not self.stopping
+        return known and not self.stopping and not self.process.tasks.broken()
 
     @property
     def platform_share(self) -> PlatformLimits:
--- a/libs/fleet/src/cowslipstep/fleet/_configuration.py
+++ b/libs/fleet/src/cowslipstep/fleet/_configuration.py
@@ -18,9 +18,21 @@
 
 @frozen
 class CallerLimits:
-    """Limits on the requests of callers."""
+    """Limits on the requests and connections of callers.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Largest body of a request.
+    idle_timeout_s
+        Time after which an idle connection is closed, seconds.
+    head_timeout_s
+        Time that the head of a request may take, seconds.
+    """
 
-    max_body_bytes: int
+    max_body_bytes: int = 4194304
+    idle_timeout_s: float = 60
+    head_timeout_s: float = 60
 
 
 @frozen
--- a/libs/peers/src/cowslipstep/peers/_server.py
+++ b/libs/peers/src/cowslipstep/peers/_server.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable
+import errno
+from collections.abc import Callable, Iterator
 
 import eventlet
 from eventlet.green import socket
@@ -14,11 +15,19 @@
 from cowslipstep.peers._frames import Frame, FrameError
 
 _IDLE_TIMEOUT_S = 180
+_MAX_CONNECTIONS = 1024
+# Pause after a failure to accept, in which descriptors may be closed.
+_ACCEPT_PAUSE_S = 0.05
+_LISTENER_GONE = frozenset((errno.EBADF, errno.EINVAL, errno.ENOTSOCK))
 
 ReplyCallback = Callable[[Message], None]
 MessageHandler = Callable[[Message, ReplyCallback], None]
 
 
+def _default_max_connections() -> int:
+    return _MAX_CONNECTIONS
+
+
 class PeerServer:
     """Accepts links from other daemons.
 
@@ -32,6 +41,8 @@
         the next message of the connection is read only when it returns.
     traffic
         Counters of the bytes and frames sent and received.
+    max_connections
+        Returns how many connections may be open at the same time.
 
     Raises
     ------
@@ -44,6 +55,7 @@
         address: Address,
         on_message: MessageHandler,
         traffic: Traffic,
+        max_connections: Callable[[], int] = _default_max_connections,
     ) -> None:
         self._listener = eventlet.listen(
             (address.ip, address.port),
@@ -51,15 +63,46 @@
         )
         self._on_message = on_message
         self._traffic = traffic
+        self._max_connections = max_connections
+        self._open_connections = 0
 
     def run(self) -> None:
-        """Accept connections until the task is killed."""
+        """Accept connections until the task is killed.
+
+        Raises
+        ------
+        OSError
+            If the listening socket cannot be used any more.
+        """
         while True:
-            sock, _ = self._listener.accept()
-            eventlet.spawn(self._serve, sock)
+            try:
+                sock, _ = self._listener.accept()
+            except OSError as error:
+                if error.errno in _LISTENER_GONE:
+                    raise
+                logger.warning('peer link not accepted, will retry: {}', error)
+                eventlet.sleep(_ACCEPT_PAUSE_S)
+            else:
+                self._admit(sock)
+
+    def _admit(self, sock: socket.socket) -> None:
+        if self._open_connections >= self._max_connections():
+            logger.warning('too many peer links, one more is closed')
+            sock.close()
+            return
+        self._open_connections += 1
+        eventlet.spawn(self._serve, sock)
+
+    @contextlib.contextmanager
+    def _opened(self, sock: socket.socket) -> Iterator[None]:
+        try:
+            with contextlib.closing(sock):
+                yield
+        finally:
+            self._open_connections -= 1
 
     def _serve(self, sock: socket.socket) -> None:
-        with contextlib.closing(sock):
+        with self._opened(sock):
             sock.settimeout(_IDLE_TIMEOUT_S)
             try:
                 self._read(FrameConnection(sock, self._traffic))
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -11,6 +11,7 @@
 _POSITIVE = validators.gt(0)
 # A shorter time leaves none for a call to the platform.
 _MIN_REVOCATION_S = 1.0
+_MIN_SOCKETS = 1.0
 
 
 @frozen
@@ -74,6 +75,9 @@
         Processor cores that the daemon may use.
     first_start
         Whether this is the first start of the whole deployment.
+    max_sockets
+        Sockets that may be open at the same time; infinite for no limit but
+        that of the process.
     bounds
         Limits of the deployment.
     log_level
@@ -92,5 +96,8 @@
     metrics_address: Address | None = None
     cores: float = field(default=1, validator=_POSITIVE)
     first_start: bool = False
+    max_sockets: float = field(
+        default=math.inf, validator=validators.ge(_MIN_SOCKETS)
+    )
     bounds: ServingBounds = ServingBounds()
     log_level: str = 'INFO'
