Identify a group by its service, too

Cause: groups were known by name and epoch, which the planner of each service numbered from the same start. Entries of two groups became one, and the departure of one freed the members of the other.

Change: GroupId(service, name, epoch), made in one place, is the key of groups; one set of epochs numbers the groups of all services. Demand for a model and usual lengths of its requests are kept for each service; load reports carry it.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_command_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_command_sender.py
@@ -18,7 +18,7 @@
     FleetDecision,
     FormGroup,
     GroupCommand,
-    GroupKey,
+    GroupId,
     JoinCommand,
     LeaveCommand,
     LeaveGroup,
@@ -44,7 +44,7 @@
 
     runner: DiscoveredRunner
     command: GroupCommand
-    ended_group: GroupKey | None = None
+    ended_group: GroupId | None = None
 
 
 class CommandSender:
@@ -65,10 +65,10 @@
     ) -> None:
         self._state = state
         self._may_command = may_command
-        self._departed_at_s: dict[GroupKey, float] = {}
+        self._departed_at_s: dict[GroupId, float] = {}
 
     @property
-    def departed(self) -> frozenset[GroupKey]:
+    def departed(self) -> frozenset[GroupId]:
         """Groups whose leader has confirmed lately that it left."""
         oldest_s = time.monotonic() - _DEPARTED_LIFETIME_S
         self._departed_at_s = {
@@ -125,18 +125,18 @@
     match decision:
         case FormGroup(key, model, members):
             names = tuple(member.name for member in members)
-            join = JoinCommand(*key, model, names)
+            join = JoinCommand(key, model, names)
             for joined in members:
                 yield _AddressedCommand(joined, join)
         case OpenGroup(key, leader):
-            yield _AddressedCommand(leader, OpenCommand(*key))
+            yield _AddressedCommand(leader, OpenCommand(key))
         case CloseGroup(key, leader):
-            yield _AddressedCommand(leader, CloseCommand(*key))
+            yield _AddressedCommand(leader, CloseCommand(key))
         case LeaveGroup(key, member):
             group_position = member.group_position
             ended_group = (
                 key if group_position and group_position.rank == 0 else None
             )
-            yield _AddressedCommand(member, LeaveCommand(*key), ended_group)
+            yield _AddressedCommand(member, LeaveCommand(key), ended_group)
         case StageModel(runner, model):
             yield _AddressedCommand(runner, StageCommand(model))
--- a/apps/cowslipstepd/src/cowslipstep/serving/_controller.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_controller.py
@@ -13,6 +13,7 @@
 from cowslipstep.fleet import (
     CloseGroup,
     EngineProfile,
+    Epochs,
     FleetPlanner,
     FleetView,
     FormGroup,
@@ -85,6 +86,7 @@
         self._sender = CommandSender(state, state.holds_lease)
         self._planners: dict[str, FleetPlanner] = {}
         self._term = 0
+        self._epochs = Epochs(self._term)
 
     def run(self) -> None:
         """Decide on groups whenever the lease is held.
@@ -122,6 +124,7 @@
             # replaced only in a new one.
             self._term = term
             self._planners.clear()
+            self._epochs = Epochs(term)
         while not self._state.stopping:
             if not self._renew_and_decide(term):
                 logger.bind(term=term).warning(
@@ -164,7 +167,9 @@
         engine: EngineProfile,
         term: int,
     ) -> None:
-        planner = self._planners.setdefault(service, FleetPlanner(term))
+        planner = self._planners.setdefault(
+            service, FleetPlanner(service, self._epochs)
+        )
         view = self._views.view(service, engine, self._sender.departed)
         decisions = planner.decide(view)
         if any(isinstance(decision, _GROUP_CHANGES) for decision in decisions):
--- a/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_demand.py
@@ -4,7 +4,9 @@
 
 import math
 import time
+from collections import defaultdict
 
+from cowslipstep.fleet import ServedModel
 from cowslipstep.model.loads import ModelDemand
 from cowslipstep.serving._state import ServingState
 
@@ -24,26 +26,33 @@
 
     def __init__(self, state: ServingState) -> None:
         self._state = state
-        self._busy_groups: dict[str, float] = {}
-        self._sampled_work_s: dict[str, float] = {}
+        self._busy_groups: dict[ServedModel, float] = {}
+        self._sampled_work_s: dict[ServedModel, float] = {}
         self._sampled_s = time.monotonic()
 
     def own(self) -> tuple[ModelDemand, ...]:
         """Sample and return the groups that own requests keep busy."""
         self._sample()
         return tuple(
-            ModelDemand(model, groups)
-            for model, groups in self._busy_groups.items()
+            ModelDemand(served.model, groups, served.service)
+            for served, groups in self._busy_groups.items()
         )
 
-    def total(self) -> dict[str, float]:
-        """Return the groups that requests of all daemons keep busy."""
-        total = dict(self._busy_groups)
+    def total(self, service: str) -> dict[str, float]:
+        """Return the groups that requests of all daemons keep busy, by model.
+
+        Daemons of an earlier version do not tell the service; what they report
+        counts for each service that has the model.
+        """
+        total: defaultdict[str, float] = defaultdict(float)
+        for served, groups in self._busy_groups.items():
+            if served.service == service:
+                total[served.model] += groups
         for report in self._state.loads.reports:
             for demand in report.demands:
-                groups = total.get(demand.model, 0) + demand.groups
-                total[demand.model] = groups
-        return total
+                if demand.service in {service, ''}:
+                    total[demand.model] += demand.groups
+        return dict(total)
 
     def _sample(self) -> None:
         now_s = time.monotonic()
--- a/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cowslipstep.fleet import EngineProfile, FleetView, GroupKey
+from cowslipstep.fleet import EngineProfile, FleetView, GroupId
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._demand import DemandEstimator
 from cowslipstep.serving._reachability import Reachability
@@ -36,7 +36,7 @@
         self,
         service: str,
         engine: EngineProfile,
-        departed: frozenset[GroupKey],
+        departed: frozenset[GroupId],
     ) -> FleetView:
         """Return the current view of the runners of a service.
 
@@ -50,7 +50,7 @@
             },
             engine=engine,
             now_s=boot_time_s(),
-            demand=self._demand.total(),
+            demand=self._demand.total(service),
             lost_runners=self._reachability.unreachable,
             known_members=self._reachability.known_members,
             reachable_unregistered=self._reachability.reachable_unregistered(),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -8,7 +8,7 @@
 
 from cowslipstep.fleet import (
     DiscoveredRunner,
-    GroupKey,
+    GroupId,
     MembersByRank,
     ReportedGroup,
 )
@@ -35,7 +35,7 @@
     def __init__(self, state: ServingState) -> None:
         self._state = state
         self._probes = RunnerProbes(state.dialects.commands)
-        self._known_members: dict[GroupKey, dict[int, DiscoveredRunner]] = {}
+        self._known_members: dict[GroupId, dict[int, DiscoveredRunner]] = {}
 
     @property
     def known_members(self) -> MembersByRank:
@@ -129,8 +129,8 @@
 
 def merge_members(
     members: MembersByRank,
-    reported: Mapping[GroupKey, ReportedGroup],
-) -> dict[GroupKey, dict[int, DiscoveredRunner]]:
+    reported: Mapping[GroupId, ReportedGroup],
+) -> dict[GroupId, dict[int, DiscoveredRunner]]:
     """Return the past and present members of each group still reported."""
     return {
         key: {**members.get(key, {}), **reported_group.members}
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from loguru import logger
 
-from cowslipstep.fleet import DiscoveredRunner, GroupIndex, GroupKey
+from cowslipstep.fleet import DiscoveredRunner, GroupIndex, GroupId
 from cowslipstep.model import DocumentError
 from cowslipstep.model.loads import RunnersCopy
 
@@ -74,7 +74,7 @@
         self,
         table: RunnerTable,
         decode: Callable[[str, str], DiscoveredRunner],
-        on_change: Callable[[set[GroupKey]], object],
+        on_change: Callable[[set[GroupId]], object],
     ) -> None:
         self._table = table
         self._decode = decode
--- a/apps/cowslipstepd/src/cowslipstep/serving/_serving_group_cache.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_serving_group_cache.py
@@ -6,11 +6,10 @@
 
 from cowslipstep.fleet import (
     EngineProfile,
-    GroupKey,
+    GroupId,
     MembersByRank,
     ReportedGroup,
     ServingGroup,
-    group_service,
     serving_group,
 )
 
@@ -24,11 +23,11 @@
 
     def __init__(self) -> None:
         self._by_service: dict[str, tuple[ServingGroup, ...]] = {}
-        self._by_key: dict[GroupKey, ServingGroup | None] = {}
+        self._by_key: dict[GroupId, ServingGroup | None] = {}
         self._engines: dict[str, EngineProfile] = {}
         self._reachable_unregistered: MembersByRank = {}
 
-    def invalidate(self, keys: Iterable[GroupKey]) -> None:
+    def invalidate(self, keys: Iterable[GroupId]) -> None:
         """Drop these groups; the next call derives them again."""
         for key in keys:
             self._by_key.pop(key, None)
@@ -44,7 +43,7 @@
         self,
         service: str,
         engine: EngineProfile,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
     ) -> tuple[ServingGroup, ...]:
         """Return the groups of a service that serve requests."""
         if self._engines.get(service) != engine:
@@ -56,7 +55,7 @@
             derived = (
                 self._derived(reported_group, engine)
                 for reported_group in reported.values()
-                if group_service(reported_group) == service
+                if reported_group.key.service == service
             )
             groups = tuple(group for group in derived if group is not None)
             self._by_service[service] = groups
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections import defaultdict
 from collections.abc import Callable
 
 from attrs import Factory, define, field
@@ -21,6 +20,7 @@
 from cowslipstep.serving._configuration_in_force import ConfigurationInForce
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
+from cowslipstep.serving._model_work import ModelWork, no_work
 from cowslipstep.serving._process import Process, process_of
 from cowslipstep.serving._registration import own_entry
 from cowslipstep.serving._relay_role import RelayRole
@@ -151,9 +151,7 @@
     )
     has_served: bool = False
     holds_lease: Callable[[], bool] = bool
-    model_work_s: defaultdict[str, float] = field(
-        factory=lambda: defaultdict(float),
-    )
+    model_work_s: ModelWork = field(factory=no_work)
     stopping: bool = False
     _retry_budgets: dict[str, RetryBudget] = field(factory=dict)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import defaultdict
 
 from attrs import frozen
 
@@ -11,6 +12,7 @@
     DiscoveredRunner,
     EngineProfile,
     ModelProfile,
+    ServedModel,
     ServiceConfiguration,
     ServingGroup,
 )
@@ -89,7 +91,10 @@
         self._state = state
         self._rng = random.Random()
         self._candidates = Candidates(state, self._rng)
-        self._usual_requests = UsualRequests()
+        # By service: the engine of each one publishes a mean of its own.
+        self._usual_requests: defaultdict[str, UsualRequests] = defaultdict(
+            UsualRequests
+        )
 
     def choose(self, delivery: DeliveryState) -> ChosenUpstream | NotRun:
         """Return the upstream for the next attempt, or why there is none."""
@@ -111,12 +116,13 @@
         request = delivery.routed.request
         model = service.engine.model(request.model)
         if model is not None:
-            self._usual_requests.add(
+            self._usual_requests[service.name].add(
                 model.name,
                 request.prompt_tokens,
                 request.output_tokens,
             )
-            self._state.model_work_s[model.name] += group_busy_s(
+            served = ServedModel(service.name, model.name)
+            self._state.model_work_s[served] += group_busy_s(
                 request.prompt_tokens,
                 request.output_tokens,
                 service.engine,
@@ -146,12 +152,11 @@
         engine: EngineProfile,
         model: ModelProfile,
     ) -> ChosenUpstream | NotRun:
+        usual = self._usual_requests[delivery.routed.service]
         admission = admit_request(
             self._candidates.group_views(delivery, engine, model),
             _demand(delivery),
-            ModelTimes(
-                engine, model, self._usual_requests.usual(model.name, engine)
-            ),
+            ModelTimes(engine, model, usual.usual(model.name, engine)),
             self._rng,
         )
         match admission:
--- a/apps/cowslipstepd/tests/test_command_sender.py
+++ b/apps/cowslipstepd/tests/test_command_sender.py
@@ -12,6 +12,7 @@
 from cowslipstep.fleet import (
     CommandOutcome,
     DiscoveredRunner,
+    GroupId,
     GroupPosition,
     LeaveGroup,
     MemberState,
@@ -19,17 +20,18 @@
 from cowslipstep.model import Address
 from cowslipstep.serving import _command_sender
 
-KEY = ('g1', 1)
+KEY = GroupId('drafting', 'g1', 1)
 LEADER = DiscoveredRunner(
     name='r0',
     service='drafting',
     address=Address('127.0.0.1', 1),
     failure_domain='north',
     slots=9,
-    group_position=GroupPosition(*KEY, 0, MemberState.ready),
+    group_position=GroupPosition(KEY.name, KEY.epoch, 0, MemberState.ready),
 )
 MEMBER = evolve(
-    LEADER, group_position=GroupPosition(*KEY, 1, MemberState.ready)
+    LEADER,
+    group_position=GroupPosition(KEY.name, KEY.epoch, 1, MemberState.ready),
 )
 
 
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -28,14 +28,13 @@
     OpenGroup,
     StageModel,
 )
-from cowslipstep.fleet._engines import EngineProfile, ModelProfile
+from cowslipstep.fleet._engines import EngineProfile, ModelProfile, ServedModel
+from cowslipstep.fleet._epochs import Epochs
 from cowslipstep.fleet._group_index import GroupIndex
 from cowslipstep.fleet._planner import FleetPlanner
 from cowslipstep.fleet._reported_groups import (
-    GroupKey,
     MembersByRank,
     ReportedGroup,
-    group_service,
     reported_groups,
     serving_group,
 )
@@ -48,6 +47,7 @@
 from cowslipstep.fleet._routes import RequestKind, Route, WeightedService
 from cowslipstep.fleet._runners import (
     DiscoveredRunner,
+    GroupId,
     GroupPosition,
     MemberState,
     ServingGroup,
--- a/libs/fleet/src/cowslipstep/fleet/_commands.py
+++ b/libs/fleet/src/cowslipstep/fleet/_commands.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from cowslipstep.fleet._runners import GroupId
+
 
 class CommandOutcome(enum.StrEnum):
     """Response of a runner to a command.
@@ -37,8 +39,7 @@
 class JoinCommand:
     """Command to join a group; the first of ``members`` is its leader."""
 
-    group: str
-    epoch: int
+    group: GroupId
     model: str
     members: tuple[str, ...]
 
@@ -47,8 +48,7 @@
 class OpenCommand:
     """Command to the leader of a complete group to serve requests."""
 
-    group: str
-    epoch: int
+    group: GroupId
 
 
 @frozen
@@ -59,8 +59,7 @@
     they finish.
     """
 
-    group: str
-    epoch: int
+    group: GroupId
     cancel: bool = False
 
 
@@ -68,8 +67,7 @@
 class LeaveCommand:
     """Command to leave a group at once."""
 
-    group: str
-    epoch: int
+    group: GroupId
 
 
 @frozen
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -7,8 +7,8 @@
 from attrs import field, frozen
 
 from cowslipstep.fleet._engines import EngineProfile
-from cowslipstep.fleet._reported_groups import GroupKey, MembersByRank
-from cowslipstep.fleet._runners import DiscoveredRunner
+from cowslipstep.fleet._reported_groups import MembersByRank
+from cowslipstep.fleet._runners import DiscoveredRunner, GroupId
 
 
 @frozen
@@ -48,7 +48,7 @@
     lost_runners: frozenset[str] = field(factory=frozenset)
     known_members: MembersByRank = field(factory=dict)
     reachable_unregistered: frozenset[str] = field(factory=frozenset)
-    departed: frozenset[GroupKey] = field(factory=frozenset)
+    departed: frozenset[GroupId] = field(factory=frozenset)
     load_limits_apply: bool = True
     registrations_settled: bool = True
 
@@ -66,7 +66,7 @@
 class FormGroup:
     """Decision to form a group of runners; the first one is its leader."""
 
-    key: GroupKey
+    key: GroupId
     model: str
     members: tuple[DiscoveredRunner, ...]
 
@@ -75,7 +75,7 @@
 class OpenGroup:
     """Decision to open a complete group: its leader accepts requests."""
 
-    key: GroupKey
+    key: GroupId
     leader: DiscoveredRunner
 
 
@@ -83,7 +83,7 @@
 class CloseGroup:
     """Decision to close a group: its leader only finishes its requests."""
 
-    key: GroupKey
+    key: GroupId
     leader: DiscoveredRunner
 
 
@@ -94,7 +94,7 @@
     If it is the leader, all members become free.
     """
 
-    key: GroupKey
+    key: GroupId
     member: DiscoveredRunner
 
 
--- a/libs/fleet/src/cowslipstep/fleet/_engines.py
+++ b/libs/fleet/src/cowslipstep/fleet/_engines.py
@@ -33,6 +33,22 @@
     staged_load_s: float = 0
 
 
+@frozen
+class ServedModel:
+    """A model as one service serves it.
+
+    Parameters
+    ----------
+    service
+        The service.
+    model
+        Name of the model, unique within the service.
+    """
+
+    service: str
+    model: str
+
+
 @frozen
 class EngineProfile:
     """Times and limits that a service's engines publish.
--- a/libs/fleet/src/cowslipstep/fleet/_group_index.py
+++ b/libs/fleet/src/cowslipstep/fleet/_group_index.py
@@ -5,15 +5,14 @@
 from collections.abc import Mapping
 
 from cowslipstep.fleet._reported_groups import (
-    GroupKey,
     ReportedGroup,
     reported_groups,
 )
-from cowslipstep.fleet._runners import DiscoveredRunner
+from cowslipstep.fleet._runners import DiscoveredRunner, GroupId
 
 
 class GroupIndex:
-    """Groups by name and epoch, as ``reported_groups`` returns them.
+    """Groups by identity, as ``reported_groups`` returns them.
 
     An update costs the same whatever the number of runners.
 
@@ -27,48 +26,50 @@
     ...     'r', 's', address, 'n', 1, group_position=position
     ... )
     >>> index = GroupIndex()
-    >>> index.put(runner), list(index.groups)
-    ({('g', 1)}, [('g', 1)])
+    >>> index.put(runner) == index.groups.keys() == {runner.group_id}
+    True
     """
 
     def __init__(self) -> None:
         self._runners: dict[str, DiscoveredRunner] = {}
-        self._groups: dict[GroupKey, ReportedGroup] = {}
+        self._groups: dict[GroupId, ReportedGroup] = {}
         # Groups of which two runners reported the same rank at some time.
-        self._conflicting: set[GroupKey] = set()
+        self._conflicting: set[GroupId] = set()
 
     @property
-    def groups(self) -> Mapping[GroupKey, ReportedGroup]:
+    def groups(self) -> Mapping[GroupId, ReportedGroup]:
         """The groups that runners report at present."""
         return self._groups
 
-    def put(self, runner: DiscoveredRunner) -> set[GroupKey]:
+    def put(self, runner: DiscoveredRunner) -> set[GroupId]:
         """Set what a runner reports; return the groups that it affects."""
         affected = self.remove(runner.name)
         self._runners[runner.name] = runner
         position = runner.group_position
-        if position is None:
+        group_id = runner.group_id
+        if position is None or group_id is None:
             return affected
         members = self._groups.setdefault(
-            position.key, ReportedGroup(position.key, {})
+            group_id, ReportedGroup(group_id, {})
         ).members
         if position.rank in members:
-            self._conflicting.add(position.key)
+            self._conflicting.add(group_id)
         members[position.rank] = runner
-        return affected | {position.key}
+        return affected | {group_id}
 
-    def remove(self, name: str) -> set[GroupKey]:
+    def remove(self, name: str) -> set[GroupId]:
         """Remove a runner; return the groups that it affects."""
         runner = self._runners.pop(name, None)
-        if runner is None or runner.group_position is None:
+        group_id = runner.group_id if runner else None
+        position = runner.group_position if runner else None
+        if group_id is None or position is None:
             return set()
-        key = runner.group_position.key
-        if key in self._conflicting:
+        if group_id in self._conflicting:
             # The other runner of the rank may have been replaced by this one.
             self._groups = reported_groups(self._runners.values())
-            return {key}
-        members = self._groups[key].members
-        members.pop(runner.group_position.rank)
+            return {group_id}
+        members = self._groups[group_id].members
+        members.pop(position.rank)
         if not members:
-            self._groups.pop(key)
-        return {key}
+            self._groups.pop(group_id)
+        return {group_id}
--- a/libs/fleet/src/cowslipstep/fleet/_pending_groups.py
+++ b/libs/fleet/src/cowslipstep/fleet/_pending_groups.py
@@ -8,8 +8,8 @@
 from attrs import frozen
 
 from cowslipstep.fleet._decisions import FleetView, FormGroup, OpenGroup
-from cowslipstep.fleet._reported_groups import GroupKey, ReportedGroup
-from cowslipstep.fleet._runners import MemberState
+from cowslipstep.fleet._reported_groups import ReportedGroup
+from cowslipstep.fleet._runners import GroupId, MemberState
 
 # A group that has not opened after this many times its expected time to become
 # ready has failed, but not before the minimum timeout.
@@ -36,9 +36,9 @@
     """Tracks groups from the decision to form them until they open or fail."""
 
     def __init__(self) -> None:
-        self._pending_groups: dict[GroupKey, _PendingGroup] = {}
+        self._pending_groups: dict[GroupId, _PendingGroup] = {}
 
-    def __contains__(self, key: GroupKey) -> bool:
+    def __contains__(self, key: GroupId) -> bool:
         return key in self._pending_groups
 
     @property
@@ -75,7 +75,7 @@
     def drop_ended(
         self,
         view: FleetView,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
     ) -> None:
         """Drop groups that opened, timed out or lost a member."""
         answering_names = frozenset(runner.name for runner in view.answering)
@@ -89,7 +89,7 @@
 
     def groups_to_open(
         self,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
     ) -> list[OpenGroup]:
         """Return decisions to open the groups whose members are all ready."""
         groups_to_open = []
--- a/libs/fleet/src/cowslipstep/fleet/_planner.py
+++ b/libs/fleet/src/cowslipstep/fleet/_planner.py
@@ -9,23 +9,20 @@
 
 from cowslipstep.fleet._assess_group import assess_group
 from cowslipstep.fleet._decisions import FleetDecision, FleetView, FormGroup
+from cowslipstep.fleet._epochs import Epochs
 from cowslipstep.fleet._group_choice import ChosenGroup, GroupChoice
 from cowslipstep.fleet._pending_groups import PendingGroups
 from cowslipstep.fleet._reallocations import Reallocations
 from cowslipstep.fleet._registration_tracker import RegistrationTracker
 from cowslipstep.fleet._repeat_limiter import RepeatLimiter
 from cowslipstep.fleet._reported_groups import (
-    GroupKey,
     ReportedGroup,
     reported_groups,
 )
-from cowslipstep.fleet._runners import MemberState
+from cowslipstep.fleet._runners import GroupId, MemberState
 from cowslipstep.fleet._staging import stage_models
 from cowslipstep.fleet._weight_load_limiter import WeightLoadLimiter
 
-# The epochs of a term are larger than all of earlier terms, if no term forms
-# more groups than this.
-_EPOCHS_PER_TERM = 10000
 # A pending group that should be ready within this time counts as a serving one
 # when groups are reallocated.
 _NEARLY_READY_S = 3
@@ -36,14 +33,17 @@
 
     Parameters
     ----------
-    term
-        Term of the lease under which the decisions are made.
+    service
+        The service.
+    epochs
+        Numbers of groups; planners of other services take theirs from it, too.
     """
 
-    def __init__(self, term: int) -> None:
-        self._epoch = _EPOCHS_PER_TERM * term
+    def __init__(self, service: str, epochs: Epochs) -> None:
+        self._service = service
+        self._epochs = epochs
         self._pending_groups = PendingGroups()
-        self._leaderless_since_s: dict[GroupKey, float] = {}
+        self._leaderless_since_s: dict[GroupId, float] = {}
         self._repeat_limiter = RepeatLimiter()
         self._load_limiter = WeightLoadLimiter()
         self._reallocations = Reallocations()
@@ -73,14 +73,14 @@
     def _update(
         self,
         view: FleetView,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
     ) -> None:
         """Update the tracked state to what the runners report."""
         self._load_limiter.drop_ended(view)
         self._pending_groups.drop_ended(view, reported)
         self._reallocations.drop_ended(view, reported)
-        for _, epoch in reported:
-            self._epoch = max(self._epoch, epoch)
+        for group_id in reported:
+            self._epochs.pass_over(group_id.epoch)
         leaderless = (
             key
             for key, reported_group in reported.items()
@@ -94,7 +94,7 @@
     def _assess_groups(
         self,
         view: FleetView,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
         claimed: set[str],
     ) -> Iterator[FleetDecision]:
         """Yield decisions on existing groups; claim their members if kept."""
@@ -113,7 +113,7 @@
     def _reallocate(
         self,
         view: FleetView,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
         claimed: set[str],
     ) -> Iterator[FleetDecision]:
         """Yield decisions that end groups to form one of a busier model."""
@@ -132,7 +132,7 @@
     def _form_groups(
         self,
         view: FleetView,
-        reported: Mapping[GroupKey, ReportedGroup],
+        reported: Mapping[GroupId, ReportedGroup],
         claimed: set[str],
     ) -> Iterator[FormGroup]:
         counts = Counter(self._pending_groups.models())
@@ -144,8 +144,8 @@
             chosen = choice.next_group()
 
     def _start_group(self, view: FleetView, chosen: ChosenGroup) -> FormGroup:
-        self._epoch += 1
-        key = (f'g{self._epoch}', self._epoch)
+        epoch = self._epochs.next_epoch()
+        key = GroupId(self._service, f'g{epoch}', epoch)
         decision = FormGroup(key, chosen.model.name, chosen.members)
         self._pending_groups.add(decision, view.now_s, chosen.time_to_ready_s)
         for runner in chosen.loading:
@@ -155,7 +155,7 @@
         return decision
 
 
-def _serving_models(reported: Mapping[GroupKey, ReportedGroup]) -> list[str]:
+def _serving_models(reported: Mapping[GroupId, ReportedGroup]) -> list[str]:
     """Return the model of each group that accepts requests."""
     return [
         reported_group.model
--- a/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
@@ -12,14 +12,18 @@
 from cowslipstep.fleet._decisions import FleetView
 from cowslipstep.fleet._engines import ModelProfile
 from cowslipstep.fleet._free_runners import free_by_domain, must_load
-from cowslipstep.fleet._reported_groups import GroupKey, ReportedGroup
-from cowslipstep.fleet._runners import DiscoveredRunner, MemberState
+from cowslipstep.fleet._reported_groups import ReportedGroup
+from cowslipstep.fleet._runners import (
+    DiscoveredRunner,
+    GroupId,
+    MemberState,
+)
 
 # A reallocation fails if the groups that end have not closed within this time;
 # the requests that run when they close are expected to end in it.
 _CLOSE_TIMEOUT_S = 6
 
-ReportedGroups = Mapping[GroupKey, ReportedGroup]
+ReportedGroups = Mapping[GroupId, ReportedGroup]
 
 
 @frozen
@@ -44,7 +48,7 @@
 
     model: ModelProfile
     members: tuple[DiscoveredRunner, ...]
-    ending_leaders: Mapping[GroupKey, DiscoveredRunner]
+    ending_leaders: Mapping[GroupId, DiscoveredRunner]
     groups_gained: int
     fails_at_s: float
     formed: bool = False
--- a/libs/fleet/src/cowslipstep/fleet/_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reallocations.py
@@ -19,8 +19,8 @@
     ReportedGroups,
 )
 from cowslipstep.fleet._reallocation_choice import ReallocationChoice
-from cowslipstep.fleet._reported_groups import GroupKey, ReportedGroup
-from cowslipstep.fleet._runners import MemberState
+from cowslipstep.fleet._reported_groups import ReportedGroup
+from cowslipstep.fleet._runners import GroupId, MemberState
 
 # A reallocation fails if its runners have not moved to the new group within
 # this time.
@@ -37,7 +37,7 @@
         self._reallocation: Reallocation | None = None
         self._paused_until_s: float = 0
 
-    def __contains__(self, key: GroupKey) -> bool:
+    def __contains__(self, key: GroupId) -> bool:
         return (
             self._reallocation is not None
             and key in self._reallocation.ending_leaders
--- a/libs/fleet/src/cowslipstep/fleet/_repeat_limiter.py
+++ b/libs/fleet/src/cowslipstep/fleet/_repeat_limiter.py
@@ -10,7 +10,7 @@
     OpenGroup,
     StageModel,
 )
-from cowslipstep.fleet._reported_groups import GroupKey
+from cowslipstep.fleet._runners import GroupId
 
 # A decision whose effect does not show in the reports is repeated after this
 # time, since its command may be lost.
@@ -25,7 +25,7 @@
     """
 
     def __init__(self) -> None:
-        self._admitted_s: dict[tuple[type, GroupKey, str], float] = {}
+        self._admitted_s: dict[tuple[type, GroupId, str], float] = {}
 
     def admit(self, decision: FleetDecision, now_s: float) -> bool:
         """Return whether a decision is due, and record when it was admitted."""
--- a/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
@@ -9,28 +9,28 @@
 from cowslipstep.fleet._engines import EngineProfile
 from cowslipstep.fleet._runners import (
     DiscoveredRunner,
+    GroupId,
     GroupPosition,
     MemberState,
     ServingGroup,
 )
 
-GroupKey = tuple[str, int]
-MembersByRank = Mapping[GroupKey, Mapping[int, DiscoveredRunner]]
+MembersByRank = Mapping[GroupId, Mapping[int, DiscoveredRunner]]
 
 
 @frozen
 class ReportedGroup:
-    """The runners that report the same group and epoch.
+    """The runners that report the same group.
 
     Parameters
     ----------
     key
-        Name and epoch of the group.
+        Identity of the group.
     members
         Runners that report the group, by rank.
     """
 
-    key: GroupKey
+    key: GroupId
     members: dict[int, DiscoveredRunner]
 
     @property
@@ -71,23 +71,17 @@
         return all(_state(runner) in ready for runner in self.members.values())
 
 
-def group_service(reported_group: ReportedGroup) -> str:
-    """Return the service of a group's members; empty without members."""
-    services = (runner.service for runner in reported_group.members.values())
-    return next(services, '')
-
-
 def reported_groups(
     runners: Iterable[DiscoveredRunner],
-) -> dict[GroupKey, ReportedGroup]:
-    """Return the groups that runners report, by name and epoch."""
-    reported: dict[GroupKey, ReportedGroup] = {}
+) -> dict[GroupId, ReportedGroup]:
+    """Return the groups that runners report, by identity."""
+    reported: dict[GroupId, ReportedGroup] = {}
     for runner in runners:
-        if runner.group_position is None:
+        group_id = runner.group_id
+        if group_id is None or runner.group_position is None:
             continue
         reported_group = reported.setdefault(
-            runner.group_position.key,
-            ReportedGroup(runner.group_position.key, {}),
+            group_id, ReportedGroup(group_id, {})
         )
         reported_group.members[runner.group_position.rank] = runner
     return reported
@@ -120,7 +114,7 @@
     if reported_group.draining or not members.keys() >= set(ranks):
         return None
     members_by_rank = tuple(members[rank] for rank in ranks)
-    return ServingGroup(*reported_group.key, model.name, members_by_rank)
+    return ServingGroup(reported_group.key, model.name, members_by_rank)
 
 
 def _state(runner: DiscoveredRunner | None) -> MemberState | None:
--- a/libs/fleet/src/cowslipstep/fleet/_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -33,6 +33,28 @@
     broken = 'broken'
 
 
+@frozen
+class GroupId:
+    """Identity of a group.
+
+    Runners name a group and an epoch. Both are unique within a service only:
+    each service has groups of its own.
+
+    Parameters
+    ----------
+    service
+        Service of its members.
+    name
+        Name that its members report.
+    epoch
+        Number that the planner gave the group.
+    """
+
+    service: str
+    name: str
+    epoch: int
+
+
 @frozen
 class GroupPosition:
     """Membership of a runner in a group.
@@ -55,11 +77,6 @@
     rank: int
     state: MemberState
 
-    @property
-    def key(self) -> tuple[str, int]:
-        """Name and epoch, which identify the group."""
-        return (self.group, self.epoch)
-
 
 @frozen
 class DiscoveredRunner:
@@ -100,13 +117,20 @@
     staged_models: tuple[str, ...] = ()
     group_position: GroupPosition | None = None
 
+    @property
+    def group_id(self) -> GroupId | None:
+        """Identity of the group that the runner reports, if it reports one."""
+        position = self.group_position
+        if position is None:
+            return None
+        return GroupId(self.service, position.group, position.epoch)
+
 
 @frozen
 class ServingGroup:
     """A group of runners that serves requests through its leader."""
 
-    name: str
-    epoch: int
+    group_id: GroupId
     model: str
     members: tuple[DiscoveredRunner, ...] = field()
 
--- a/libs/fleet/tests/_fleet_replay.py
+++ b/libs/fleet/tests/_fleet_replay.py
@@ -17,10 +17,12 @@
 from cowslipstep.fleet import (
     CloseGroup,
     DiscoveredRunner,
+    Epochs,
     FleetDecision,
     FleetPlanner,
     FleetView,
     FormGroup,
+    GroupId,
     GroupPosition,
     LeaveGroup,
     MemberState,
@@ -30,8 +32,7 @@
 )
 from cowslipstep.model import Address
 
-Key = tuple[str, int]
-
+SERVICE = 'drafting'
 STEP_S = 0.1
 REJOIN_TIME_S = 0.2
 # Requests that run when their group closes end after this time.
@@ -57,7 +58,7 @@
 
     at_s: float
     name: str
-    key: Key
+    key: GroupId
     before: MemberState
     after: MemberState
 
@@ -78,12 +79,12 @@
     """State of the simulated runners, and the violations of their rules."""
 
     alive: dict[str, DiscoveredRunner] = field(factory=dict)
-    member_lists: dict[Key, tuple[str, ...]] = field(factory=dict)
+    member_lists: dict[GroupId, tuple[str, ...]] = field(factory=dict)
     rule_violations: list[str] = field(factory=list)
     pending_changes: list[StateChange] = field(factory=list)
     _terms: dict[str, int] = field(factory=dict)
-    _was_ready: set[tuple[str, Key]] = field(factory=set)
-    _stalled_since_s: dict[Key, float] = field(factory=dict)
+    _was_ready: set[tuple[str, GroupId]] = field(factory=set)
+    _stalled_since_s: dict[GroupId, float] = field(factory=dict)
 
     def carry_out(self, command: SentCommand) -> None:
         """Carry out a command unless its runner is gone or its term too old."""
@@ -125,10 +126,10 @@
             ):
                 self._set_state(leader, MemberState.broken)
 
-    def leaders(self) -> dict[Key, DiscoveredRunner]:
+    def leaders(self) -> dict[GroupId, DiscoveredRunner]:
         """Return the leaders that accept or finish requests, by group."""
         return {
-            runner.group_position.key: runner
+            runner.group_id: runner
             for runner in self.alive.values()
             if runner.group_position and _is_serving(runner.group_position)
         }
@@ -142,19 +143,19 @@
         members = tuple(member.name for member in decision.members)
         if (
             runner.group_position
-            and runner.group_position.epoch >= decision.key[1]
+            and runner.group_position.epoch >= decision.key.epoch
         ):
             return
-        if (
-            runner.group_position
-            and runner.group_position.key in self.leaders()
-        ):
+        if runner.group_position and runner.group_id in self.leaders():
             self.rule_violations.append(
                 f'TWO: {runner.name} joins {decision.key}'
             )
         self.member_lists[decision.key] = members
         group_position = GroupPosition(
-            *decision.key, command.rank, MemberState.joining
+            decision.key.name,
+            decision.key.epoch,
+            command.rank,
+            MemberState.joining,
         )
         self.alive[runner.name] = evolve(
             runner,
@@ -166,7 +167,7 @@
             command, decision.key, MemberState.joining, ready_after_s
         )
 
-    def _open(self, runner: DiscoveredRunner, key: Key) -> None:
+    def _open(self, runner: DiscoveredRunner, key: GroupId) -> None:
         for name in self.member_lists[key]:
             if (name, key) not in self._was_ready:
                 self.rule_violations.append(f'PARTIAL: {key} without {name}')
@@ -181,7 +182,7 @@
     def _schedule_ready(
         self,
         command: SentCommand,
-        key: Key,
+        key: GroupId,
         before: MemberState,
         after_s: float,
     ) -> None:
@@ -224,7 +225,9 @@
     term: int = 1
     runners: Runners = field(factory=Runners)
     decisions: list[FleetDecision] = field(factory=list)
-    _planner: FleetPlanner = field(factory=lambda: FleetPlanner(1))
+    _planner: FleetPlanner = field(
+        factory=lambda: FleetPlanner(SERVICE, Epochs(1))
+    )
     _commands: list[SentCommand] = field(factory=list)
     _members: dict = field(factory=lambda: defaultdict(dict))
 
@@ -269,7 +272,7 @@
     def replace_planner(self) -> None:
         """Start a planner of the next term, as after a change of the lease."""
         self.term += 1
-        self._planner = FleetPlanner(self.term)
+        self._planner = FleetPlanner(SERVICE, Epochs(self.term))
 
     def utilization(self) -> dict[str, float]:
         """Return the demand for each model per group that serves it."""
@@ -293,9 +296,9 @@
         alive = dict(self.runners.alive)
         for runner in alive.values():
             if runner.group_position:
-                self._members[runner.group_position.key][
-                    runner.group_position.rank
-                ] = runner
+                self._members[runner.group_id][runner.group_position.rank] = (
+                    runner
+                )
         return FleetView(
             alive,
             ENGINE,
@@ -309,7 +312,7 @@
 def runner_of(number: int, domain: int) -> DiscoveredRunner:
     return DiscoveredRunner(
         name='r{number:03}'.format(number=number),
-        service='drafting',
+        service=SERVICE,
         address=Address('127.0.0.1', 1000 + number),
         failure_domain=f'zone-{domain}',
         slots=ENGINE.slots,
@@ -342,16 +345,14 @@
     return group_position.rank == 0 and group_position.state in SERVING_STATES
 
 
-def _is_member(runner: DiscoveredRunner, key: Key) -> bool:
-    return (
-        runner.group_position is not None and runner.group_position.key == key
-    )
+def _is_member(runner: DiscoveredRunner, key: GroupId) -> bool:
+    return runner.group_position is not None and runner.group_id == key
 
 
-def _is_in(runner: DiscoveredRunner, key: Key, state: MemberState) -> bool:
+def _is_in(runner: DiscoveredRunner, key: GroupId, state: MemberState) -> bool:
     group_position = runner.group_position
     return group_position is not None and (
-        group_position.key,
+        runner.group_id,
         group_position.state,
     ) == (key, state)
 
--- a/libs/fleet/tests/test_group_index.py
+++ b/libs/fleet/tests/test_group_index.py
@@ -23,10 +23,11 @@
     st.sampled_from(MemberState),
 )
 RUNNERS = st.builds(
-    lambda name, position: DiscoveredRunner(
-        name, 's', ADDRESS, 'n', 1, group_position=position
+    lambda name, service, position: DiscoveredRunner(
+        name, service, ADDRESS, 'n', 1, group_position=position
     ),
     st.sampled_from('abcd'),
+    st.sampled_from('st'),
     POSITIONS,
 )
 
@@ -56,3 +57,14 @@
             affected = index.remove(step)
         assert index.groups == reported_groups(runners.values())
         assert changed_groups(before, index.groups) <= affected
+
+
+# Groups of two services with the same name and epoch were taken for one.
+@given(st.lists(RUNNERS))
+def test_no_group_has_members_of_two_services(runners) -> None:
+    index = GroupIndex()
+    for runner in runners:
+        index.put(runner)
+    for group_id, group in index.groups.items():
+        members = group.members.values()
+        assert {member.service for member in members} == {group_id.service}
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -8,9 +8,11 @@
 from cowslipstep.fleet import (
     CloseGroup,
     DiscoveredRunner,
+    Epochs,
     FleetPlanner,
     FleetView,
     FormGroup,
+    GroupId,
     GroupPosition,
     LeaveGroup,
     MemberState,
@@ -22,7 +24,7 @@
 
 PAIR = ModelProfile('pair', group_size=2, load_s=12, staged_load_s=1)
 ENGINE = engine_of(PAIR)
-KEY = ('g1', 1)
+KEY = GroupId('drafting', 'g1', 1)
 TERM = 7
 
 
@@ -44,11 +46,11 @@
 def group_member(
     number: int, rank: int, state: MemberState
 ) -> DiscoveredRunner:
-    return runner(number, GroupPosition(*KEY, rank, state))
+    return runner(number, GroupPosition(KEY.name, KEY.epoch, rank, state))
 
 
 def new_planner() -> FleetPlanner:
-    return FleetPlanner(TERM)
+    return FleetPlanner(KEY.service, Epochs(TERM))
 
 
 def view_of(*runners: DiscoveredRunner, now_s: float = 0) -> FleetView:
@@ -133,12 +135,12 @@
 
 
 def test_new_epoch_exceeds_all_reported_epochs() -> None:
-    planner = FleetPlanner(0)
+    planner = FleetPlanner(KEY.service, Epochs(0))
     other = runner(5, GroupPosition('g99', 99, 1, MemberState.ready))
     planner.decide(view_of(other))
     pairs = view_of(runner(0), runner(1), other, now_s=9)
     commands = formed(planner.decide(pairs))
-    assert [command.key[1] for command in commands] == [100]
+    assert [command.key.epoch for command in commands] == [100]
 
 
 def test_commands_are_repeated_at_intervals() -> None:
@@ -199,3 +201,26 @@
     )
     assert not formed(planner.decide(view))
     assert formed(planner.decide(evolve(view, departed=frozenset((KEY,)))))
+
+
+# The leader of a group of another service had confirmed that it left; the
+# members of the open group of the same name were taken for another one.
+def test_like_named_departed_group_frees_nobody() -> None:
+    members = open_pair()
+    like_named = evolve(KEY, service='reporting')
+    view = evolve(
+        view_of(*members, now_s=9),
+        departed=frozenset((like_named,)),
+        demand={'pair': 9},
+    )
+    assert not formed(new_planner().decide(view))
+
+
+def test_epochs_of_two_services_differ() -> None:
+    epochs = Epochs(TERM)
+    view = view_of(runner(0), runner(1), now_s=9)
+    services = (KEY.service, 'reporting')
+    planners = [FleetPlanner(service, epochs) for service in services]
+    groups = [formed(planner.decide(view))[0].key for planner in planners]
+    assert [group.service for group in groups] == list(services)
+    assert groups[0].epoch != groups[1].epoch
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -79,10 +79,26 @@
 
 @frozen
 class ModelDemand:
-    """Number of groups of one model that a daemon's requests keep busy."""
+    """Number of groups of one model that a daemon's requests keep busy.
+
+    Parameters
+    ----------
+    model
+        Name of the model, unique within its service.
+    groups
+        Number of groups.
+    service
+        The service; empty in reports of daemons that do not tell it.
+    """
 
     model: str
     groups: float
+    service: str = ''
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Service and name of the model."""
+        return (self.service, self.model)
 
 
 @frozen
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -46,7 +46,8 @@
         configuration_version=raw.configurationVersion,
         loads=tuple(_upstream_load(load) for load in raw.loads),
         demands=tuple(
-            ModelDemand(demand.model, demand.groups) for demand in raw.demands
+            ModelDemand(demand.model, demand.groups, demand.service)
+            for demand in raw.demands
         ),
         suspected_upstreams=tuple(raw.suspects),
         has_served=raw.served,
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -73,6 +73,7 @@
     ):
         demand_entry.model = demand.model
         demand_entry.groups = demand.groups
+        demand_entry.service = demand.service
     for doubt_entry, doubt in _new_entries(builder, 'doubts', report.doubts):
         doubt_entry.upstream = doubt.upstream
         doubt_entry.daemons = doubt.daemons
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -190,6 +190,7 @@
 struct ModelDemand {
   model @0 :Text;
   groups @1 :Float32;
+  service @2 :Text;
 }
 
 struct LoadReport {
--- a/libs/routing/src/cowslipstep/routing/_report_differences.py
+++ b/libs/routing/src/cowslipstep/routing/_report_differences.py
@@ -40,11 +40,11 @@
 def _subtract_demands(
     total: Iterable[ModelDemand], part: Iterable[ModelDemand]
 ) -> tuple[ModelDemand, ...]:
-    groups = {demand.model: demand.groups for demand in total}
+    demands = {demand.key: demand for demand in total}
     for demand in part:
-        left_groups = groups[demand.model] - demand.groups
-        groups[demand.model] = max(0, left_groups)
-    return tuple(itertools.starmap(ModelDemand, groups.items()))
+        groups = demands[demand.key].groups - demand.groups
+        demands[demand.key] = evolve(demand, groups=max(0, groups))
+    return tuple(demands.values())
 
 
 def _subtract_load(total: UpstreamLoad, part: UpstreamLoad) -> UpstreamLoad:
--- a/libs/routing/src/cowslipstep/routing/_report_sums.py
+++ b/libs/routing/src/cowslipstep/routing/_report_sums.py
@@ -87,12 +87,15 @@
 
 
 def _sum_demands(reports: Iterable[LoadReport]) -> tuple[ModelDemand, ...]:
-    groups: dict[str, float] = {}
+    groups: dict[tuple[str, str], float] = {}
     for demand in itertools.chain.from_iterable(
         report.demands for report in reports
     ):
-        groups[demand.model] = groups.get(demand.model, 0) + demand.groups
-    return tuple(ModelDemand(model, busy) for model, busy in groups.items())
+        groups[demand.key] = groups.get(demand.key, 0) + demand.groups
+    return tuple(
+        ModelDemand(model, busy, service)
+        for (service, model), busy in groups.items()
+    )
 
 
 def _sum_doubts(reports: Iterable[LoadReport]) -> tuple[UpstreamDoubt, ...]:
--- a/libs/routing/tests/test_overload.py
+++ b/libs/routing/tests/test_overload.py
@@ -10,6 +10,7 @@
 
 from cowslipstep.fleet import (
     DiscoveredRunner,
+    GroupId,
     ModelProfile,
     ServingGroup,
 )
@@ -43,7 +44,8 @@
         failure_domain='north',
         slots=9,
     )
-    return ServingGroup(f'g{number}', number, 'pair', (leader,))
+    group_id = GroupId(leader.service, f'g{number}', number)
+    return ServingGroup(group_id, 'pair', (leader,))
 
 
 def load(requests: int, best_effort: int) -> UpstreamLoad:
@@ -62,7 +64,7 @@
 def test_request_goes_to_the_less_loaded_group() -> None:
     admission = admit((9, 0), (2, 0))
     assert isinstance(admission, OnTime)
-    assert admission.view.group.name == 'g1'
+    assert admission.view.group.group_id.name == 'g1'
 
 
 def test_late_request_is_best_effort() -> None:
--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -10,6 +10,7 @@
     CommandOutcome,
     DiscoveredRunner,
     GroupCommand,
+    GroupId,
     JoinCommand,
     LeaveCommand,
     UpstreamRequest,
@@ -132,15 +133,18 @@
     )
 
 
+GROUP = GroupId('drafting', 'g7', 12)
+
+
 def command_fields(command: GroupCommand) -> dict:
     return json.loads(EngineCommands().body(command, fencing_token=5))
 
 
 def test_commands_contain_epoch_and_fencing_token() -> None:
-    fields = command_fields(JoinCommand('g7', 12, 'pair', ('i-1', 'i-2')))
+    fields = command_fields(JoinCommand(GROUP, 'pair', ('i-1', 'i-2')))
     assert fields['epoch'] == 12
     assert fields['fencingToken'] == 5
-    assert command_fields(LeaveCommand('g7', 12))['group'] == 'g7'
+    assert command_fields(LeaveCommand(GROUP))['group'] == 'g7'
 
 
 def test_old_fencing_token_outdates_a_command() -> None:
--- a/tests/site/test_documents.py
+++ b/tests/site/test_documents.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cowslipstep.fleet import MemberState, RequestKind
+from cowslipstep.fleet import GroupId, MemberState, RequestKind
 from cowslipstep.model import DocumentError
 from cowslipstep_site import decode_configuration, decode_runner
 
@@ -106,7 +106,7 @@
     runner = decode_runner('i-1', json.dumps(dict(ENTRY)))
     assert runner.fabric_domain == 'rack-1'
     assert runner.loaded_models == ('pair',)
-    assert runner.group_position.key == ('g7', 12)
+    assert runner.group_id == GroupId(runner.service, 'g7', 12)
     assert runner.group_position.state is MemberState.ready
     assert not runner.draining
 
