Tell what ended an upstream from what was there

Cause: all requests cut beside the one at fault counted like it, so that the part that all prompts share was found harmful; responses that began before the crash did not count; a refusal took away the responses that would have lifted it. Crashes before the head were no evidence, an event without an end was.

Change: failures name their upstream; an end explained by one part is no evidence against others; what began before or after is sound; any end of a connection before the response begins counts, and no other failure; a refused prompt is tried again by the holder of the lease, rarely and alone.

The test on the number of parts that are kept asks for 64 now instead of 32, since prompts may have 40.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
@@ -36,8 +36,12 @@
         return self._verdict
 
 
-class EndedBeforeFirstEvent(UpstreamFailure):
-    """A stream broke off between its head and its first event."""
+class ConnectionEnded(UpstreamFailure):
+    """The upstream closed or reset the connection within the response.
+
+    It may have ended itself. Bytes that are no response, or a response that
+    does not end in time, are no such failure.
+    """
 
 
 def raise_for_status(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -9,17 +9,16 @@
 from attrs import define, evolve
 
 from cowslipstep.daemon._upstream_failures import (
-    EndedBeforeFirstEvent,
+    ConnectionEnded,
     UpstreamFailure,
 )
-from cowslipstep.model import NotRun, Reason
-from cowslipstep.serving._clocks import boot_time_s
+from cowslipstep.model import Reason
 from cowslipstep.serving._delivery_state import (
     DeliveryState,
     may_run_elsewhere,
 )
-from cowslipstep.serving._key_permission import key_permission, key_refusal
 from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._refusals import present_refusal
 from cowslipstep.serving._request_log import (
     log_attempt,
     log_failure,
@@ -105,6 +104,8 @@
         The parts raise ``UpstreamFailure`` if it fails, and ``TakenOver``.
         """
         delivery.attempts += 1
+        if delivery.is_trial:
+            self._state.harmful_prompts.begin_trial(delivery.routed.request)
         log_attempt(self._state, delivery, chosen)
         attempt = Attempt(chosen)
         attempt.parts = self._sender.send(
@@ -125,8 +126,10 @@
         delivery.record_failure(name, failure.verdict)
         self._metrics.record_failure(delivery, failure)
         self._state.suspicions.record_failure(name, failure.verdict.reason)
-        if isinstance(failure, EndedBeforeFirstEvent):
-            self._state.harmful_prompts.record_failure(delivery.routed.request)
+        if isinstance(failure, ConnectionEnded) and not delivery.response_begun:
+            self._state.harmful_prompts.record_failure(
+                delivery.routed.request, name
+            )
         log_failure(delivery, attempt.chosen, failure)
 
     def _try_elsewhere(
@@ -199,30 +202,6 @@
         log_silence(delivery, attempt.chosen)
 
 
-def present_refusal(
-    state: ServingState, delivery: DeliveryState
-) -> NotRun | None:
-    """Return why no attempt of a request may begin now, if none may."""
-    return _key_refusal(state, delivery) or _prompt_refusal(state, delivery)
-
-
-def _key_refusal(state: ServingState, delivery: DeliveryState) -> NotRun | None:
-    table = state.configuration.table
-    if table is None:
-        return None
-    return key_refusal(
-        delivery.routed, table, key_permission(state), boot_time_s()
-    )
-
-
-def _prompt_refusal(
-    state: ServingState, delivery: DeliveryState
-) -> NotRun | None:
-    if delivery.response_begun:
-        return None
-    return state.harmful_prompts.refusal(delivery.routed.request)
-
-
 def _with_first(
     first_part: ResponsePart, parts: Iterator[ResponsePart]
 ) -> Iterator[ResponsePart]:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -66,6 +66,10 @@
             for group in self._groups_of(delivery.routed.service, engine)
             if group.model == model.name
             and group.leader.name not in delivery.avoided
+            and not (
+                delivery.needs_idle_upstream
+                and self._state.loads.total(group.leader.name).requests
+            )
         ]
         return [
             GroupView(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
@@ -40,6 +40,10 @@
         Head that the caller was sent; ``None`` before.
     progress
         The part of a stream that was passed on.
+    is_trial
+        Whether its prompt is refused, and it is let through to test that.
+    needs_idle_upstream
+        Whether only an upstream without other requests may be tried.
     """
 
     routed: RoutedRequest
@@ -52,6 +56,8 @@
     response_begun_s: float = 0
     head: ResponseHead | None = None
     progress: StreamProgress = field(factory=StreamProgress)
+    is_trial: bool = False
+    needs_idle_upstream: bool = False
 
     @property
     def now_s(self) -> float:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -8,7 +8,7 @@
 
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream_failures import (
-    EndedBeforeFirstEvent,
+    ConnectionEnded,
     UpstreamFailure,
 )
 from cowslipstep.model import MayHaveRun, Reason
@@ -67,7 +67,7 @@
                 yield events
                 silent_at_s = delivery.now_s + _silence_timeout_s(delivery)
         if progress.has_partial_event:
-            raise UpstreamFailure(
+            raise ConnectionEnded(
                 MayHaveRun(Reason.upstream_cut),
                 'stream ended within an event, expected its end',
             )
@@ -86,21 +86,14 @@
 
     Raises
     ------
-    EndedBeforeFirstEvent
-        If the stream breaks off before, or has no events.
     UpstreamFailure
-        If it fails otherwise.
+        If the stream fails, or has no events.
     """
-    try:
-        first_events = next(streamed, b'')
-    except UpstreamFailure as failure:
-        if failure.verdict.reason is not Reason.upstream_cut:
-            raise
-        raise EndedBeforeFirstEvent(failure.verdict, str(failure)) from failure
+    first_events = next(streamed, b'')
     if not first_events and not delivery.response_begun:
         # Without a length or chunks, the end of an upstream looks like the end
         # of its stream.
-        raise EndedBeforeFirstEvent(
+        raise ConnectionEnded(
             MayHaveRun(Reason.upstream_cut),
             'stream ended before its first event',
         )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
@@ -16,7 +16,7 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from cowslipstep.routing import EVIDENCE_LIFETIME_S
+from cowslipstep.routing.prompts import EVIDENCE_LIFETIME_S
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
 from cowslipstep.serving._kind_watch import (
     LONG_WATCH_TIMEOUT_S,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_harmful_prompts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_harmful_prompts.py
@@ -5,24 +5,23 @@
 import time
 import uuid
 from collections.abc import Iterable
-
 from eventlet.queue import Full, LightQueue
 from loguru import logger
 
 from cowslipstep.fleet import CallerRequest
 from cowslipstep.model import NotRun, Reason
-from cowslipstep.routing import (
+from cowslipstep.routing.prompts import (
     Combination,
     PromptFailure,
+    PromptGuard,
     RecordedFailure,
-    active_failures,
-    harmful_combinations,
-    is_harmful,
+    shared_combinations,
 )
 from cowslipstep.serving._prompt_evidence import (
     Evidence,
     SharedEvidence,
     SoundPart,
+    counted_evidence,
 )
 
 # Such a request fails until its evidence expires, so there is no hurry.
@@ -41,81 +40,66 @@
         self.evidence = SharedEvidence(self.refresh)
         self.failures_to_write = LightQueue(_MAX_QUEUED)
         self.sound_parts_to_write = LightQueue(_MAX_QUEUED)
-        self.combinations: frozenset[Combination] = frozenset()
-        self._shared_combinations: frozenset[Combination] = frozenset()
-        self._cleared_parts: dict[str, frozenset[str]] = {}
+        self.guard = PromptGuard()
+        self._shared_parts: frozenset[str] = frozenset()
 
     def refusal(self, request: CallerRequest) -> NotRun | None:
         """Return why a request is refused, if its prompt is harmful."""
-        if is_harmful(request.shared_prompt_parts, self.combinations):
+        if self.guard.refuses(request.shared_prompt_parts):
             return NotRun(Reason.harmful_prompt, _RETRY_AFTER_S)
         return None
 
-    def record_failure(self, request: CallerRequest) -> None:
-        """Record that an upstream ended as it began to respond."""
+    def begin_trial(self, request: CallerRequest) -> None:
+        """Record that a request is sent although its prompt is refused."""
         parts = request.shared_prompt_parts
+        logger.bind(request_id=request.request_id, prompt_parts=parts).info(
+            'refused prompt is tried again'
+        )
+        self.guard.trials.begin(parts, time.time())
+
+    def record_failure(self, request: CallerRequest, upstream: str) -> None:
+        """Record that an upstream ended before it began to respond."""
+        now_s = time.time()
+        parts = self.guard.known.unclear(request.shared_prompt_parts, now_s)
         if not parts:
             return
         unique = uuid.uuid4().hex
-        record = RecordedFailure(
-            f'failure-{unique}',
-            PromptFailure(request.request_id, parts),
-            time.time(),
-        )
+        failure = PromptFailure(request.request_id, parts, upstream)
+        record = RecordedFailure(f'failure-{unique}', failure, now_s)
         self.evidence.put(record)
         _enqueue(self.failures_to_write, record)
         self.refresh()
 
     def clear(self, request: CallerRequest) -> None:
         """Clear the parts of a request whose response has begun."""
-        begun = frozenset(request.shared_prompt_parts)
-        for part in filter(self.is_suspected, begun):
-            _enqueue(self.sound_parts_to_write, SoundPart(part, time.time()))
-        newly_cleared = {
-            name: begun.union(self._cleared_parts.get(name, frozenset()))
-            for name, record in self.evidence.failures.items()
-            if begun.difference(
-                self._cleared_parts.get(name, frozenset())
-            ).intersection(record.failure.parts)
-        }
-        self._cleared_parts.update(newly_cleared)
-        if newly_cleared:
+        parts = request.shared_prompt_parts
+        now_s = time.time()
+        cleared = self._shared_parts.intersection(parts)
+        _enqueue_sound(self.sound_parts_to_write, cleared)
+        if self.guard.begin_response(parts, now_s):
             self.refresh()
 
+    def refresh(self) -> None:
+        """Decide anew which prompts are refused."""
+        now_s = time.time()
+        known = self.guard.combinations
+        evidence = counted_evidence(self.evidence)
+        self.guard.decide(*evidence, now_s)
+        _log_changes(known, self.guard.combinations)
+        suspected = frozenset().union(*shared_combinations(*evidence, now_s))
+        # Daemons without responses of their own do not know what is sound.
+        sound = self.guard.known.sound(suspected - self._shared_parts, now_s)
+        self._shared_parts = suspected
+        _enqueue_sound(self.sound_parts_to_write, sound)
+
     def is_suspected(self, part: str) -> bool:
         """Return whether a part is suspected by what is stored."""
-        return any(part in suspects for suspects in self._shared_combinations)
+        return part in self._shared_parts
 
-    def refresh(self) -> None:
-        """Decide anew which prompts are refused."""
-        records = self.evidence.failures
-        self._cleared_parts = {
-            name: cleared
-            for name, cleared in self._cleared_parts.items()
-            if name in records
-        }
-        self._shared_combinations = _decide(records.values(), self.evidence)
-        combinations = _decide(self._counted_records(), self.evidence)
-        _log_changes(self.combinations, combinations)
-        self.combinations = combinations
-
-    def _counted_records(self) -> list[RecordedFailure]:
-        """Return the records without what is known to be sound here."""
-        return [
-            record.without(self._cleared_parts.get(name, frozenset()))
-            for name, record in self.evidence.failures.items()
-        ]
-
-
-def _decide(
-    records: Iterable[RecordedFailure], evidence: SharedEvidence
-) -> frozenset[Combination]:
-    sound_revisions = {
-        part: sound.revision for part, sound in evidence.sound_parts.items()
-    }
-    return harmful_combinations(
-        active_failures(records, sound_revisions, time.time())
-    )
+
+def _enqueue_sound(queue: LightQueue, parts: Iterable[str]) -> None:
+    for part in parts:
+        _enqueue(queue, SoundPart(part, time.time()))
 
 
 def _enqueue(queue: LightQueue, evidence: Evidence) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics.py
@@ -150,7 +150,7 @@
             ),
             'keeper': int(state.is_controller),
             'relay_fed': int(state.relay_role.relies_on_relay),
-            'harmful_prompts': len(state.harmful_prompts.combinations),
+            'harmful_prompts': len(state.harmful_prompts.guard.combinations),
             'requests_in_progress': state.loads.own.requests,
             'caller_connections': self._connections.open_count,
             'caller_connections_idle': self._connections.idle.count,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_prompt_evidence.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_prompt_evidence.py
@@ -15,7 +15,7 @@
     ObjectPage,
     StoredObject,
 )
-from cowslipstep.routing import PromptFailure, RecordedFailure
+from cowslipstep.routing.prompts import PromptFailure, RecordedFailure
 
 EVIDENCE_KIND = 'promptevidence'
 _DECODE_ERRORS = (
@@ -89,7 +89,12 @@
     parts = tuple(str(part) for part in document['parts'])
     return RecordedFailure(
         stored.key.name,
-        PromptFailure(str(document['request']), parts),
+        PromptFailure(
+            str(document['request']),
+            parts,
+            # Daemons of an earlier version do not name the upstream.
+            str(document.get('upstream', '')),
+        ),
         recorded_at_s,
         stored.version,
     )
@@ -155,3 +160,13 @@
             self.put(decode_evidence(stored))
         except _DECODE_ERRORS as error:
             logger.warning('invalid evidence {} ignored: {}', stored.key, error)
+
+
+def counted_evidence(
+    evidence: SharedEvidence,
+) -> tuple[tuple[RecordedFailure, ...], dict[str, int]]:
+    """Return all failures, and the revisions at which parts were sound."""
+    revisions = {
+        part: sound.revision for part, sound in evidence.sound_parts.items()
+    }
+    return tuple(evidence.failures.values()), revisions
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
@@ -15,10 +15,10 @@
     SEARCH_PERIOD_S,
     Attempts,
     TakenOver,
-    present_refusal,
 )
 from cowslipstep.serving._delivery_state import DeliveryState, start_delivery
 from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._refusals import present_refusal
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream, UpstreamChoice
 from cowslipstep.serving._upstream_sender import ResponsePart
@@ -67,6 +67,8 @@
         delivery = start_delivery(table.route(request), arrived_s)
         self._state.retry_budget(delivery.routed.service).record_request()
         self._choice.record_demand(delivery)
+        guard = self._state.harmful_prompts.guard
+        guard.known.add_request(request.shared_prompt_parts)
         with self._metrics.outcome_counted(delivery):
             yield from self._respond(delivery)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -6,7 +6,6 @@
 import socket
 import time
 from collections.abc import Iterator
-from http.client import HTTPException
 from typing import Any
 
 import urllib3
@@ -16,6 +15,7 @@
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.serving._bounded_reader import BoundedReader
+from cowslipstep.serving._http_errors import as_upstream_failure
 from cowslipstep.serving._read_limits import Silence
 
 # Several times the longest round trip within a deployment.
@@ -113,7 +113,7 @@
             ``timeout_s`` seconds, or they go on after that time.
         """
         self._reader.let_others_run()
-        with _as_upstream_failure():
+        with as_upstream_failure():
             self._reader.limit(timeout_s, _MAX_RECEIVED_CHUNK_BYTES, silence)
             return self._response.read1(_READ_CHUNK_BYTES)
 
@@ -172,7 +172,7 @@
         # the standard socket in ``fd``.
         sock.recv_into = reader.recv_into
     timeout_s = max(request.response_timeout_s, _MIN_TIMEOUT_S)
-    with _as_upstream_failure():
+    with as_upstream_failure():
         # The connection sets this timeout on its socket for sending.
         connection.timeout = timeout_s
         reader.limit(timeout_s, _MAX_HEAD_BYTES, request.silence)
@@ -192,28 +192,3 @@
 
 def _ends_with_connection(response: urllib3.HTTPResponse) -> bool:
     return not response.chunked and response.length_remaining is None
-
-
-@contextlib.contextmanager
-def _as_upstream_failure() -> Iterator[None]:
-    try:
-        yield
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise UpstreamFailure(
-            MayHaveRun(_failure_reason(error)),
-            repr(error),
-        ) from error
-    except (HTTPException, ValueError, AttributeError) as error:
-        # http.client raises these errors on bytes that are no HTTP response.
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_cut),
-            repr(error),
-        ) from error
-
-
-def _failure_reason(error: Exception) -> Reason:
-    match error:
-        case TimeoutError() | urllib3.exceptions.TimeoutError():
-            return Reason.upstream_timeout
-        case _:
-            return Reason.upstream_cut
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -96,7 +96,7 @@
                 stream = EventStream(response, on_silence)
                 yield from self._stream(delivery, chosen, head, stream)
             else:
-                yield from _complete_response(delivery, chosen, head, response)
+                yield from self._complete(delivery, chosen, head, response)
 
     @contextlib.contextmanager
     def _counted_request(
@@ -147,6 +147,21 @@
             self._state.suspicions.clear(chosen.runner.name)
             yield from _passed_on(delivery, head, events)
 
+    def _complete(
+        self,
+        delivery: DeliveryState,
+        chosen: ChosenUpstream,
+        head: ResponseHead,
+        response: OpenResponse,
+    ) -> Iterator[ResponsePart]:
+        body = response.read_all(min(delivery.deadline_s, chosen.begins_by_s))
+        delivery.begin_response(head)
+        if head.succeeded:
+            self._state.harmful_prompts.clear(delivery.routed.request)
+        length = ('Content-Length', str(len(body)))
+        yield evolve(head, headers=(*head.headers, length))
+        yield body
+
 
 def _upstream_request(
     delivery: DeliveryState, chosen: ChosenUpstream
@@ -206,16 +221,3 @@
         MayHaveRun(Reason.upstream_failed),
         f'stream not resumed: status {head.status}, {head.media_type!r}',
     )
-
-
-def _complete_response(
-    delivery: DeliveryState,
-    chosen: ChosenUpstream,
-    head: ResponseHead,
-    response: OpenResponse,
-) -> Iterator[ResponsePart]:
-    body = response.read_all(min(delivery.deadline_s, chosen.begins_by_s))
-    delivery.begin_response(head)
-    length = ('Content-Length', str(len(body)))
-    yield evolve(head, headers=(*head.headers, length))
-    yield body
--- a/apps/cowslipstepd/tests/test_harmful_prompts.py
+++ b/apps/cowslipstepd/tests/test_harmful_prompts.py
@@ -37,7 +37,8 @@
     return sum(b'harmful' in head for head in runners.heads), sound
 
 
-@pytest.mark.parametrize('head', [OPEN_HEAD, LENGTH_HEAD, CHUNKED_HEAD])
+# Without a head, a runner that ended was not told from others of its batch.
+@pytest.mark.parametrize('head', [b'', OPEN_HEAD, LENGTH_HEAD, CHUNKED_HEAD])
 @pytest.mark.parametrize('end', [Close(), Reset()], ids=['close', 'reset'])
 def test_harmful_prompt_ends_few_runners(
     head: bytes, end: Close | Reset
--- a/apps/cowslipstepd/tests/test_prompt_evidence.py
+++ b/apps/cowslipstepd/tests/test_prompt_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Any
 
 import pytest
@@ -66,6 +67,8 @@
     )
 
 
+# A runner that has ended is back under another name.
+_RUNNERS = itertools.count()
 FAILED = (
     request(1, 'greeting', 'harmful'),
     request(2, 'letter', 'harmful'),
@@ -79,7 +82,7 @@
 
 
 def fail(store: Any, prompts: HarmfulPrompts, failed: CallerRequest) -> None:
-    prompts.record_failure(failed)
+    prompts.record_failure(failed, f'runner-{next(_RUNNERS)}')
     EvidenceWriter(store, prompts).write_failure()
 
 
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -33,21 +33,10 @@
     first_event_s,
     group_busy_s,
 )
-from cowslipstep.routing._harmful_prompts import (
-    Combination,
-    PromptFailure,
-    harmful_combinations,
-    is_harmful,
-)
 from cowslipstep.routing._limits import workspace_policies
 from cowslipstep.routing._overload import BEST_EFFORT_URGENCY, admit_request
 from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._prefix_map import PrefixMap
-from cowslipstep.routing._prompt_failures import (
-    EVIDENCE_LIFETIME_S,
-    RecordedFailure,
-    active_failures,
-)
 from cowslipstep.routing._relays import (
     RELAY_TIMEOUT_S,
     Follower,
--- a/libs/routing/src/cowslipstep/routing/_prompt_failures.py
+++ b/libs/routing/src/cowslipstep/routing/prompts/_records.py
@@ -11,7 +11,11 @@
 
 from attrs import evolve, frozen
 
-from cowslipstep.routing._harmful_prompts import PromptFailure
+from cowslipstep.routing.prompts._failures import (
+    Combination,
+    PromptFailure,
+    is_harmful,
+)
 
 # A repaired upstream is tried again after this time.
 EVIDENCE_LIFETIME_S = 600
@@ -70,8 +74,8 @@
     Examples
     --------
     >>> record = RecordedFailure('f', PromptFailure('r', ('a', 'b')), 0, 7)
-    >>> active_failures([record], {'a': 9, 'b': 5}, 0)
-    (PromptFailure(request='r', parts=('b',)),)
+    >>> active_failures([record], {'a': 9, 'b': 5}, 0)[0].parts
+    ('b',)
     """
     current = [record for record in records if record.is_current(now_unix_s)]
     current.sort(key=lambda record: record.recorded_at_unix_s)
@@ -82,6 +86,47 @@
     return tuple(record.failure for record in active if record.failure.parts)
 
 
+def unexplained(
+    records: Iterable[RecordedFailure], combinations: Iterable[Combination]
+) -> tuple[RecordedFailure, ...]:
+    """Return the records of upstreams that no harmful combination ended."""
+    known = tuple(records)
+    harmful = tuple(combinations)
+    explained = {
+        record.failure.upstream
+        for record in known
+        if is_harmful(record.failure.parts, harmful)
+    }
+    return tuple(
+        record for record in known if record.failure.upstream not in explained
+    )
+
+
+def span_s(
+    records: Iterable[RecordedFailure], combination: Combination
+) -> float:
+    """Return the time from the first to the last failure with a combination."""
+    times_s = _failure_times_s(records, combination)
+    return max(times_s, default=0) - min(times_s, default=0)
+
+
+def last_failed_s(
+    records: Iterable[RecordedFailure], combination: Combination
+) -> float:
+    """Return when a combination failed last; zero if it never did."""
+    return max(_failure_times_s(records, combination), default=0)
+
+
+def _failure_times_s(
+    records: Iterable[RecordedFailure], combination: Combination
+) -> list[float]:
+    return [
+        record.recorded_at_unix_s
+        for record in records
+        if combination.issubset(record.failure.parts)
+    ]
+
+
 def _sound_since(
     record: RecordedFailure, sound_revisions: Mapping[str, int]
 ) -> frozenset[str]:
--- a/libs/routing/tests/test_harmful_prompts.py
+++ b/libs/routing/tests/test_harmful_prompts.py
@@ -9,7 +9,7 @@
 import pytest
 from attrs import define, field
 
-from cowslipstep.routing import (
+from cowslipstep.routing.prompts import (
     EVIDENCE_LIFETIME_S,
     PromptFailure,
     RecordedFailure,
--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -183,7 +183,7 @@
         (',,', ()),
         (':800,e440:250', ()),
         ('{0}:1,e440:250'.format('a' * 65), ()),
-        ('a:1,' * 40, ('a',) * 32),
+        ('a:1,' * 80, ('a',) * 64),
     ],
 )
 def test_shared_prompt_parts_are_decoded(
