Refuse what cannot end within the grace of a planned stop

What callers saw, by a report of operators: requests that came late in the grace of a planned stop were passed on, and cut at its end without an answer.

Cause: a request was taken whatever time was left, and the process ended with those that still ran.

Change: during a stop, a request is refused at once as not run unless the usual time of its route fits into what is left; requests that still run 0.5 s before the end are answered as ones that may have run.

That the operators saw this fault is not shown.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
@@ -28,6 +28,8 @@
 
 # A request that was sent before the socket closed arrives within this time.
 _LAST_REQUESTS_WAIT_S = 0.2
+# Time before the end in which requests that remain are answered.
+_LAST_ANSWERS_S = 0.5
 # Time that a caller may take to receive a part of a response.
 _SEND_TIMEOUT_S = 60
 _EXPIRY_PERIOD_S = 0.5
@@ -117,15 +119,21 @@
 
         First it leaves time to read requests on the connections accepted last.
         Then idle connections are closed, so that callers do not use them
-        again.
+        again. Shortly before the end, the requests that remain are ended, so
+        that their callers are told.
         """
-        with Timeout(timeout_s, False):
+        last_answers_s = min(_LAST_ANSWERS_S, timeout_s / 2)
+        with Timeout(timeout_s - last_answers_s, False):
             sleep(_LAST_REQUESTS_WAIT_S)
             self._connections.close_idle()
             # The tasks of idle connections read the requests that have arrived.
             sleep(0)
             self._in_progress.wait_until_none()
             return True
+        self._connections.close_idle()
+        self._in_progress.end_all()
+        with Timeout(last_answers_s, False):
+            self._in_progress.wait_until_none()
         return False
 
     def _serve(self, connection: Any, address: Any) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_requests_in_progress.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_requests_in_progress.py
@@ -4,8 +4,23 @@
 
 import contextlib
 from collections.abc import Callable, Iterable, Iterator
+from typing import Any
 
 from eventlet.event import Event
+from eventlet.greenthread import getcurrent, kill
+
+from cowslipstep.model import MayHaveRun, Reason, RequestError
+
+_UNAVAILABLE = 503
+
+
+class StopReached(RequestError):
+    """The time for requests in progress has ended; raised in their tasks."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            MayHaveRun(Reason.stopping), 'the daemon stops', _UNAVAILABLE
+        )
 
 
 class RequestsInProgress:
@@ -22,27 +37,33 @@
     """
 
     def __init__(self) -> None:
-        self._count = 0
+        self._tasks: list[Any] = []
         self._all_ended = Event()
 
     def track(self, respond: Callable[[], Iterable[bytes]]) -> Iterable[bytes]:
         """Start a response; its request counts until the response is closed."""
-        self._count += 1
+        task = getcurrent()
+        self._tasks.append(task)
         try:
             body = respond()
         except BaseException:
-            self._end()
+            self._end(task)
             raise
-        return TrackedBody(body, self._end)
+        return TrackedBody(body, lambda: self._end(task))
 
     def wait_until_none(self) -> None:
         """Wait until no request is in progress."""
-        while self._count:
+        while self._tasks:
             self._all_ended.wait()
 
-    def _end(self) -> None:
-        self._count -= 1
-        if self._count == 0:
+    def end_all(self) -> None:
+        """Raise ``StopReached`` in the tasks of all requests."""
+        for task in tuple(self._tasks):
+            kill(task, StopReached())
+
+    def _end(self, task: Any) -> None:
+        self._tasks.remove(task)
+        if not self._tasks:
             all_ended = self._all_ended
             self._all_ended = Event()
             all_ended.send(None)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_process.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_process.py
@@ -7,6 +7,7 @@
 from cowslipstep.daemon._tasks import SupervisedTasks
 from cowslipstep.serving._descriptor_budget import DescriptorBudget, share_out
 from cowslipstep.serving._loop_pauses import LoopPauses
+from cowslipstep.serving._planned_stop import PlannedStop
 from cowslipstep.settings import ServingSettings
 
 
@@ -22,11 +23,14 @@
         Tasks that serving needs.
     loop_pauses
         Times in which no task could run.
+    planned_stop
+        What is still taken once a planned stop has begun.
     """
 
     descriptors: DescriptorBudget
     tasks: SupervisedTasks = field(factory=SupervisedTasks)
     loop_pauses: LoopPauses = field(factory=LoopPauses)
+    planned_stop: PlannedStop = field(factory=PlannedStop)
 
     def apply(self, settings: ServingSettings) -> None:
         """Share out the descriptors of new settings."""
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from cowslipstep.daemon._requests_in_progress import StopReached
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.delivery import combine_verdicts, may_resume, may_retry
 from cowslipstep.fleet import CallerRequest
@@ -64,13 +65,20 @@
         table = self._state.configuration.table
         if table is None:
             raise _refusal(NotRun(Reason.not_ready))
-        delivery = start_delivery(table.route(request), arrived_s)
+        routed = table.route(request)
+        refusal = self._state.process.planned_stop.refusal(routed)
+        if refusal is not None:
+            raise _refusal(refusal)
+        delivery = start_delivery(routed, arrived_s)
         self._state.retry_budget(delivery.routed.service).record_request()
         self._choice.record_demand(delivery)
         guard = self._state.harmful_prompts.guard
         guard.known.add_request(request.shared_prompt_parts)
         with self._metrics.outcome_counted(delivery):
             yield from self._respond(delivery)
+        self._state.process.planned_stop.record_duration(
+            routed.route.name, delivery.now_s - arrived_s
+        )
 
     def _respond(self, delivery: DeliveryState) -> Iterator[ResponsePart]:
         attempt = self._attempts.begin(delivery, self._next_upstream(delivery))
@@ -79,6 +87,11 @@
                 yield from attempt.parts
             except TakenOver as taken_over:
                 attempt = taken_over.attempt
+            except StopReached as reached:
+                self._attempts.record_failure(
+                    delivery, attempt, _cut_by_stop(reached)
+                )
+                raise _final_error(delivery) from reached
             except UpstreamFailure as failure:
                 self._attempts.record_failure(delivery, attempt, failure)
                 attempt = self._attempts.begin(
@@ -134,6 +147,10 @@
         )
 
 
+def _cut_by_stop(reached: StopReached) -> UpstreamFailure:
+    return UpstreamFailure(MayHaveRun(Reason.stopping), str(reached))
+
+
 def _raise_if_refused(state: ServingState, delivery: DeliveryState) -> None:
     refusal = present_refusal(state, delivery)
     if refusal is not None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -114,14 +114,14 @@
 
 def _stop(server: CallerServer, state: ServingState) -> None:
     """Drain: finish the requests in progress within the grace period."""
-    started_s = time.monotonic()
+    planned_stop = state.process.planned_stop
     state.stopping = True
+    planned_stop.begin(state.settings.bounds.grace_s - _EXIT_MARGIN_S)
     logger.info('planned stop begins')
     eventlet.sleep(_BALANCER_REACTION_S)
     server.close()
-    elapsed_s = time.monotonic() - started_s
-    grace_s = state.settings.bounds.grace_s - _EXIT_MARGIN_S
-    finished = server.wait_finished(max(0, grace_s - elapsed_s))
+    remaining_s = planned_stop.answer_by_s - time.monotonic()
+    finished = server.wait_finished(max(0, remaining_s))
     logger.bind(
         finished=finished,
         longest_pause_s=state.process.loop_pauses.longest_s,
--- a/apps/cowslipstepd/tests/_serving_harness.py
+++ b/apps/cowslipstepd/tests/_serving_harness.py
@@ -118,7 +118,10 @@
         self.state.runner_table.advance(1)
         self._listener = eventlet.listen(('127.0.0.1', 0))
         application = CallerApplication(self.state, RequestMetrics())
-        CallerServer(self._listener, application, bool).start()
+        self.server = CallerServer(
+            self._listener, application, lambda: self.state.stopping
+        )
+        self.server.start()
 
     def configure(
         self,
@@ -137,6 +140,11 @@
         )
         self.state.configuration.update(str(version))
 
+    def begin_stop(self, grace_s: float) -> None:
+        """Begin a planned stop that has this time."""
+        self.state.stopping = True
+        self.state.process.planned_stop.begin(grace_s)
+
     @property
     def callers_address(self) -> tuple[str, int]:
         """Where callers connect."""
--- a/bench/bench_poisoned.py
+++ b/bench/bench_poisoned.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from _figures import Figure
-from attrs import evolve
+from attrs import evolve, frozen
 
 from cowslipstep.replay._former_prompt_guard import FormerPromptGuard
 from cowslipstep.replay._poison_cases import PoisonCase, PoisonFigures
@@ -34,27 +34,43 @@
 )
 
 
-_MEASURES = (
-    ('crashes', 'upstreams'),
-    ('late_poisoned', 'requests'),
-    ('refused_share', 'share'),
-    ('wrong_verdict_s', 's'),
-)
-
-
 def figures() -> Iterator[Figure]:
     """Yield the worst of several seeds for each case, and the former one."""
     for name, case in _CASES:
-        replays = _replays(case, PromptGuard), _former(case)
-        max_late = _MAX_LATE * case.harmful_parts
-        bounds = {
-            'late_poisoned': max_late,
-            'refused_share': _MAX_REFUSED_SHARE,
-        }
-        for measured, unit in _MEASURES:
-            worst, former = (_worst(one, measured) for one in replays)
-            bench = f'poisoned.{name}.{measured}'
-            yield Figure(bench, worst, unit, bounds.get(measured), former)
+        bounds = (_MAX_LATE * case.harmful_parts, _MAX_REFUSED_SHARE)
+        compared = _Compared(
+            name, _replays(case, PromptGuard), _former(case), *bounds
+        )
+        yield from compared.figures()
+
+
+@frozen
+class _Compared:
+    """Replays of one case, with the decision and with the former one."""
+
+    name: str
+    replays: list[PoisonFigures]
+    former: list[PoisonFigures]
+    max_late: float
+    max_refused_share: float
+
+    def figures(self) -> Iterator[Figure]:
+        """Yield the figures of the case."""
+        yield self._figure('crashes', 'upstreams')
+        yield self._figure('late_poisoned', 'requests', self.max_late)
+        yield self._figure('refused_share', 'share', self.max_refused_share)
+        yield self._figure('wrong_verdict_s', 's')
+
+    def _figure(
+        self, measured: str, unit: str, bound: float | None = None
+    ) -> Figure:
+        return Figure(
+            f'poisoned.{self.name}.{measured}',
+            _worst(self.replays, measured),
+            unit,
+            bound,
+            _worst(self.former, measured),
+        )
 
 
 def _former(case: PoisonCase) -> list[PoisonFigures]:
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -55,4 +55,5 @@
 )
 from cowslipstep.routing._upstream_loads import UpstreamLoads
 from cowslipstep.routing._usage_table import UsageTable, newest_usages
+from cowslipstep.routing._usual_durations import UsualDurations
 from cowslipstep.routing._usual_requests import UsualRequest, UsualRequests
