Let only tasks that serving needs decide on readiness

Cause: since any supervised task of a serving daemon that kept failing would have taken it out of service, also those that only measure or share evidence on prompts.

Change: these are not essential.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from functools import partial
 
 import eventlet
 from attrs import evolve
@@ -54,14 +55,14 @@
         ),
     )
     writer = EvidenceWriter(state.platform, state.harmful_prompts)
-    state.process.tasks.start(f'watch of {watch.kind}', watch.run)
-    state.process.tasks.start(
+    # Evidence of this daemon counts without these tasks, too.
+    start = partial(state.process.tasks.start, essential=False)
+    start(f'watch of {watch.kind}', watch.run)
+    start(
         'evidence of failures', repeat(_WRITE_INTERVAL_S, writer.write_failure)
     )
-    state.process.tasks.start(
-        'evidence of sound parts', repeat(0, writer.write_sound_part)
-    )
-    state.process.tasks.start(
+    start('evidence of sound parts', repeat(0, writer.write_sound_part))
+    start(
         'expiry of evidence',
         repeat(_EXPIRY_PERIOD_S, lambda: _expire(state)),
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -63,7 +63,9 @@
         lambda _number, _frame: reload_settings(state, load_settings),
     )
     state.process.tasks.start(
-        'loop watch', LoopWatch(state.process.loop_pauses.record).run
+        'loop watch',
+        LoopWatch(state.process.loop_pauses.record).run,
+        essential=False,
     )
     server = start_daemon(state)
     start_evidence_tasks(state)
