Serve later requests on a connection after a refused one

What callers saw: after a request with a body that was too long, malformed or beyond the limit of connections, the next request on the same connection, a second later or more, was cut without a response.

Cause: since the limits on the rest of a refused request were kept for as long as its connection.

Change: each request begins without them.

Result: test_request_after_a_refused_one_is_served failed before, the connection was closed on the second request; it passes.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
@@ -77,6 +77,7 @@
 
     def wait_for_bytes(self) -> bool:
         """Wait for the next request; return false at the end."""
+        self._rest = _Rest()
         try:
             return bool(self._lines.peek(1))
         except OSError:
--- a/apps/cowslipstepd/tests/test_endless_requests.py
+++ b/apps/cowslipstepd/tests/test_endless_requests.py
@@ -25,6 +25,8 @@
 # What a discarded rest may take, and as much again for the machine.
 MAX_END_S = 5
 MAX_PAUSE_S = 0.25
+# Longer than the rest of a refused request is discarded.
+AFTER_DISCARD_S = 1.2
 
 
 @frozen
@@ -54,6 +56,30 @@
     return send_json(start_response, JsonResponse(200, {'size': len(body)}))
 
 
+def statuses_on_kept_connection() -> list[bytes]:
+    """Return the responses to a body that is too long, and to a later one."""
+    listener = eventlet.listen(('127.0.0.1', 0))
+    CallerServer(listener, respond, bool).start()
+    caller = eventlet.connect(listener.getsockname()[:2])
+    too_long = b'%x\r\n%b\r\n' % (
+        MAX_BODY_BYTES + 1,
+        b'x' * (MAX_BODY_BYTES + 1),
+    )
+    received = []
+    for body in (too_long, PIECE):
+        caller.sendall(HEAD + body + LAST_CHUNK)
+        received.append(caller.recv(10000).partition(b'\r\n')[0])
+        eventlet.sleep(AFTER_DISCARD_S)
+    return received
+
+
+# The limits on the rest of a refused request applied to all later ones.
+def test_request_after_a_refused_one_is_served() -> None:
+    refused, served = in_green_process(statuses_on_kept_connection)
+    assert b' 413 ' in refused
+    assert b' 200 ' in served
+
+
 def send_all(sock: Any, repeated: bytes, times: int) -> None:
     with contextlib.suppress(OSError):
         for _ in range(times):
