Bind only the first attempt of a trial to idle upstreams

What callers saw: a stream whose prompt was tried again, had begun and was then cut could be resumed only by an upstream without other requests, of which a busy fleet has none; the trial was logged again, too.

Cause: since a request kept the marks of its trial.

Change: they end as the attempt begins.

Result: test_trial_binds_only_its_first_attempt failed before; it passes.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -106,6 +106,9 @@
         delivery.attempts += 1
         if delivery.is_trial:
             self._state.harmful_prompts.begin_trial(delivery.routed.request)
+            # Later attempts, such as a resumption, are like any other.
+            delivery.is_trial = False
+            delivery.needs_idle_upstream = False
         log_attempt(self._state, delivery, chosen)
         attempt = Attempt(chosen)
         attempt.parts = self._sender.send(
--- a/apps/cowslipstepd/tests/test_stream_silence.py
+++ b/apps/cowslipstepd/tests/test_stream_silence.py
@@ -139,3 +139,16 @@
     script = itertools.repeat((0, chunk))
     with pytest.raises(UpstreamFailure):
         send(monkeypatch, STREAM, script, timeout_s=0.5)
+
+
+# A stream that had begun as a trial was resumed at idle upstreams only.
+def test_trial_binds_only_its_first_attempt() -> None:
+    delivery = new_delivery(RESUMABLE, 3)
+    delivery.is_trial = True
+    delivery.needs_idle_upstream = True
+    state = sender_state()
+    state.harmful_prompts.begin_trial = bool
+    choice = types.SimpleNamespace(choose=lambda _delivery: None)
+    attempts = Attempts(state, RequestMetrics(), choice)
+    attempts.begin(delivery, ChosenUpstream(RUNNER, 3))
+    assert not (delivery.is_trial or delivery.needs_idle_upstream)
