Keep one accept loop, one set of limits and one endless stand-in

Change: accepted_connections in libs/tasks serves both listeners; the limits stand in daemon/_part_limit.py; ScriptedRunners sends without an end at a pace.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_accepting.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_accepting.py
@@ -1,4 +1,4 @@
-"""Accepts connections whatever becomes of a single one."""
+"""What becomes of callers that cannot be accepted."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import os
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -17,10 +17,6 @@
 _EXHAUSTED = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
-# The listening socket itself cannot be used any more.
-_LISTENER_GONE = frozenset(
-    (errno.EBADF, errno.EINVAL, errno.ENOTCONN, errno.ENOTSOCK)
-)
 # Pause after a failure, in which descriptors may be closed.
 _PAUSE_S = 0.02
 _WARNING_PERIOD_S = 1
@@ -57,10 +53,8 @@
         connection.shutdown(socket.SHUT_WR)
 
 
-def accepted_connections(
-    listener: Any, make_room: Callable[[], None]
-) -> Iterator[tuple[Any, Any]]:
-    """Yield connections and their addresses until the listener is closed.
+class FailedAccepts:
+    """Deals with accepts that failed, so that accepting goes on.
 
     Parameters
     ----------
@@ -69,44 +63,26 @@
     make_room
         Called when no descriptor is left, to close connections that are not
         in use.
-
-    Raises
-    ------
-    OSError
-        If the listening socket cannot be used any more.
     """
-    spare = SpareDescriptor()
-    warnings = _Warnings()
-    while True:
-        try:
-            yield listener.accept()
-        except OSError as error:
-            _raise_if_gone(error)
-            warnings.warn(error)
-            if error.errno in _EXHAUSTED:
-                make_room()
-                eventlet.sleep(_PAUSE_S)
-                spare.refuse_next(listener)
-
-
-def _raise_if_gone(error: OSError) -> None:
-    if error.errno in _LISTENER_GONE:
-        raise error
 
-
-class _Warnings:
-    """Logs failures, one in each period."""
-
-    def __init__(self) -> None:
+    def __init__(self, listener: Any, make_room: Callable[[], None]) -> None:
+        self._listener = listener
+        self._make_room = make_room
+        self._spare = SpareDescriptor()
         self._quiet_until_s = float('-inf')
 
-    def warn(self, error: OSError) -> None:
-        """Log a failure unless one was logged lately."""
+    def recover(self, error: OSError) -> None:
+        """Log a failure unless one was logged lately; make room if needed."""
         now_s = time.monotonic()
-        if now_s < self._quiet_until_s:
-            return
-        self._quiet_until_s = now_s + _WARNING_PERIOD_S
-        logger.warning('connection not accepted, accepting goes on: {}', error)
+        if now_s >= self._quiet_until_s:
+            self._quiet_until_s = now_s + _WARNING_PERIOD_S
+            logger.warning(
+                'connection not accepted, accepting goes on: {}', error
+            )
+        if error.errno in _EXHAUSTED:
+            self._make_room()
+            eventlet.sleep(_PAUSE_S)
+            self._spare.refuse_next(self._listener)
 
 
 def _open_spare() -> int | None:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_listener.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_listener.py
@@ -8,8 +8,9 @@
 from eventlet import sleep, spawn
 from eventlet.event import Event
 
-from cowslipstep.daemon._accepting import accepted_connections, refuse
+from cowslipstep.daemon._accepting import FailedAccepts, refuse
 from cowslipstep.daemon._caller_connections import CallerConnections
+from cowslipstep.tasks import accepted_connections
 
 # Idle connections that are closed when no descriptor is left.
 _ROOM_CONNECTIONS = 16
@@ -62,8 +63,10 @@
         self._listener.close()
 
     def _accept(self) -> None:
-        accepted = accepted_connections(self._listener, self._make_room)
-        for connection, address in accepted:
+        failed = FailedAccepts(self._listener, self._make_room)
+        for connection, address in accepted_connections(
+            self._listener, failed.recover
+        ):
             limits = self._connections.limits
             allowed = limits.max_connections + limits.max_refused
             if self._connections.open_count < allowed:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_connection_limits.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_connection_limits.py
@@ -29,9 +29,6 @@
     head_timeout_s: float = 60
 
 
-DEFAULT_LIMITS = ConnectionLimits()
-
-
 def default_limits() -> ConnectionLimits:
     """Return the limits of a listener without a configuration."""
-    return DEFAULT_LIMITS
+    return ConnectionLimits()
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_listening.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_listening.py
@@ -10,7 +10,6 @@
 
 from cowslipstep.model import Address, CowslipstepError
 
-
 # Callers that connect beyond it wait for seconds.
 _BACKLOG = 1024
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_part_limit.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_part_limit.py
@@ -7,6 +7,10 @@
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import MayHaveRun, Reason
 
+# Largest body and largest event that are held in memory until they are whole.
+MAX_BODY_BYTES = 8388608
+MAX_EVENT_BYTES = 1048576
+
 
 class PartLimit:
     """Limits in bytes and time on one part, then on the next.
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -7,7 +7,11 @@
 import urllib3
 from attrs import frozen
 
-from cowslipstep.daemon._part_limit import PartLimit
+from cowslipstep.daemon._part_limit import (
+    MAX_BODY_BYTES,
+    MAX_EVENT_BYTES,
+    PartLimit,
+)
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream import (
@@ -19,9 +23,6 @@
 from cowslipstep.model import MayHaveRun, Reason
 
 _OK = 200
-# Largest body and largest event that are held until they are complete.
-_MAX_BODY_BYTES = 8388608
-_MAX_EVENT_BYTES = 1048576
 
 
 @frozen
@@ -84,7 +85,7 @@
     run: RunState,
     timeout_s: float,
 ) -> Iterator[ResponsePart]:
-    limit = PartLimit(_MAX_BODY_BYTES, timeout_s)
+    limit = PartLimit(MAX_BODY_BYTES, timeout_s)
     body = bytearray()
     for chunk in read_chunks(response):
         body += chunk
@@ -104,7 +105,7 @@
     run: RunState,
     timeout_s: float,
 ) -> Iterator[ResponsePart]:
-    limit = PartLimit(_MAX_EVENT_BYTES, timeout_s)
+    limit = PartLimit(MAX_EVENT_BYTES, timeout_s)
     check_resumption = bool(run.stream_progress.last_id)
     for chunk in read_chunks(response):
         if check_resumption:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -8,11 +8,11 @@
 import urllib3
 from attrs import field, frozen
 
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.daemon._upstream_failures import (
     UpstreamFailure,
     raise_for_status,
 )
-from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.tasks import TimeSlice
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from cowslipstep.daemon._part_limit import MAX_EVENT_BYTES
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream_failures import (
     ConnectionEnded,
@@ -20,8 +21,6 @@
 # planned pause of a stream.
 _SILENCE_GAP_FACTOR = 2
 _MIN_SILENCE_TIMEOUT_S = 0.4
-# Largest event of a stream; it is held in memory until it is complete.
-_MAX_EVENT_BYTES = 1048576
 
 
 @frozen
@@ -122,8 +121,8 @@
             MayHaveRun(Reason.upstream_timeout),
             'stream goes on after the deadline of the request',
         )
-    if progress.partial_event_bytes > _MAX_EVENT_BYTES:
+    if progress.partial_event_bytes > MAX_EVENT_BYTES:
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_cut),
-            f'expected events of at most {_MAX_EVENT_BYTES} bytes, got more',
+            f'expected events of at most {MAX_EVENT_BYTES} bytes, got more',
         )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_planned_stop.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_planned_stop.py
@@ -33,11 +33,6 @@
     answer_by_s: float = math.inf
     _durations: UsualDurations = field(factory=UsualDurations)
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the stop has begun."""
-        return self.begun_s < math.inf
-
     def begin(self, grace_s: float) -> None:
         """Begin the stop; all requests are answered within the grace."""
         self.begun_s = time.monotonic()
@@ -49,8 +44,6 @@
 
     def refusal(self, routed: RoutedRequest) -> NotRun | None:
         """Return why a new request is refused, if it cannot end in time."""
-        if not self.has_begun:
-            return None
         now_s = time.monotonic()
         route = routed.route
         usual_s = self._durations.usual_s(route.name, route.timeout_s)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 from urllib3.connection import HTTPConnection
 
+from cowslipstep.daemon._part_limit import MAX_BODY_BYTES
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
 from cowslipstep.serving._bounded_reader import BoundedReader
@@ -24,8 +25,6 @@
 # Largest status line and headers of a response together, informational
 # responses before it included.
 _MAX_HEAD_BYTES = 131072
-# Largest body that is held in memory until it is complete.
-MAX_BODY_BYTES = 8388608
 # Bytes that may be received for one chunk of a body: the chunk, and the
 # framing of a chunked body around it.
 _MAX_RECEIVED_CHUNK_BYTES = 2 * _READ_CHUNK_BYTES
--- a/apps/cowslipstepd/tests/_scripted_runners.py
+++ b/apps/cowslipstepd/tests/_scripted_runners.py
@@ -48,6 +48,7 @@
     """Send these bytes again and again until the connection is closed."""
 
     sent: bytes
+    pause_s: float = 0
 
 
 Step = Send | SendEndlessly | Pause | Close | Reset
@@ -161,11 +162,11 @@
     match step:
         case Send(sent):
             connection.sendall(sent)
-        case SendEndlessly(sent):
+        case SendEndlessly(sent, pause_s):
             while True:
                 connection.sendall(sent)
-                # The runner itself must not occupy the process.
-                eventlet.sleep(0)
+                # Even without a pause, it must not occupy the process.
+                eventlet.sleep(pause_s)
         case Pause(duration_s):
             eventlet.sleep(duration_s)
         case Close():
--- a/apps/cowslipstepd/tests/test_endless_store.py
+++ b/apps/cowslipstepd/tests/test_endless_store.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import time
-from typing import Any
 
-import eventlet
 import pytest
 from _green_processes import in_green_process
 from _pauses import watch_pauses
+from _scripted_runners import ScriptedRunners, Send, SendEndlessly
 from attrs import frozen
 
 from cowslipstep.daemon._time_limits import call_time_limit
@@ -53,23 +51,13 @@
     longest_pause_s: float
 
 
-def respond(listener: Any, start: bytes, repeated: bytes, pause_s: float):
-    store, _ = listener.accept()
-    store.recv(1000)
-    with contextlib.suppress(OSError):
-        store.sendall(start)
-        while True:
-            store.sendall(repeated)
-            eventlet.sleep(pause_s)
-
-
 def read(start: bytes, repeated: bytes, pause_s: float) -> GivenUp:
     transport._BODY_TIMEOUT_S = BODY_TIMEOUT_S
-    listener = eventlet.listen(('127.0.0.1', 0))
-    eventlet.spawn(respond, listener, start, repeated, pause_s)
+    script = (Send(start), SendEndlessly(repeated, pause_s))
+    address = ScriptedRunners(1, script).addresses[0]
     pauses = watch_pauses()
     began_s = time.monotonic()
-    error = error_of(Address(*listener.getsockname()[:2]))
+    error = error_of(address)
     return GivenUp(error, time.monotonic() - began_s, max(pauses))
 
 
--- a/apps/cowslipstepd/tests/test_part_limits.py
+++ b/apps/cowslipstepd/tests/test_part_limits.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import time
-from typing import Any
 
-import eventlet
 import pytest
 from _green_processes import in_green_process
 from _pauses import watch_pauses
+from _scripted_runners import ScriptedRunners, Send, SendEndlessly
 
 from cowslipstep.daemon._relay import relay_buffered, relay_stream
 from cowslipstep.daemon._run_state import RunState
@@ -26,22 +24,11 @@
 MAX_PAUSE_S = 0.25
 
 
-def respond(listener: Any, repeated: bytes, pause_s: float) -> None:
-    runner, _ = listener.accept()
-    runner.recv(1000)
-    with contextlib.suppress(OSError):
-        runner.sendall(CHUNKED)
-        while True:
-            runner.sendall(repeated)
-            eventlet.sleep(pause_s)
-
-
 def relayed(streams: bool, repeated: bytes, pause_s: float) -> tuple:
     """Return the verdict, the duration and the longest pause."""
-    listener = eventlet.listen(('127.0.0.1', 0))
-    eventlet.spawn(respond, listener, repeated, pause_s)
+    script = (Send(CHUNKED), SendEndlessly(repeated, pause_s))
+    address = ScriptedRunners(1, script).addresses[0]
     pauses = watch_pauses()
-    address = Address(*listener.getsockname()[:2])
     began_s = time.monotonic()
     verdict = verdict_of(address, streams)
     return verdict, time.monotonic() - began_s, max(pauses)
--- a/libs/peers/src/cowslipstep/peers/_server.py
+++ b/libs/peers/src/cowslipstep/peers/_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 from collections.abc import Callable, Iterator
 
 import eventlet
@@ -13,17 +12,22 @@
 from cowslipstep.model import Address, Message
 from cowslipstep.peers._connection import FrameConnection, Traffic
 from cowslipstep.peers._frames import Frame, FrameError
+from cowslipstep.tasks import accepted_connections
 
 _IDLE_TIMEOUT_S = 180
 _MAX_CONNECTIONS = 1024
 # Pause after a failure to accept, in which descriptors may be closed.
 _ACCEPT_PAUSE_S = 0.05
-_LISTENER_GONE = frozenset((errno.EBADF, errno.EINVAL, errno.ENOTSOCK))
 
 ReplyCallback = Callable[[Message], None]
 MessageHandler = Callable[[Message, ReplyCallback], None]
 
 
+def _wait_after(error: OSError) -> None:
+    logger.warning('peer link not accepted, will retry: {}', error)
+    eventlet.sleep(_ACCEPT_PAUSE_S)
+
+
 def _default_max_connections() -> int:
     return _MAX_CONNECTIONS
 
@@ -74,16 +78,8 @@
         OSError
             If the listening socket cannot be used any more.
         """
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError as error:
-                if error.errno in _LISTENER_GONE:
-                    raise
-                logger.warning('peer link not accepted, will retry: {}', error)
-                eventlet.sleep(_ACCEPT_PAUSE_S)
-            else:
-                self._admit(sock)
+        for sock, _ in accepted_connections(self._listener, _wait_after):
+            self._admit(sock)
 
     def _admit(self, sock: socket.socket) -> None:
         if self._open_connections >= self._max_connections():
