Name the late part of a stream, with predicted and observed times

Callers saw late responses, and nothing told which part was late: the daemon, earlier attempts, the prediction, the first event or a pause. Each complete stream now records these times by model and route, a late one logs its part. The controller logs once a second what the runners do, and every daemon has gauges of the serving groups and of the demand of each model. No decision is changed. Modules are split where they grew beyond the linter's limits.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_metrics_text.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_metrics_text.py
@@ -7,10 +7,12 @@
 from eventlet import sleep
 
 from cowslipstep.daemon._http import StartResponse
-from cowslipstep.metrics import Histograms
+from cowslipstep.metrics import Histograms, ModelHistograms
 
 
-def render_cooperatively(histograms: Histograms) -> Iterator[str]:
+def render_cooperatively(
+    histograms: Histograms | ModelHistograms,
+) -> Iterator[str]:
     """Yield the text of each histogram; other tasks run in between."""
     for text in histograms.render():
         yield text
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -3,13 +3,8 @@
 from __future__ import annotations
 
 from cowslipstep.daemon._caller_server import CallerServer
-from cowslipstep.daemon._listening import convert_listen_errors, listen_http
+from cowslipstep.daemon._listening import convert_listen_errors
 from cowslipstep.peers import PeerServer
-from cowslipstep.serving._applications import (
-    CallerApplication,
-    ReadinessApplication,
-)
-from cowslipstep.serving._caller_limits import caller_limits, operator_limits
 from cowslipstep.serving._configuration_in_force import ConfigurationObserver
 from cowslipstep.serving._controller import GroupController
 from cowslipstep.serving._demand import DemandEstimator
@@ -21,17 +16,13 @@
     KindWatch,
     WatchSchedule,
 )
-from cowslipstep.serving._metrics import (
-    MetricsApplication,
-    RequestMetrics,
-    serve_metrics,
-)
 from cowslipstep.serving._peer_reports import PeerReports
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registration import DAEMONS_KIND, register_daemon
 from cowslipstep.serving._registry import DaemonRegistry
 from cowslipstep.serving._report_builder import ReportBuilder
 from cowslipstep.serving._runner_observer import RunnerObserver
+from cowslipstep.serving._servers import start_servers
 from cowslipstep.serving._state import ServingState
 
 # Minimum time between two watch calls of a kind: changes in between arrive in
@@ -65,7 +56,7 @@
     state.process.tasks.start('reachability', reachability.run)
     views = FleetViews(state, demand, reachability)
     state.process.tasks.start('group keeper', GroupController(state, views).run)
-    return _start_servers(state)
+    return start_servers(state, demand)
 
 
 def _never() -> bool:
@@ -145,32 +136,3 @@
         'registration',
         lambda: register_daemon(state.platform, state.own_entry),
     )
-
-
-def _start_servers(state: ServingState) -> CallerServer:
-    settings = state.settings
-    balancer = CallerServer(
-        listen_http(settings.readiness_address),
-        ReadinessApplication(state),
-        bool,  # always false: connections of the balancer stay open
-        lambda: operator_limits(state),
-        state.process.tasks,
-    )
-    balancer.start()
-    metrics = RequestMetrics()
-    callers = CallerServer(
-        listen_http(settings.caller_address),
-        CallerApplication(state, metrics),
-        lambda: state.stopping,
-        lambda: caller_limits(state),
-        state.process.tasks,
-    )
-    callers.start()
-    # The metrics server starts last, so that it cannot occupy the address of
-    # the server for callers.
-    serve_metrics(
-        MetricsApplication(state, metrics, callers.connections),
-        settings.metrics_address,
-        lambda: operator_limits(state),
-    )
-    return callers
--- a/apps/cowslipstepd/src/cowslipstep/serving/_controller.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_controller.py
@@ -15,7 +15,6 @@
     EngineProfile,
     Epochs,
     FleetPlanner,
-    FleetView,
     FormGroup,
 )
 from cowslipstep.groups import (
@@ -29,6 +28,7 @@
 from cowslipstep.model import CowslipstepError
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._command_sender import CommandSender
+from cowslipstep.serving._fleet_log import FleetLog, log_group_change
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._state import ServingState
 
@@ -48,7 +48,6 @@
 _CONTROLLER_TIMEOUT_S = 0.9
 # Decisions that end or form groups.
 _GROUP_CHANGES = (CloseGroup, FormGroup)
-_DEMAND_DECIMALS = 2
 # Random delay that spreads the first lease attempts of daemons that start
 # together.
 _MAX_START_DELAY_S = 0.3
@@ -85,6 +84,7 @@
         state.holds_lease = lambda: self._lease.may_command
         self._sender = CommandSender(state, state.holds_lease)
         self._planners: dict[str, FleetPlanner] = {}
+        self._log = FleetLog()
         self._term = 0
         self._epochs = Epochs(self._term)
 
@@ -171,20 +171,9 @@
             service, FleetPlanner(service, self._epochs)
         )
         view = self._views.view(service, engine, self._sender.departed)
+        self._log.log_summary(service, view, term)
         decisions = planner.decide(view)
         if any(isinstance(decision, _GROUP_CHANGES) for decision in decisions):
-            _log_group_change(view, term)
+            log_group_change(view, term)
         for decision in decisions:
             self._sender.carry_out(decision, term)
-
-
-def _log_group_change(view: FleetView, term: int) -> None:
-    logger.bind(
-        term=term,
-        runners=len(view.runners),
-        lost=len(view.lost_runners),
-        demand={
-            model: round(groups, _DEMAND_DECIMALS)
-            for model, groups in view.demand.items()
-        },
-    ).info('groups are formed or closed')
--- a/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_delivery_state.py
@@ -11,6 +11,7 @@
 from cowslipstep.fleet import ResponseHead
 from cowslipstep.model import MayHaveRun, NotRun
 from cowslipstep.routing import RoutedRequest
+from cowslipstep.serving._response_timer import ResponseTimer
 
 
 @define
@@ -44,6 +45,8 @@
         Whether its prompt is refused, and it is let through to test that.
     needs_idle_upstream
         Whether only an upstream without other requests may be tried.
+    timer
+        Measures the parts of a streamed response.
     """
 
     routed: RoutedRequest
@@ -58,6 +61,7 @@
     progress: StreamProgress = field(factory=StreamProgress)
     is_trial: bool = False
     needs_idle_upstream: bool = False
+    timer: ResponseTimer = field(factory=ResponseTimer)
 
     @property
     def now_s(self) -> float:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -15,6 +15,7 @@
 from cowslipstep.model import MayHaveRun, Reason
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._read_limits import Silence
+from cowslipstep.serving._response_timer import AttemptStart
 from cowslipstep.serving._upstream_http import OpenResponse
 
 # Silence after which another upstream is tried, as a multiple of the longest
@@ -33,10 +34,13 @@
         The response.
     on_silence
         Called while the upstream sends no whole event, see ``Silence``.
+    start
+        When the request was sent.
     """
 
     response: OpenResponse
     on_silence: Callable[[], float]
+    start: AttemptStart
 
     def events(
         self, delivery: DeliveryState, first_event_timeout_s: float
@@ -63,6 +67,7 @@
                     _raise_if_restarted(delivery.progress, events)
                 has_begun = True
                 delivery.progress = progress
+                delivery.timer.record_events(self.start, delivery.now_s)
                 yield events
                 silent_at_s = delivery.now_s + _silence_timeout_s(delivery)
         if progress.has_partial_event:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from attrs import asdict
 from loguru import logger
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.routing import LatePart, ResponseTimes
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream
@@ -58,3 +60,21 @@
         expected_s=round(chosen.expected_s, _MS_DECIMALS),
         elapsed_s=round(delivery.now_s - delivery.arrived_s, _MS_DECIMALS),
     ).info('upstream silent, another is tried beside it')
+
+
+def log_late_response(
+    delivery: DeliveryState, times: ResponseTimes, part: LatePart
+) -> None:
+    """Log which part of a response was late, with all its times."""
+    logger.bind(
+        request_id=delivery.routed.request.request_id,
+        route=delivery.routed.route.name,
+        model=delivery.routed.request.model,
+        late_part=part.value,
+        objective_s=delivery.routed.route.objective_s,
+        tries=delivery.attempts,
+        **{
+            name: round(seconds, _MS_DECIMALS)
+            for name, seconds in asdict(times).items()
+        },
+    ).info('response late')
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -78,6 +78,7 @@
             incomplete.
         """
         sent = _upstream_request(delivery, chosen)
+        start = delivery.timer.start_attempt(delivery.now_s, chosen.expected_s)
         with (
             self._counted_request(chosen) as waiting,
             open_response(
@@ -93,8 +94,12 @@
             _raise_unless_accepted(delivery, chosen, head)
             waiting.close()
             if delivery.routed.route.streaming and head.succeeded:
-                stream = EventStream(response, on_silence)
-                yield from self._stream(delivery, chosen, head, stream)
+                yield from self._stream(
+                    delivery,
+                    chosen,
+                    head,
+                    EventStream(response, on_silence, start),
+                )
             else:
                 yield from self._complete(delivery, chosen, head, response)
 
--- a/apps/cowslipstepd/tests/test_serving_metrics.py
+++ b/apps/cowslipstepd/tests/test_serving_metrics.py
@@ -14,7 +14,8 @@
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.routing import RoutedRequest
 from cowslipstep.serving._delivery_state import DeliveryState
-from cowslipstep.serving._metrics import RequestMetrics, serve_metrics
+from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._metrics_application import serve_metrics
 
 REQUEST = CallerRequest('r1', 'orders.example', 'GET', '/quotes/', (), b'')
 
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -30,6 +30,11 @@
 )
 from cowslipstep.fleet._engines import EngineProfile, ModelProfile, ServedModel
 from cowslipstep.fleet._epochs import Epochs
+from cowslipstep.fleet._fleet_summary import (
+    FleetSummary,
+    RunnerUse,
+    summarize_fleet,
+)
 from cowslipstep.fleet._group_index import GroupIndex
 from cowslipstep.fleet._planner import FleetPlanner
 from cowslipstep.fleet._reported_groups import (
--- a/libs/metrics/src/cowslipstep/metrics/__init__.py
+++ b/libs/metrics/src/cowslipstep/metrics/__init__.py
@@ -13,6 +13,7 @@
 from cowslipstep.metrics._gauges import Gauges
 from cowslipstep.metrics._histograms import EncodedSeries, Histograms, Series
 from cowslipstep.metrics._index import StatusIndex, decode_index, encode_index
+from cowslipstep.metrics._model_histograms import ModelHistograms, ModelSeries
 from cowslipstep.metrics._requests import RequestLog, RequestRecord
 from cowslipstep.metrics._size_limit import MAX_STATUS_BYTES, encode_bounded
 from cowslipstep.metrics._status import (
--- a/libs/metrics/src/cowslipstep/metrics/_histograms.py
+++ b/libs/metrics/src/cowslipstep/metrics/_histograms.py
@@ -83,12 +83,20 @@
     def render(self) -> Iterator[str]:
         """Yield text in the format of Prometheus, one text for each series."""
         for series in sorted(self._by_series):
-            yield '\n'.join(_render(series, self._by_series[series]))
+            labels = (('workspace', series.workspace), ('rank', series.rank))
+            yield render_histogram(series.name, labels, self._by_series[series])
 
 
-def _render(series: Series, histogram: DurationHistogram) -> Iterator[str]:
-    name = f'{series.name}_seconds'
-    labels = (('workspace', series.workspace), ('rank', series.rank))
+def render_histogram(
+    name: str, labels: Labels, histogram: DurationHistogram
+) -> str:
+    """Return quantiles and count of one histogram as text of Prometheus."""
+    return '\n'.join(_lines(f'{name}_seconds', tuple(labels), histogram))
+
+
+def _lines(
+    name: str, labels: Labels, histogram: DurationHistogram
+) -> Iterator[str]:
     bounds_s = histogram.quantiles_s(_QUANTILES)
     for quantile, bound_s in zip(_QUANTILES, bounds_s, strict=True):
         yield _line(name, (*labels, ('quantile', str(quantile))), bound_s)
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -33,6 +33,11 @@
     first_event_s,
     group_busy_s,
 )
+from cowslipstep.routing._late_parts import (
+    LatePart,
+    ResponseTimes,
+    late_part,
+)
 from cowslipstep.routing._limits import workspace_policies
 from cowslipstep.routing._overload import BEST_EFFORT_URGENCY, admit_request
 from cowslipstep.routing._owner_history import OwnerHistory
