--- a/libs/fleet/tests/test_group_commands.py
+++ b/libs/fleet/tests/test_group_commands.py
@@ -4,7 +4,7 @@
 
 import random
 
-from _fleet_replay import FleetReplay
+from _fleet_cases import crash, small_fleet
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -29,7 +29,7 @@
         super().__init__()
         self._rng = random.Random(0)
         self._fault_share: float = 0
-        self._replay = FleetReplay(
+        self._replay = small_fleet(
             DOMAINS,
             SIZE,
             {'pair': 2, 'quad': 1},
@@ -52,7 +52,7 @@
     def crash(self, model: str, rank: int) -> None:
         """Remove a runner for good, if enough others are left."""
         if len(self._replay.runners.alive) > SIZE:
-            self._replay.crash(model, rank)
+            crash(self._replay, model, rank)
 
     @rule(pair=st.floats(0, 5), quad=st.floats(0, 4))
     def shift_demand(self, pair: float, quad: float) -> None:
--- /dev/null
+++ b/libs/fleet/tests/test_lost_runners.py
@@ -0,0 +1,61 @@
+"""Replays of runners that are lost while requests need all of them."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+import pytest
+from _engine_cases import engine_of
+from _fleet_cases import small_fleet
+
+from cowslipstep.fleet import LeaveGroup, ModelProfile
+from cowslipstep.fleet.replay import LossCase, replay_losses
+
+OCTET = ModelProfile('octet', group_size=8, load_s=16, staged_load_s=1.6)
+PAIR = ModelProfile('pair', group_size=2, load_s=12, staged_load_s=1.1)
+ENGINE = engine_of(OCTET, PAIR, loads_per_s=18, loads_at_once=27)
+# Together they keep 234 runners busy; there are 216.
+DEMAND = MappingProxyType({'octet': 14.5, 'pair': 59})
+# Least part of an even division that each model has to get.
+MIN_PART = 0.8
+PROBE_S = 0.5
+CUT_S = 5
+
+
+# Survivors of large groups ended in small ones, and no group led back: the
+# large model found groups for a third of its demand, the small one for all.
+@pytest.mark.parametrize('seed', range(3))
+def test_each_model_keeps_its_part_of_the_runners(seed: int) -> None:
+    figures = replay_losses(LossCase(DEMAND, seed=seed), ENGINE)
+    assert figures.lowest_share >= MIN_PART * figures.even_share
+    assert not figures.rule_violations
+
+
+# Its entry was gone, and no probe of it had ended yet; the group was ended.
+def test_group_outlives_a_cut_from_the_store() -> None:
+    replay = small_fleet(domains=3, size=10, demand={'pair': 6, 'quad': 2.6})
+    replay.probe_s = PROBE_S
+    replay.run_until(8)
+    members = [
+        runner.name
+        for runner in replay.runners.alive.values()
+        if runner.group_position and runner.group_position.rank
+    ]
+    for name in members[::3]:
+        replay.cut_off(name, replay.now_s + CUT_S)
+    replay.run_until(replay.now_s + 2 * CUT_S)
+    assert LeaveGroup not in set(map(type, replay.decisions))
+
+
+def test_group_ends_once_a_probe_is_missed() -> None:
+    replay = small_fleet(domains=1, size=6, demand={'pair': 1, 'quad': 1})
+    replay.probe_s = PROBE_S
+    replay.run_until(8)
+    lost = next(
+        runner
+        for runner in replay.runners.alive.values()
+        if runner.group_position and runner.group_position.rank
+    )
+    replay.runners.alive.pop(lost.name)
+    replay.run_until(replay.now_s + PROBE_S + 1)
+    assert lost.group_id not in replay.runners.leaders()
--- a/libs/fleet/tests/test_reallocations.py
+++ b/libs/fleet/tests/test_reallocations.py
@@ -5,9 +5,10 @@
 from types import MappingProxyType
 
 import pytest
-from _fleet_replay import CLOSE_S, STEP_S, FleetReplay, runner_of
+from _fleet_cases import crash, loaded_runner, small_fleet
 
 from cowslipstep.fleet import CloseGroup, FormGroup, OpenGroup
+from cowslipstep.fleet.replay import CLOSE_S, STEP_S, FleetReplay
 
 # Largest demand per group with which requests do not wait long.
 MAX_UTILIZATION = 1
@@ -18,7 +19,7 @@
 
 
 def start(domains: int = 3, size: int = 10, **demand: float) -> FleetReplay:
-    replay = FleetReplay(domains, size, demand or DEMAND)
+    replay = small_fleet(domains, size, demand or DEMAND)
     replay.run_until(8)
     return replay
 
@@ -26,7 +27,7 @@
 def test_broken_large_groups_are_replaced():
     replay = start()
     for crash_s in (10, 14, 18):
-        replay.crash('quad')
+        crash(replay, 'quad')
         replay.run_until(crash_s + 4)
     replay.run_until(30)
     assert max(replay.utilization().values()) < MAX_UTILIZATION
@@ -44,7 +45,7 @@
 
 def test_groups_stay_while_no_model_is_busy():
     replay = start(pair=3, quad=1)
-    replay.crash('quad')
+    crash(replay, 'quad')
     replay.run_until(30)
     assert not closed(replay)
 
@@ -57,7 +58,7 @@
 
 def test_reallocation_ends_when_a_member_is_lost():
     replay = start()
-    replay.crash('quad')
+    crash(replay, 'quad')
     while not closed(replay) and replay.now_s < REALLOCATED_BY_S:
         replay.run_until(replay.now_s + STEP_S)
     domain = closed(replay)[0].leader.fabric_domain
@@ -70,7 +71,7 @@
 
 def test_no_group_ends_while_all_are_needed():
     replay = start(pair=24, quad=9)
-    replay.crash('quad')
+    crash(replay, 'quad')
     replay.run_until(30)
     assert not closed(replay)
 
@@ -78,7 +79,7 @@
 @pytest.mark.parametrize('late_s', [0.1, 0.3, 0.5])
 def test_late_command_to_open_breaks_no_rule(late_s):
     replay = start()
-    replay.crash('quad')
+    crash(replay, 'quad')
     while not closed(replay) and replay.now_s < REALLOCATED_BY_S:
         replay.run_until(replay.now_s + STEP_S)
     ended = closed(replay)[0]
@@ -93,7 +94,7 @@
 def test_members_of_a_group_are_of_one_domain(domains):
     replay = start(domains, pair=2 * domains, quad=domains)
     for _ in range(domains):
-        replay.crash('quad')
+        crash(replay, 'quad')
         replay.run_until(replay.now_s + 3)
     formed = [
         decision
@@ -129,8 +130,8 @@
     before = serving(replay)
     for number in range(2 * CRASHES):
         if number < CRASHES:
-            replay.crash('quad')
-        added = runner_of(100 + number, 100 + number)
+            crash(replay, 'quad')
+        added = loaded_runner(100 + number, 100 + number)
         replay.runners.alive[added.name] = added
         replay.run_until(replay.now_s + 1)
     # Of the three runners left of each group of four, two serve in a new group.
