Keep a group until a probe of its member without an entry has ended

Cause: the planner kept a group whose members without an entry answer, and took every other member without an entry for a lost one. A member whose entry has just lapsed has not been probed yet, so the leader was commanded to leave 0.1 s later; members of a leader without an entry were commanded to leave while it served. What is not known yet counted as lost.

Now the view tells three cases apart: runners that answer, runners that missed a probe (without an entry one missed probe is enough), and others; in the third case the group stays as it is. A dead member is found 0.3 s later than before.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -15,8 +15,9 @@
 from cowslipstep.serving._runner_probes import PROBE_PERIOD_S, RunnerProbes
 from cowslipstep.serving._state import ServingState
 
-# One lost packet must not make a runner unreachable.
-_MISSES_UNTIL_UNREACHABLE = 2
+# One lost packet must not make a registered runner unreachable, so it has to
+# miss one probe more than a runner whose entry has lapsed.
+_MISSES_WITHOUT_ENTRY = 1
 
 
 class Reachability:
@@ -44,12 +45,12 @@
 
     @property
     def unreachable(self) -> frozenset[str]:
-        """Registered runners that missed several consecutive probes."""
+        """Runners that missed consecutive probes, registered or not."""
         runners = self._state.runner_table.runners
         return frozenset(
             name
             for name, misses in self._probes.consecutive_misses.items()
-            if name in runners and misses >= _MISSES_UNTIL_UNREACHABLE
+            if misses >= _MISSES_WITHOUT_ENTRY + (name in runners)
         )
 
     def reachable_unregistered(self) -> frozenset[str]:
--- a/libs/fleet/src/cowslipstep/fleet/_assess_group.py
+++ b/libs/fleet/src/cowslipstep/fleet/_assess_group.py
@@ -81,7 +81,8 @@
         # The leader is registered without this group: it left or restarted.
         return _MEMBERS_FREE
     if leader.name not in view.reachable_unregistered:
-        return _release_members(reported_group)
+        # It may serve on: nothing is known until a probe of it has ended.
+        return _MEMBERS_KEPT
     if leaderless_s < _LEADERLESS_DRAIN_S:
         return GroupAssessment.keep_members(CloseGroup(key, leader))
     return GroupAssessment.keep_members(LeaveGroup(key, leader))
@@ -110,10 +111,7 @@
     reported_group: ReportedGroup,
     leader: DiscoveredRunner,
 ) -> GroupAssessment:
-    if not (
-        _is_complete(view, reported_group)
-        or _missing_members_answer(view, reported_group)
-    ):
+    if _has_lost_members(view, reported_group):
         return GroupAssessment.keep_members(
             LeaveGroup(reported_group.key, leader)
         )
@@ -127,23 +125,24 @@
     return _MEMBERS_KEPT
 
 
-def _missing_members_answer(
-    view: FleetView, reported_group: ReportedGroup
-) -> bool:
-    """Return whether all members without a registration still answer.
+def _has_lost_members(view: FleetView, reported_group: ReportedGroup) -> bool:
+    """Return whether the leader can make no progress any more.
 
-    Such a group keeps serving. If one of these members did not answer, the
-    leader could make no progress any more.
+    A group serves on while all members without a registration answer. Until a
+    probe of them has ended nothing is known, and the group stays as it is.
     """
+    if _is_complete(view, reported_group):
+        return False
     members = view.known_members.get(reported_group.key, {})
     missing_names = [
         member.name
         for rank, member in members.items()
         if rank not in reported_group.members
     ]
-    return bool(missing_names) and view.reachable_unregistered.issuperset(
-        missing_names
-    )
+    if not missing_names:
+        return True
+    has_left = view.runners.keys() & missing_names
+    return bool(has_left) or not view.lost_runners.isdisjoint(missing_names)
 
 
 def _release_members(reported_group: ReportedGroup) -> GroupAssessment:
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -26,7 +26,9 @@
     demand
         Number of groups that the requests keep busy, by model.
     lost_runners
-        Names of registered runners that missed several probes in a row.
+        Names of runners that missed probes, registered ones or members of
+        groups that are no longer registered. A runner without an entry that
+        has not been probed yet is neither here nor among the reachable ones.
     known_members
         Members of each group by rank, also those that are no longer registered.
     reachable_unregistered
