Reallocate groups by what it is worth, several at a time

Cause: a reallocation had to lower the demand a group by 15 in 100, which one group more of six or more never does, however busy they are; one ran at a time, and none for 3 s after it. Class: a threshold relative to a size that grows.

One may run in each fabric domain, as long as a tenth of a model's groups end at most. Limits on donor and recipient stay.

--- /dev/null
+++ b/bench/bench_fleet.py
@@ -0,0 +1,106 @@
+"""Groups of two models while runners are lost: the decision and the former."""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Callable, Iterator
+from types import MappingProxyType
+
+from _figures import Figure
+
+from cowslipstep.fleet import (
+    EngineProfile,
+    Epochs,
+    FleetPlanner,
+    ModelProfile,
+)
+from cowslipstep.fleet.replay import (
+    FormerReallocations,
+    LossCase,
+    LossFigures,
+    replay_losses,
+)
+
+Measure = Callable[[LossFigures], float]
+_SERVICE = 'drafting'
+_SEEDS = 6
+# Least part of an even division of the runners that each model has to get.
+_MIN_PART = 0.8
+_OCTET_TIMES = MappingProxyType({'load_s': 16, 'staged_load_s': 1.6})
+_PAIR_TIMES = MappingProxyType({'load_s': 12, 'staged_load_s': 1.1})
+_OCTET = ModelProfile('octet', 8, **_OCTET_TIMES)
+_PAIR = ModelProfile('pair', 2, **_PAIR_TIMES)
+_DEMAND = MappingProxyType({_OCTET.name: 14.5, _PAIR.name: 59})
+_ENGINE_LIMITS = MappingProxyType(
+    {
+        'slots': 8,
+        'step_s': 0.0078,
+        'sequence_step_s': 0.00018,
+        'prefill_tokens_per_s': 45900,
+        'stride': 6,
+        'loads_per_s': 18,
+        'loads_at_once': 27,
+        'usual_output_tokens': 150,
+    }
+)
+_ENGINE = EngineProfile(models=(_OCTET, _PAIR), **_ENGINE_LIMITS)
+
+
+def figures() -> Iterator[Figure]:
+    """Yield means over several seeds, and those of the former decision."""
+    replays = _replays(lambda epochs: FleetPlanner(_SERVICE, epochs))
+    former = _replays(
+        lambda epochs: FleetPlanner(
+            _SERVICE, epochs, FormerReallocations().start
+        )
+    )
+    for name, unit, measure in _measures():
+        yield Figure(
+            f'fleet.{name}',
+            _mean(replays, measure),
+            unit,
+            baseline=_mean(former, measure),
+        )
+    yield Figure(
+        'fleet.part_of_even_division',
+        _mean(replays, _part),
+        'share',
+        _MIN_PART,
+        _mean(former, _part),
+        at_least=True,
+    )
+
+
+def _measures() -> Iterator[tuple[str, str, Measure]]:
+    for model in _DEMAND:
+        yield f'served_share.{model}', 'share', _served_share(model)
+        yield f'serving_groups.{model}', 'groups', _serving_groups(model)
+    for counted in ('closed', 'loads', 'lost'):
+        yield counted, 'count', operator.attrgetter(counted)
+
+
+def _replays(
+    new_planner: Callable[[Epochs], FleetPlanner],
+) -> list[LossFigures]:
+    return [
+        replay_losses(LossCase(_DEMAND, seed=seed), _ENGINE, new_planner)
+        for seed in range(_SEEDS)
+    ]
+
+
+def _mean(replays: list[LossFigures], measure: Measure) -> float:
+    return sum(map(measure, replays)) / len(replays)
+
+
+def _part(replay: LossFigures) -> float:
+    return replay.lowest_share / replay.even_share
+
+
+def _served_share(model: str) -> Measure:
+    return lambda replay: replay.served_share[model]
+
+
+def _serving_groups(model: str) -> Measure:
+    return lambda replay: (
+        sum(serving[model] for serving in replay.serving) / len(replay.serving)
+    )
--- a/libs/fleet/src/cowslipstep/fleet/_planner.py
+++ b/libs/fleet/src/cowslipstep/fleet/_planner.py
@@ -12,7 +12,12 @@
 from cowslipstep.fleet._epochs import Epochs
 from cowslipstep.fleet._group_choice import ChosenGroup, GroupChoice
 from cowslipstep.fleet._pending_groups import PendingGroups
-from cowslipstep.fleet._reallocations import Reallocations
+from cowslipstep.fleet._reallocations import (
+    StartReallocations,
+    ending_decisions,
+    groups_to_form,
+    start_reallocations,
+)
 from cowslipstep.fleet._registration_tracker import RegistrationTracker
 from cowslipstep.fleet._repeat_limiter import RepeatLimiter
 from cowslipstep.fleet._reported_groups import (
@@ -20,6 +25,10 @@
     reported_groups,
 )
 from cowslipstep.fleet._runners import GroupId, MemberState
+from cowslipstep.fleet._running_reallocations import (
+    RunningReallocations,
+    planned_changes,
+)
 from cowslipstep.fleet._staging import stage_models
 from cowslipstep.fleet._weight_load_limiter import WeightLoadLimiter
 
@@ -37,16 +46,24 @@
         The service.
     epochs
         Numbers of groups; planners of other services take theirs from it, too.
+    start
+        Starts reallocations, see ``start_reallocations``.
     """
 
-    def __init__(self, service: str, epochs: Epochs) -> None:
+    def __init__(
+        self,
+        service: str,
+        epochs: Epochs,
+        start: StartReallocations = start_reallocations,
+    ) -> None:
         self._service = service
         self._epochs = epochs
         self._pending_groups = PendingGroups()
         self._leaderless_since_s: dict[GroupId, float] = {}
         self._repeat_limiter = RepeatLimiter()
         self._load_limiter = WeightLoadLimiter()
-        self._reallocations = Reallocations()
+        self._reallocations = RunningReallocations()
+        self._start_reallocations = start
         self._registration_tracker = RegistrationTracker()
 
     def decide(self, view: FleetView) -> list[FleetDecision]:
@@ -121,12 +138,11 @@
             self._pending_groups.models(view.now_s + _NEARLY_READY_S)
         )
         counts.update(_serving_models(reported))
-        yield from self._reallocations.ending_decisions(
-            view, reported, claimed, counts
-        )
-        claimed.update(self._reallocations.claimed)
-        chosen = self._reallocations.next_group(view, reported)
-        if chosen is not None:
+        running = self._reallocations
+        self._start_reallocations(running, view, reported, claimed, counts)
+        yield from ending_decisions(running, reported)
+        claimed.update(running.claimed)
+        for chosen in groups_to_form(running, view, reported):
             yield self._start_group(view, chosen)
 
     def _form_groups(
@@ -137,6 +153,7 @@
     ) -> Iterator[FormGroup]:
         counts = Counter(self._pending_groups.models())
         counts.update(_serving_models(reported))
+        counts.update(planned_changes(self._reallocations, reported))
         choice = GroupChoice(view, self._load_limiter, claimed, counts)
         chosen = choice.next_group()
         while chosen is not None:
--- a/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
@@ -40,6 +40,10 @@
         Leader of each group that ends.
     groups_gained
         Number of groups of the model that the released runners can form.
+    forgone_groups
+        Number of groups of the donor that the free runners could form.
+    left_over_groups
+        Number of groups of the donor that the remaining runners can form.
     fails_at_s
         Clock reading from which the reallocation counts as failed, seconds.
     formed
@@ -50,9 +54,16 @@
     members: tuple[DiscoveredRunner, ...]
     ending_leaders: Mapping[GroupId, DiscoveredRunner]
     groups_gained: int
+    forgone_groups: int
+    left_over_groups: int
     fails_at_s: float
     formed: bool = False
 
+    @property
+    def fabric_domain(self) -> str:
+        """Fabric domain of its members."""
+        return self.members[0].fabric_domain
+
     @property
     def member_names(self) -> frozenset[str]:
         """Names of the members of the new group."""
@@ -78,6 +89,8 @@
         Groups as their members report them.
     claimed
         Names of runners that are not free.
+    excluded_domains
+        Fabric domains in which no groups may end now.
     """
 
     def __init__(
@@ -85,10 +98,12 @@
         view: FleetView,
         reported: ReportedGroups,
         claimed: Collection[str],
+        excluded_domains: Collection[str] = (),
     ) -> None:
         self._view = view
         self._reported = reported
         self._claimed = claimed
+        self._excluded_domains = excluded_domains
 
     def between(
         self,
@@ -113,7 +128,9 @@
                 (recipient.group_size - len(free)) / donor.group_size,
             )
             if 0 < ending_count <= len(groups):
-                yield self._reallocation(recipient, free, groups[:ending_count])
+                yield self._reallocation(
+                    recipient, donor, free, groups[:ending_count]
+                )
 
     def _groups_that_may_end(
         self,
@@ -127,11 +144,14 @@
                 groups_by_domain[
                     reported_group.members[0].fabric_domain
                 ].append(reported_group)
+        for domain in self._excluded_domains:
+            groups_by_domain.pop(domain, None)
         return groups_by_domain
 
     def _reallocation(
         self,
         recipient: ModelProfile,
+        donor: ModelProfile,
         free: list[DiscoveredRunner],
         groups: list[ReportedGroup],
     ) -> Reallocation:
@@ -144,6 +164,8 @@
             members[: recipient.group_size],
             {group.key: group.members[0] for group in groups},
             len(members) // recipient.group_size,
+            len(free) // donor.group_size,
+            len(members) % recipient.group_size // donor.group_size,
             self._view.now_s + _CLOSE_TIMEOUT_S,
         )
 
--- a/libs/fleet/src/cowslipstep/fleet/_reallocation_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reallocation_choice.py
@@ -1,8 +1,7 @@
-"""Choice of the reallocation that relieves the busiest model most."""
+"""Choice of the reallocation that shortens the waiting of requests most."""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator, Mapping
 
 from cowslipstep.fleet._decisions import FleetView
@@ -15,18 +14,31 @@
 # Groups are reallocated only to a model whose utilization, the number of groups
 # that its requests keep busy for each group it has, is at least this.
 _MIN_UTILIZATION_TO_REALLOCATE = 0.6
-# After a reallocation the higher utilization of the two models has to be less
-# than this part of the recipient's utilization before.
-_MAX_UTILIZATION_FACTOR_AFTER = 0.85
 # A donor's utilization after the reallocation has to be less than this: groups
 # that close serve no requests for seconds, which costs most where all groups
 # are needed. Demand counts requests at their full length, so groups can carry a
 # utilization above 1.
 _MAX_DONOR_UTILIZATION = 1.3
+# Time in which neither the groups that end nor the new one serve requests.
+_CHANGE_S = 3.5
+# A reallocation has to make up for that time within this one: groups lose
+# members and demand changes.
+_HORIZON_S = 5
+# Stands for no group at all, so that the load of a group stays finite.
+_FEWEST_GROUPS = 0.5
 
 
 class ReallocationChoice:
-    """Finds the reallocation that relieves the busiest model most.
+    """Finds the reallocation that is worth most.
+
+    Explanation
+    -----------
+    The load of a model is the number of runners that its requests keep busy,
+    multiplied by its utilization: the longer requests wait, the more of them
+    wait. Over all models it is least where all have the same utilization. A
+    reallocation is worth what it lowers the load within the horizon, less
+    what the load is higher while groups end. What free runners could serve
+    instead at once is part of the price.
 
     Parameters
     ----------
@@ -57,47 +69,50 @@
         recipient = max(models, key=self._utilization, default=None)
         if recipient is None or not self._view.registrations_settled:
             return None
-        utilization = self._utilization(recipient)
-        if utilization < _MIN_UTILIZATION_TO_REALLOCATE:
+        if self._utilization(recipient) < _MIN_UTILIZATION_TO_REALLOCATE:
             return None
-        utilization_after, reallocation = min(
+        worth, reallocation = max(
             self._rated_reallocations(recipient),
-            key=lambda rating: (rating[0], len(rating[1].ending_leaders)),
-            default=(math.inf, None),
-        )
-        return (
-            reallocation
-            if utilization_after < _MAX_UTILIZATION_FACTOR_AFTER * utilization
-            else None
+            key=lambda rating: (rating[0], -len(rating[1].ending_leaders)),
+            default=(0, None),
         )
+        return reallocation if worth > 0 else None
 
     def _rated_reallocations(
         self, recipient: ModelProfile
     ) -> Iterator[tuple[float, Reallocation]]:
-        """Yield the higher utilization of both models after each reallocation.
-
-        It comes in a pair with the reallocation.
-        """
+        """Yield what each reallocation is worth, and the reallocation."""
         for donor in self._view.engine.models:
             if donor is recipient:
                 continue
             for reallocation in self._possible.between(recipient, donor):
-                donor_utilization = self._utilization(
-                    donor, -len(reallocation.ending_leaders)
-                )
-                if donor_utilization < _MAX_DONOR_UTILIZATION:
-                    recipient_utilization = self._utilization(
-                        recipient, reallocation.groups_gained
-                    )
-                    yield (
-                        max(donor_utilization, recipient_utilization),
-                        reallocation,
-                    )
+                ending = len(reallocation.ending_leaders)
+                if self._utilization(donor, -ending) < _MAX_DONOR_UTILIZATION:
+                    yield self._worth(donor, reallocation), reallocation
+
+    def _worth(self, donor: ModelProfile, reallocation: Reallocation) -> float:
+        ending = len(reallocation.ending_leaders)
+        recipient = reallocation.model
+        unchanged = self._load(recipient) + self._load(
+            donor, reallocation.forgone_groups
+        )
+        meanwhile = self._load(recipient) + self._load(donor, -ending)
+        changed = self._load(
+            recipient, reallocation.groups_gained
+        ) + self._load(donor, reallocation.left_over_groups - ending)
+        return _HORIZON_S * (unchanged - changed) - _CHANGE_S * (
+            meanwhile - unchanged
+        )
+
+    def _load(self, model: ModelProfile, groups_added: int = 0) -> float:
+        demand = self._view.demand.get(model.name, 0)
+        return (
+            demand * model.group_size * self._utilization(model, groups_added)
+        )
 
     def _utilization(self, model: ModelProfile, groups_added: int = 0) -> float:
-        """Return the demand for a model per group, infinite without a group."""
+        """Return the demand for a model per group."""
         groups = self._counts.get(model.name, 0) + groups_added
-        demand = self._view.demand.get(model.name, 0)
-        if groups > 0:
-            return demand / groups
-        return math.inf if demand else 0
+        return self._view.demand.get(model.name, 0) / max(
+            groups, _FEWEST_GROUPS
+        )
--- a/libs/fleet/src/cowslipstep/fleet/_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reallocations.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Mapping
+from collections import Counter
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from attrs import evolve
 
@@ -19,101 +20,97 @@
     ReportedGroups,
 )
 from cowslipstep.fleet._reallocation_choice import ReallocationChoice
-from cowslipstep.fleet._reported_groups import ReportedGroup
-from cowslipstep.fleet._runners import GroupId, MemberState
+from cowslipstep.fleet._runners import MemberState
+from cowslipstep.fleet._running_reallocations import (
+    RunningReallocations,
+    leader_state,
+    planned_changes,
+)
 
+StartReallocations = Callable[
+    [
+        RunningReallocations,
+        FleetView,
+        ReportedGroups,
+        Collection[str],
+        Mapping[str, int],
+    ],
+    None,
+]
 # A reallocation fails if its runners have not moved to the new group within
 # this time.
 _JOIN_TIMEOUT_S = 4
-# No other reallocation is chosen for this time: the demand is smoothed and
-# shows the effect of a reallocation late.
-_PAUSE_AFTER_REALLOCATION_S = 3
-
-
-class Reallocations:
-    """Chooses reallocations and carries them out, one at a time."""
-
-    def __init__(self) -> None:
-        self._reallocation: Reallocation | None = None
-        self._paused_until_s: float = 0
-
-    def __contains__(self, key: GroupId) -> bool:
-        return (
-            self._reallocation is not None
-            and key in self._reallocation.ending_leaders
+# Groups of a model that may end at the same time, as a share of all; one
+# reallocation may always run.
+_MAX_ENDING_SHARE = 0.1
+
+
+def start_reallocations(
+    running: RunningReallocations,
+    view: FleetView,
+    reported: ReportedGroups,
+    claimed: Collection[str],
+    counts: Mapping[str, int],
+) -> None:
+    """Start the reallocations that are worth their cost.
+
+    Parameters
+    ----------
+    running
+        Reallocations that have begun; the chosen ones are added.
+    view
+        State of the fleet.
+    reported
+        Groups as their members report them.
+    claimed
+        Names of runners that are not free.
+    counts
+        Number of groups of each model that serve or will soon be ready,
+        without the changes of running reallocations.
+    """
+    while True:
+        changed = Counter(counts)
+        changed.update(planned_changes(running, reported))
+        possible = PossibleReallocations(
+            view,
+            reported,
+            running.claimed.union(claimed),
+            running.excluded_domains(view.now_s),
         )
+        chosen = ReallocationChoice(view, changed, possible).best()
+        if chosen is None or not _may_start(chosen, running, counts, reported):
+            return
+        running.put(chosen)
 
-    @property
-    def claimed(self) -> frozenset[str]:
-        """Names of the members of the new group; empty without one."""
-        return (
-            self._reallocation.member_names
-            if self._reallocation
-            else frozenset()
-        )
 
-    def drop_ended(self, view: FleetView, reported: ReportedGroups) -> None:
-        """Drop the reallocation once it is complete or has failed."""
-        reallocation = self._reallocation
-        if reallocation is None:
-            return
-        answering_names = frozenset(runner.name for runner in view.answering)
-        failed = (
-            reallocation.fails_at_s <= view.now_s
-            or reallocation.required_names - answering_names
-        )
-        if failed or (
-            reallocation.formed and _members_have_moved(reallocation, reported)
-        ):
-            self._reallocation = None
-            self._paused_until_s = view.now_s + _PAUSE_AFTER_REALLOCATION_S
-
-    def ending_decisions(
-        self,
-        view: FleetView,
-        reported: ReportedGroups,
-        claimed: Collection[str],
-        counts: Mapping[str, int],
-    ) -> Iterator[CloseGroup | LeaveGroup]:
-        """Yield decisions that end groups; choose a reallocation if none runs.
-
-        A leader that has closed is also commanded to leave its group, since a
-        command to open it may still be in flight.
-        """
-        if self._reallocation is None and view.now_s >= self._paused_until_s:
-            possible = PossibleReallocations(view, reported, claimed)
-            self._reallocation = ReallocationChoice(
-                view, counts, possible
-            ).best()
-        if self._reallocation is None or self._reallocation.formed:
-            return
-        for key, leader in self._reallocation.ending_leaders.items():
-            match _leader_state(reported.get(key)):
+def ending_decisions(
+    running: RunningReallocations, reported: ReportedGroups
+) -> Iterator[CloseGroup | LeaveGroup]:
+    """Yield decisions that end groups.
+
+    A leader that has closed is also commanded to leave its group, since a
+    command to open it may still be in flight.
+    """
+    for reallocation in running.unformed:
+        for key, leader in reallocation.ending_leaders.items():
+            match leader_state(reported.get(key)):
                 case MemberState.open:
                     yield CloseGroup(key, leader)
                 case MemberState.ready:
                     yield LeaveGroup(key, leader)
 
-    def next_group(
-        self,
-        view: FleetView,
-        reported: ReportedGroups,
-    ) -> ChosenGroup | None:
-        """Return the new group once all ending groups have ended.
-
-        Returns ``None`` before that, or without a reallocation.
-        """
-        reallocation = self._reallocation
-        if reallocation is None or reallocation.formed:
-            return None
+
+def groups_to_form(
+    running: RunningReallocations, view: FleetView, reported: ReportedGroups
+) -> Iterator[ChosenGroup]:
+    """Yield the new groups of which all ending groups have ended."""
+    for reallocation in running.unformed:
         not_departed = reallocation.ending_leaders.keys() - view.departed
-        if any(map(_leader_state, map(reported.get, not_departed))):
-            return None
+        if any(map(leader_state, map(reported.get, not_departed))):
+            continue
         fails_at_s = view.now_s + _JOIN_TIMEOUT_S
-        self._reallocation = evolve(
-            reallocation, formed=True, fails_at_s=fails_at_s
-        )
-        return ChosenGroup(
+        running.put(evolve(reallocation, formed=True, fails_at_s=fails_at_s))
+        yield ChosenGroup(
             reallocation.model,
             reallocation.members,
             loading=(),
@@ -121,19 +118,16 @@
         )
 
 
-def _leader_state(reported_group: ReportedGroup | None) -> MemberState | None:
-    """Return the leader's state in the group; ``None`` if it has left."""
-    return reported_group.leader_state if reported_group else None
-
-
-def _members_have_moved(
-    reallocation: Reallocation, reported: ReportedGroups
+def _may_start(
+    chosen: Reallocation,
+    running: RunningReallocations,
+    counts: Mapping[str, int],
+    reported: ReportedGroups,
 ) -> bool:
-    """Return whether no member of the new group reports its former group."""
-    former_groups = (
-        reported[key] for key in reallocation.ending_leaders if key in reported
-    )
-    return not any(
-        reallocation.member_names & group.member_names
-        for group in former_groups
+    """Return whether few enough groups of the donor end already."""
+    donor = reported[next(iter(chosen.ending_leaders))].model
+    ending = sum(
+        len(reallocation.ending_leaders) for reallocation in running.unformed
     )
+    total = ending + len(chosen.ending_leaders)
+    return not ending or total <= _MAX_ENDING_SHARE * counts.get(donor, 0)
--- a/libs/fleet/src/cowslipstep/fleet/replay/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/__init__.py
@@ -6,6 +6,9 @@
 """
 
 from cowslipstep.fleet.replay._fleet_replay import STEP_S, FleetReplay
+from cowslipstep.fleet.replay._former_reallocations import (
+    FormerReallocations,
+)
 from cowslipstep.fleet.replay._losses import (
     ControllerLost,
     LossCase,
--- a/libs/fleet/src/cowslipstep/fleet/replay/_loss_figures.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_loss_figures.py
@@ -78,8 +78,7 @@
             )
         )
         with_weights = sum(
-            bool(runner.loaded_models or runner.staged_models)
-            for runner in runners.alive.values()
+            bool(runner.staged_models) for runner in runners.alive.values()
         )
         demanded = sum(
             model.group_size * self.demand[model.name]
--- a/libs/fleet/src/cowslipstep/fleet/replay/_simulated_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_simulated_runners.py
@@ -192,10 +192,17 @@
             MemberState.joining,
         )
         ready_after_s = self._join_s(runner, decision.model)
+        if decision.model not in (
+            *runner.loaded_models,
+            *runner.staged_models,
+        ):
+            ready_at_s = command.at_s + ready_after_s
+            self._loads.append(
+                EndOfLoad(ready_at_s, runner.name, decision.model)
+            )
         self.alive[runner.name] = evolve(
             runner,
             loaded_models=(decision.model,),
-            staged_models=runner.staged_models or (decision.model,),
             group_position=group_position,
         )
         self._schedule_ready(
