Form no group of ready runners and ones that load for seconds

Runners that could serve at once stood idle: a group was formed of seven survivors and one host without weights, and all waited 16 s for its load. Single hosts without weights loaded none until there was a second one.

Once loads take their full time, a group is formed of runners that hold the weights or of ones that do not; a host without weights loads those of the model with the smallest groups while it is in no group.

--- a/libs/fleet/src/cowslipstep/fleet/_group_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_group_choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from attrs import field, frozen
 
@@ -73,8 +73,8 @@
 
     def _best_candidate(self, model: ModelProfile) -> ChosenGroup | None:
         candidates = [
-            self._candidate(model, runners)
-            for runners in self._free.values()
+            _candidate(model, runners)
+            for runners in self._alike_runners(model)
             if len(runners) >= model.group_size
         ]
         admitted = [
@@ -86,21 +86,24 @@
             admitted, key=lambda chosen: chosen.time_to_ready_s, default=None
         )
 
-    def _candidate(
-        self,
-        model: ModelProfile,
-        runners: list[DiscoveredRunner],
-    ) -> ChosenGroup:
-        ordered = sorted(
-            runners, key=lambda runner: time_to_ready_s(runner, model)
-        )
-        members = tuple(ordered[: model.group_size])
-        return ChosenGroup(
-            model,
-            members,
-            tuple(runner for runner in members if must_load(runner, model)),
-            max(time_to_ready_s(runner, model) for runner in members),
-        )
+    def _alike_runners(
+        self, model: ModelProfile
+    ) -> Iterator[list[DiscoveredRunner]]:
+        """Yield free runners of one domain that may form a group together.
+
+        Once loads take their full time, runners that hold the weights do not
+        wait for ones that have to load them.
+        """
+        for runners in self._free.values():
+            if not self._view.load_limits_apply:
+                yield runners
+                continue
+            for loading in (False, True):
+                yield [
+                    runner
+                    for runner in runners
+                    if must_load(runner, model) is loading
+                ]
 
     def _claim(self, chosen: ChosenGroup) -> None:
         names = {runner.name for runner in chosen.members}
@@ -109,3 +112,16 @@
             runner for runner in self._free[domain] if runner.name not in names
         ]
         self._priorities.add_group(chosen.model)
+
+
+def _candidate(
+    model: ModelProfile, runners: list[DiscoveredRunner]
+) -> ChosenGroup:
+    ordered = sorted(runners, key=lambda runner: time_to_ready_s(runner, model))
+    members = tuple(ordered[: model.group_size])
+    return ChosenGroup(
+        model,
+        members,
+        tuple(runner for runner in members if must_load(runner, model)),
+        max(time_to_ready_s(runner, model) for runner in members),
+    )
--- a/libs/fleet/src/cowslipstep/fleet/_staging.py
+++ b/libs/fleet/src/cowslipstep/fleet/_staging.py
@@ -30,13 +30,15 @@
 
 def _missing_model(view: FleetView, runner: DiscoveredRunner) -> str:
     """Return a model that the host lacks; empty if none may be loaded now."""
-    if runner.draining or not runner.loaded_models or _is_joining(runner):
+    if runner.draining or _is_joining(runner):
         return ''
     held = {*runner.loaded_models, *runner.staged_models}
-    missing_names = (
-        model.name for model in view.engine.models if model.name not in held
-    )
-    return next(missing_names, '')
+    missing = (model for model in view.engine.models if model.name not in held)
+    # A host without weights is soonest of use in the smallest group.
+    smallest_first = sorted(missing, key=lambda model: model.group_size)
+    if not smallest_first or (not held and not view.load_limits_apply):
+        return ''
+    return smallest_first[0].name
 
 
 def _is_joining(runner: DiscoveredRunner) -> bool:
