Let answers go before summaries that a key raises to their rank

The rank goes first, as before. Among requests of a rank, those of a route that has the rank itself go before those that only their key raises to it.

test_answers_go_before_raised_summaries fails with one level a rank.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -28,6 +28,7 @@
     UsualRequests,
     admit_request,
     group_busy_s,
+    urgency_level,
 )
 from cowslipstep.serving._candidates import Candidates
 from cowslipstep.serving._delivery_state import (
@@ -40,9 +41,6 @@
 # time multiplied by the factor, plus the slack.
 _ATTEMPT_TIMEOUT_FACTOR = 2
 _ATTEMPT_TIMEOUT_SLACK_S = 0.4
-# Ranks above this share an urgency, so that all of them go before best-effort
-# requests.
-_MAX_RANK_URGENCY = 4
 # Retry-After of a request for which there is no upstream.
 _RETRY_AFTER_S = 0.5
 
@@ -189,7 +187,7 @@
 
 
 def _urgency(delivery: DeliveryState) -> int:
-    return min(_MAX_RANK_URGENCY, max(0, delivery.routed.rank))
+    return urgency_level(delivery.routed.rank, delivery.routed.route.rank)
 
 
 def _on_time(
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -54,6 +54,7 @@
 from cowslipstep.routing._report_differences import subtract_report
 from cowslipstep.routing._report_sums import sum_reports
 from cowslipstep.routing._routes import RoutedRequest, RouteTable
+from cowslipstep.routing._urgency import urgency_level
 from cowslipstep.routing._upstream_doubts import (
     doubted_upstreams,
     trusted_upstreams,
--- a/libs/routing/tests/test_overload.py
+++ b/libs/routing/tests/test_overload.py
@@ -6,7 +6,7 @@
 import random
 
 from _engine_cases import engine_of
-from attrs import define, field
+from attrs import define, evolve, field
 
 from cowslipstep.fleet import (
     DiscoveredRunner,
@@ -26,6 +26,7 @@
     UsualRequest,
     UsualRequests,
     admit_request,
+    urgency_level,
 )
 
 MODEL = ModelProfile('pair', group_size=2, time_factor=0.6)
@@ -33,6 +34,8 @@
 OBJECTIVE_S = 0.25
 DEMAND = RequestDemand(700, 0, OBJECTIVE_S, remaining_s=6)
 SLOT_HELD_S = 0.9
+ANSWER = urgency_level(rank=1, route_rank=1)
+SUMMARY = urgency_level(rank=1, route_rank=2)
 TIMES = ModelTimes(ENGINE, MODEL, UsualRequest(700, 150))
 
 
@@ -158,3 +161,25 @@
     assert short.output_tokens < ENGINE.usual_output_tokens / 3
     times = ModelTimes(ENGINE, MODEL, short)
     assert times.slot_interval_s < TIMES.slot_interval_s / 2
+
+
+# The key of a workspace gave its summaries the rank of its answers: both waited
+# in one line for the slots of a full group.
+def test_answers_go_before_raised_summaries() -> None:
+    assert isinstance(admit_behind_summaries(ANSWER), OnTime)
+    assert isinstance(admit_behind_summaries(SUMMARY), BestEffort)
+
+
+def admit_behind_summaries(urgency: int):
+    """Decide on a request where all slots are taken and summaries wait."""
+    waiting = (0, 0, 0, ENGINE.slots)
+    view = GroupView(
+        group(0), UpstreamLoad('leader', 2 * ENGINE.slots, waiting)
+    )
+    demand = evolve(DEMAND, urgency=urgency)
+    return admit_request([view], demand, TIMES, random.Random(1))
+
+
+def test_rank_goes_before_the_route() -> None:
+    raised_first = urgency_level(rank=0, route_rank=2)
+    assert raised_first < urgency_level(rank=1, route_rank=0)
