Place a request at the less loaded of two groups drawn at random

Callers of both models got late first events while groups had free slots.

Cause: below their slots groups differ by less than the random offset of the prediction, so any was taken, and requests waited for a slot at one group while others had several.

Two groups are drawn at random among those where the request begins in time, and the less loaded one is taken.

--- a/bench/bench_fleet.py
+++ b/bench/bench_fleet.py
@@ -4,16 +4,11 @@
 
 import operator
 from collections.abc import Callable, Iterator
-from types import MappingProxyType
 
 from _figures import Figure
+from _two_models import DEMAND, ENGINE
 
-from cowslipstep.fleet import (
-    EngineProfile,
-    Epochs,
-    FleetPlanner,
-    ModelProfile,
-)
+from cowslipstep.fleet import Epochs, FleetPlanner
 from cowslipstep.fleet.replay import (
     FormerReallocations,
     LossCase,
@@ -26,24 +21,6 @@
 _SEEDS = 6
 # Least part of an even division of the runners that each model has to get.
 _MIN_PART = 0.8
-_OCTET_TIMES = MappingProxyType({'load_s': 16, 'staged_load_s': 1.6})
-_PAIR_TIMES = MappingProxyType({'load_s': 12, 'staged_load_s': 1.1})
-_OCTET = ModelProfile('octet', 8, **_OCTET_TIMES)
-_PAIR = ModelProfile('pair', 2, **_PAIR_TIMES)
-_DEMAND = MappingProxyType({_OCTET.name: 14.5, _PAIR.name: 59})
-_ENGINE_LIMITS = MappingProxyType(
-    {
-        'slots': 8,
-        'step_s': 0.0078,
-        'sequence_step_s': 0.00018,
-        'prefill_tokens_per_s': 45900,
-        'stride': 6,
-        'loads_per_s': 18,
-        'loads_at_once': 27,
-        'usual_output_tokens': 150,
-    }
-)
-_ENGINE = EngineProfile(models=(_OCTET, _PAIR), **_ENGINE_LIMITS)
 
 
 def figures() -> Iterator[Figure]:
@@ -72,7 +49,7 @@
 
 
 def _measures() -> Iterator[tuple[str, str, Measure]]:
-    for model in _DEMAND:
+    for model in DEMAND:
         yield f'served_share.{model}', 'share', _served_share(model)
         yield f'serving_groups.{model}', 'groups', _serving_groups(model)
     for counted in ('closed', 'loads', 'lost'):
@@ -83,7 +60,7 @@
     new_planner: Callable[[Epochs], FleetPlanner],
 ) -> list[LossFigures]:
     return [
-        replay_losses(LossCase(_DEMAND, seed=seed), _ENGINE, new_planner)
+        replay_losses(LossCase(DEMAND, seed=seed), ENGINE, new_planner)
         for seed in range(_SEEDS)
     ]
 
--- a/libs/routing/src/cowslipstep/routing/_overload.py
+++ b/libs/routing/src/cowslipstep/routing/_overload.py
@@ -27,6 +27,11 @@
     ModelTimes,
     first_event_s,
 )
+from cowslipstep.routing._placement import (
+    ChooseGroup,
+    TimedGroup,
+    less_loaded_of_two,
+)
 
 # Best-effort requests that may wait at each group, as a share of its slots.
 # Each may take a slot from a request that arrives a moment later and could
@@ -38,9 +43,6 @@
 # Share of the objective that the predicted time may use; the rest allows for
 # the way back to the caller and for load reports that arrive late.
 _OBJECTIVE_SHARE = 0.9
-# Limit of a random offset of predicted times, so that daemons with the same
-# load reports choose different ones of equally loaded groups.
-_TIE_JITTER_S = 0.01
 _MIN_RETRY_S = 0.25
 _MAX_RETRY_S = 1.5
 # Random part of the retry delay, as a share of it, so that refused callers do
@@ -53,13 +55,27 @@
     demand: RequestDemand,
     times: ModelTimes,
     rng: random.Random,
+    choose: ChooseGroup = less_loaded_of_two,
 ) -> Admission | None:
     """Choose the group for a request, or refuse the request.
 
     Returns ``None`` if there is no group.
+
+    Parameters
+    ----------
+    views
+        The groups of the model.
+    demand
+        The request.
+    times
+        Times of the groups.
+    rng
+        Source of random choices.
+    choose
+        Chooses among the groups where the request begins in time.
     """
     timed = [
-        (
+        TimedGroup(
             first_event_s(view, demand.prompt_tokens, demand.urgency, times),
             view,
         )
@@ -67,30 +83,31 @@
     ]
     if not timed:
         return None
-    best_s, best = min(
-        timed,
-        key=lambda entry: entry[0] + rng.uniform(0, _TIE_JITTER_S),
-    )
-    if best_s <= demand.objective_s * _OBJECTIVE_SHARE:
-        return OnTime(best, best_s)
+    limit_s = demand.objective_s * _OBJECTIVE_SHARE
+    on_time = [entry for entry in timed if entry.expected_s <= limit_s]
+    if on_time:
+        chosen = choose(on_time, rng)
+        return OnTime(chosen.view, chosen.expected_s)
     fallback = _least_best_effort(timed, times.engine)
-    if fallback is not None and fallback[0] < demand.remaining_s:
-        return BestEffort(fallback[1], fallback[0])
-    return Overloaded(_retry_delay_s(best_s, rng))
+    if fallback is not None and fallback.expected_s < demand.remaining_s:
+        return BestEffort(fallback.view, fallback.expected_s)
+    return Overloaded(
+        _retry_delay_s(min(entry.expected_s for entry in timed), rng)
+    )
 
 
 def _least_best_effort(
-    timed: Iterable[tuple[float, GroupView]],
+    timed: Iterable[TimedGroup],
     engine: EngineProfile,
-) -> tuple[float, GroupView] | None:
+) -> TimedGroup | None:
     max_waiting = _BEST_EFFORT_SLOT_SHARE * engine.slots
     return min(
         (
             entry
             for entry in timed
-            if _best_effort_waiting(entry[1]) < max_waiting
+            if _best_effort_waiting(entry.view) < max_waiting
         ),
-        key=lambda entry: (_best_effort_waiting(entry[1]), entry[0]),
+        key=lambda entry: (_best_effort_waiting(entry.view), entry.expected_s),
         default=None,
     )
 
