Let no trailer without an end hold the product's own path

Operators of a similar system: a faulty runner sent bytes that were no response without an end, and the daemon that had called it kept them all. But on the product's own path a trailer without an end was read for ever: the HTTP parser discards it line by line within one call, the bytes are always there, so no other task ran and no timeout applied (the test was ended after 100 s).

The reader that limits what a socket receives moves to the daemon package, and both paths read by it.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_bounded_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_bounded_reader.py
@@ -6,7 +6,7 @@
 
 from eventlet.hubs import trampoline
 
-from cowslipstep.serving._read_limits import ReadLimits, Silence
+from cowslipstep.daemon._read_limits import ReadLimits, Silence
 from cowslipstep.tasks import TimeSlice
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_http_errors.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_http_errors.py
@@ -13,7 +13,7 @@
     UpstreamFailure,
 )
 from cowslipstep.model import MayHaveRun, Reason
-from cowslipstep.serving._bounded_reader import EndedEarly
+from cowslipstep.daemon._bounded_reader import EndedEarly
 
 
 @contextlib.contextmanager
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterator
 
-import urllib3
 from attrs import frozen
 
 from cowslipstep.daemon._part_limit import (
@@ -15,10 +14,10 @@
 from cowslipstep.daemon._run_state import RunState
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream import (
+    OpenCall,
     UpstreamCall,
     UpstreamFailure,
     open_call,
-    read_chunks,
 )
 from cowslipstep.model import MayHaveRun, Reason
 
@@ -81,13 +80,13 @@
 
 
 def _buffered(
-    response: urllib3.BaseHTTPResponse,
+    response: OpenCall,
     run: RunState,
     timeout_s: float,
 ) -> Iterator[ResponsePart]:
     limit = PartLimit(MAX_BODY_BYTES, timeout_s)
     body = bytearray()
-    for chunk in read_chunks(response):
+    for chunk in response.read_chunks():
         body += chunk
         limit.check(len(body))
     if run.response_begun:
@@ -96,25 +95,25 @@
             f'the upstream did not resume the stream: status {response.status}',
         )
     run.response_begun = True
-    yield ResponseHead(response.status, _content_type(response), len(body))
+    yield ResponseHead(response.status, response.content_type, len(body))
     yield bytes(body)
 
 
 def _events(
-    response: urllib3.BaseHTTPResponse,
+    response: OpenCall,
     run: RunState,
     timeout_s: float,
 ) -> Iterator[ResponsePart]:
     limit = PartLimit(MAX_EVENT_BYTES, timeout_s)
     check_resumption = bool(run.stream_progress.last_id)
-    for chunk in read_chunks(response):
+    for chunk in response.read_chunks():
         if check_resumption:
             _raise_if_restarted(run.stream_progress, chunk)
             check_resumption = False
         events = run.stream_progress.add_chunk(chunk)
         if events and not run.response_begun:
             run.response_begun = True
-            yield ResponseHead(response.status, _content_type(response))
+            yield ResponseHead(response.status, response.content_type)
         limit.check(run.stream_progress.partial_event_bytes)
         if events:
             yield events
@@ -127,7 +126,3 @@
             MayHaveRun(Reason.upstream_failed),
             'the upstream restarted the stream instead of resuming it',
         )
-
-
-def _content_type(response: urllib3.BaseHTTPResponse) -> str:
-    return response.headers.get('Content-Type', '')
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -4,20 +4,26 @@
 
 import contextlib
 from collections.abc import Iterator
+from typing import Any
 
 import urllib3
 from attrs import field, frozen
+from urllib3.connection import HTTPConnection
 
-from cowslipstep.daemon._time_limits import call_time_limit
+from cowslipstep.daemon._bounded_reader import BoundedReader
+from cowslipstep.daemon._http_errors import as_upstream_failure
 from cowslipstep.daemon._upstream_failures import (
     UpstreamFailure,
     raise_for_status,
 )
-from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
-from cowslipstep.tasks import TimeSlice
+from cowslipstep.model import Address, NotRun, Reason
 
 _CONNECT_TIMEOUT_S = 1
 _MAX_CHUNK_BYTES = 65536
+# Status line and headers together, informational responses included.
+_MAX_HEAD_BYTES = 131072
+# A chunk of a body with the framing around it.
+_MAX_RECEIVED_CHUNK_BYTES = 2 * _MAX_CHUNK_BYTES
 
 
 @frozen
@@ -36,8 +42,54 @@
     read_timeout_s: float = 30
 
 
+@frozen
+class OpenCall:
+    """A response whose body is read as it arrives.
+
+    Parameters
+    ----------
+    response
+        The response, after its head was read.
+    reader
+        Limits what is received for it.
+    read_timeout_s
+        Longest wait for each part of its body, seconds.
+    """
+
+    response: urllib3.BaseHTTPResponse
+    reader: BoundedReader
+    read_timeout_s: float
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.response.status
+
+    @property
+    def content_type(self) -> str:
+        """Content type; empty if there is none."""
+        return self.response.headers.get('Content-Type', '')
+
+    def read_chunks(self) -> Iterator[bytes]:
+        """Yield chunks of the body as they arrive; other tasks run in between.
+
+        Raises
+        ------
+        UpstreamFailure
+            If the connection is closed early, or a part does not end in time.
+        """
+        while chunk := self._read_chunk():
+            yield chunk
+
+    def _read_chunk(self) -> bytes:
+        self.reader.let_others_run()
+        with as_upstream_failure():
+            self.reader.limit(self.read_timeout_s, _MAX_RECEIVED_CHUNK_BYTES)
+            return self.response.read1(_MAX_CHUNK_BYTES)
+
+
 @contextlib.contextmanager
-def open_call(call: UpstreamCall) -> Iterator[urllib3.BaseHTTPResponse]:
+def open_call(call: UpstreamCall) -> Iterator[OpenCall]:
     """Send a call, yield its response before its body is read, and close.
 
     Each call has a connection of its own: on a kept one a faulty upstream may
@@ -48,69 +100,47 @@
     UpstreamFailure
         If there is no response, or its status is 500 or above.
     """
-    address = call.address
-    with (
-        urllib3.HTTPConnectionPool(address.ip, address.port) as connections,
-        contextlib.closing(_send(connections, call)) as response,
-    ):
-        raise_for_status(response, address)
-        yield response
+    connection = HTTPConnection(
+        call.address.ip, call.address.port, timeout=_CONNECT_TIMEOUT_S
+    )
+    with contextlib.closing(connection):
+        reader = _connect(connection, call)
+        response = _send(connection, reader, call)
+        raise_for_status(response, call.address)
+        yield OpenCall(response, reader, call.read_timeout_s)
+
+
+def _connect(connection: HTTPConnection, call: UpstreamCall) -> BoundedReader:
+    try:
+        connection.connect()
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise UpstreamFailure(
+            NotRun(Reason.connect_failed, retry_after_s=1), str(error)
+        ) from error
+    sock: Any = connection.sock
+    reader = BoundedReader(sock)
+    if hasattr(sock, 'fd'):
+        # Only eventlet's sockets can be read within these limits.
+        sock.recv_into = reader.recv_into
+    return reader
 
 
 def _send(
-    connections: urllib3.HTTPConnectionPool, call: UpstreamCall
-) -> urllib3.BaseHTTPResponse:
-    # The timeout of a read does not end a head that comes byte by byte.
-    limit_s = _CONNECT_TIMEOUT_S + call.read_timeout_s
-    with _convert_errors(), call_time_limit(limit_s):
-        return connections.request(
+    connection: HTTPConnection, reader: BoundedReader, call: UpstreamCall
+) -> urllib3.HTTPResponse:
+    with as_upstream_failure():
+        connection.timeout = call.read_timeout_s
+        reader.limit(call.read_timeout_s, _MAX_HEAD_BYTES)
+        reader.allow_end(allowed=False)
+        connection.request(
             call.method,
             call.path,
             body=call.body,
             headers=call.headers,
-            timeout=urllib3.Timeout(
-                connect=_CONNECT_TIMEOUT_S,
-                read=call.read_timeout_s,
-            ),
-            retries=False,
             preload_content=False,
+            decode_content=False,
         )
-
-
-def read_chunks(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield chunks of a body as they arrive; other tasks run in between.
-
-    Raises
-    ------
-    UpstreamFailure
-        If the connection is closed early or the read times out.
-    """
-    time_slice = TimeSlice()
-    while True:
-        time_slice.end_if_over()
-        with _convert_errors():
-            chunk = response.read1(_MAX_CHUNK_BYTES)
-        if not chunk:
-            return
-        yield chunk
-
-
-@contextlib.contextmanager
-def _convert_errors() -> Iterator[None]:
-    try:
-        yield
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise UpstreamFailure(_verdict(error), str(error)) from error
-
-
-def _verdict(error: Exception) -> NotRun | MayHaveRun:
-    match error:
-        case (
-            urllib3.exceptions.NewConnectionError()
-            | urllib3.exceptions.ConnectTimeoutError()
-        ):
-            return NotRun(Reason.connect_failed, retry_after_s=1)
-        case urllib3.exceptions.TimeoutError():
-            return MayHaveRun(Reason.upstream_timeout)
-        case _:
-            return MayHaveRun(Reason.upstream_cut)
+        response = connection.getresponse()
+        has_no_length = response.length_remaining is None
+        reader.allow_end(allowed=has_no_length and not response.chunked)
+        return response
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -14,7 +14,7 @@
 )
 from cowslipstep.model import MayHaveRun, Reason
 from cowslipstep.serving._delivery_state import DeliveryState
-from cowslipstep.serving._read_limits import Silence
+from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.serving._response_timer import AttemptStart
 from cowslipstep.serving._upstream_http import OpenResponse
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -15,9 +15,9 @@
 from cowslipstep.daemon._part_limit import MAX_BODY_BYTES
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
-from cowslipstep.serving._bounded_reader import BoundedReader
-from cowslipstep.serving._http_errors import as_upstream_failure
-from cowslipstep.serving._read_limits import Silence
+from cowslipstep.daemon._bounded_reader import BoundedReader
+from cowslipstep.daemon._http_errors import as_upstream_failure
+from cowslipstep.daemon._read_limits import Silence
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
--- a/apps/cowslipstepd/tests/test_endless_responses.py
+++ b/apps/cowslipstepd/tests/test_endless_responses.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import time
-import types
 
 import eventlet
 import pytest
 from _callers import Received
+from _endless_scripts import CHUNKED, ENDLESS, endless
 from _green_processes import in_green_process
 from _pauses import watch_pauses
 from _scripted_runners import (
@@ -17,11 +17,9 @@
     Script,
     ScriptedRunners,
     Send,
-    SendEndlessly,
     chunk,
     event,
     response,
-    response_head,
 )
 from _serving_harness import ONCE, PLAIN, STREAM, Harness
 from attrs import evolve, frozen
@@ -29,7 +27,6 @@
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.fleet import RequestKind, Route, WeightedService
 
-CHUNKED = Send(response_head('Transfer-Encoding: chunked'))
 # What callers may wait beyond the deadline of their request.
 SLACK_S = 0.5
 TIMEOUT_S = 1.5
@@ -45,28 +42,6 @@
 SOUND_EVENT = Send(chunk(event(1)))
 LAST = Send(LAST_CHUNK)
 SOUND_EVENTS = CHUNKED, SOUND_EVENT, LAST, Close()
-CHUNK_OF_ONE_BYTE = chunk(b'x')
-CHUNK_OF_SIXTEEN_BYTES = chunk(b'x' * 16)
-HEADER = b'A: b\r\n'
-INFORMATIONAL_HEAD = b'HTTP/1.1 100 C\r\n\r\n'
-NOTHING = Send(b'')
-STATUS_LINE = Send(b'HTTP/1.1 200 OK\r\n')
-UNFRAMED = Send(response_head())
-TRAILER = Send(b'%b0\r\n' % CHUNKED.sent)
-LONG_EXTENSION = b'1;%b\r\nx\r\n' % (b'a' * 60000)
-# The start of each response, and what follows it without an end.
-ENDLESS = types.MappingProxyType(
-    {
-        'event': (CHUNKED, CHUNK_OF_SIXTEEN_BYTES),
-        'chunks of one byte': (CHUNKED, CHUNK_OF_ONE_BYTE),
-        'chunk extension': (CHUNKED, LONG_EXTENSION),
-        'trailer': (TRAILER, HEADER),
-        'headers': (STATUS_LINE, HEADER),
-        'informational heads': (NOTHING, INFORMATIONAL_HEAD),
-        'body': (UNFRAMED, CHUNK_OF_ONE_BYTE),
-    }
-)
-MIN_SENT_BYTES = 65536
 
 
 @frozen
@@ -88,11 +63,6 @@
     longest_exchange_s: float
 
 
-def endless(name: str) -> Script:
-    start, repeated = ENDLESS[name]
-    return start, SendEndlessly(repeated * (MIN_SENT_BYTES // len(repeated)))
-
-
 def harness_with_endless(script: Script, route: Route) -> Harness:
     harness = Harness(
         ScriptedRunners(1, script),
--- a/apps/cowslipstepd/tests/test_faulty_responses.py
+++ b/apps/cowslipstepd/tests/test_faulty_responses.py
@@ -91,7 +91,7 @@
 import eventlet
 eventlet.monkey_patch()
 import sys
-from cowslipstep.daemon._upstream import UpstreamCall, open_call, read_chunks
+from cowslipstep.daemon._upstream import UpstreamCall, open_call
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address
 
@@ -125,7 +125,7 @@
 for _ in range(2):
     try:
         with open_call(UpstreamCall(address, 'POST', '/', b'x')) as received:
-            print(b''.join(read_chunks(received)).decode())
+            print(b''.join(received.read_chunks()).decode())
     except UpstreamFailure as failure:
         print(failure.verdict.code)
 """
