Weigh the load of a model by the root of its group size

Cause: the load of a model was counted in the runners that its requests keep busy. A reallocation may not leave the donor busier than the recipient was, and pays off within 10 s.

--- a/libs/fleet/src/cowslipstep/fleet/_reallocation_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reallocation_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Mapping
 
 from cowslipstep.fleet._decisions import FleetView
@@ -23,7 +24,7 @@
 _CHANGE_S = 3.5
 # A reallocation has to make up for that time within this one: groups lose
 # members and demand changes.
-_HORIZON_S = 5
+_HORIZON_S = 10
 # Stands for no group at all, so that the load of a group stays finite.
 _FEWEST_GROUPS = 0.5
 
@@ -33,12 +34,15 @@
 
     Explanation
     -----------
-    The load of a model is the number of runners that its requests keep busy,
-    multiplied by its utilization: the longer requests wait, the more of them
-    wait. Over all models it is least where all have the same utilization. A
-    reallocation is worth what it lowers the load within the horizon, less
-    what the load is higher while groups end. What free runners could serve
-    instead at once is part of the price.
+    The load of a model is its demand multiplied by its utilization: the
+    longer requests wait, the more of them wait. It is weighted by the root of
+    the group size, between counting the requests that wait, where a model of
+    large groups would get next to none, and the runners that they wait for,
+    where all models would have the same utilization and many requests for
+    small groups would wait for few for large ones. A reallocation is worth
+    what it lowers the load within the horizon, less what the load is higher
+    while groups end. What free runners could serve instead at once is part of
+    the price.
 
     Parameters
     ----------
@@ -81,13 +85,17 @@
     def _rated_reallocations(
         self, recipient: ModelProfile
     ) -> Iterator[tuple[float, Reallocation]]:
-        """Yield what each reallocation is worth, and the reallocation."""
+        """Yield what each reallocation is worth, and the reallocation.
+
+        None leaves the donor busier than the recipient was.
+        """
+        limit = min(_MAX_DONOR_UTILIZATION, self._utilization(recipient))
         for donor in self._view.engine.models:
             if donor is recipient:
                 continue
             for reallocation in self._possible.between(recipient, donor):
                 ending = len(reallocation.ending_leaders)
-                if self._utilization(donor, -ending) < _MAX_DONOR_UTILIZATION:
+                if self._utilization(donor, -ending) < limit:
                     yield self._worth(donor, reallocation), reallocation
 
     def _worth(self, donor: ModelProfile, reallocation: Reallocation) -> float:
@@ -106,9 +114,8 @@
 
     def _load(self, model: ModelProfile, groups_added: int = 0) -> float:
         demand = self._view.demand.get(model.name, 0)
-        return (
-            demand * model.group_size * self._utilization(model, groups_added)
-        )
+        weight = math.sqrt(model.group_size)
+        return weight * demand * self._utilization(model, groups_added)
 
     def _utilization(self, model: ModelProfile, groups_added: int = 0) -> float:
         """Return the demand for a model per group."""
--- a/libs/fleet/src/cowslipstep/fleet/replay/_loss_figures.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_loss_figures.py
@@ -10,6 +10,8 @@
 from cowslipstep.fleet._decisions import CloseGroup, StageModel
 from cowslipstep.fleet.replay._fleet_replay import FleetReplay
 
+_RUNNERS_EXPONENT = 0.75
+
 
 @frozen
 class LossFigures:
@@ -21,9 +23,10 @@
         Number of serving groups by model, at each step.
     served_share
         Share of the demand for each model that found a group.
-    even_share
-        Share that the demand for all models would find if all runners whose
-        hosts hold weights served, divided in proportion to demand.
+    best_share
+        Share of the demand for each model that would find a group if all
+        runners whose hosts hold weights served, divided so that the load of
+        ``ReallocationChoice`` is least.
     closed
         Number of groups that were commanded to close.
     loads
@@ -36,16 +39,19 @@
 
     serving: tuple[Counter[str], ...]
     served_share: dict[str, float]
-    even_share: float
+    best_share: dict[str, float]
     closed: int
     loads: int
     lost: int
     rule_violations: tuple[str, ...] = field(default=())
 
     @property
-    def lowest_share(self) -> float:
-        """Share of the demand for the model worst off that found a group."""
-        return min(self.served_share.values())
+    def lowest_part(self) -> float:
+        """Part of its best share that the model worst off got."""
+        return min(
+            served / self.best_share[model]
+            for model, served in self.served_share.items()
+        )
 
 
 @define
@@ -66,7 +72,7 @@
     demand: Mapping[str, float]
     lost: int = 0
     _serving: list[Counter[str]] = field(factory=list)
-    _even_shares: list[float] = field(factory=list)
+    _runners: list[int] = field(factory=list)
 
     def record_step(self) -> None:
         """Record the groups that serve now."""
@@ -77,14 +83,9 @@
                 for _, leader in runners.complete_groups()
             )
         )
-        with_weights = sum(
-            bool(runner.staged_models) for runner in runners.alive.values()
-        )
-        demanded = sum(
-            model.group_size * self.demand[model.name]
-            for model in self.replay.engine.models
+        self._runners.append(
+            sum(bool(runner.staged_models) for runner in runners.alive.values())
         )
-        self._even_shares.append(min(1, with_weights / demanded))
 
     def figures(self) -> LossFigures:
         """Return the figures of the steps so far."""
@@ -92,13 +93,29 @@
         return LossFigures(
             tuple(self._serving),
             {model: self._served_share(model) for model in self.demand},
-            sum(self._even_shares) / len(self._even_shares),
+            self._best_shares(),
             sum(isinstance(decision, CloseGroup) for decision in decisions),
             sum(isinstance(decision, StageModel) for decision in decisions),
             self.lost,
             tuple(self.replay.runners.rule_violations),
         )
 
+    def _best_shares(self) -> dict[str, float]:
+        models = self.replay.engine.models
+        # Least where the groups of each model are proportional to its demand,
+        # divided by the fourth root of their size.
+        needed = sum(
+            self.demand[model.name] * model.group_size**_RUNNERS_EXPONENT
+            for model in models
+        )
+        factor = sum(self._runners) / len(self._runners) / needed
+        return {
+            model.name: min(
+                1, factor * model.group_size ** (_RUNNERS_EXPONENT - 1)
+            )
+            for model in models
+        }
+
     def _served_share(self, model: str) -> float:
         shares = (
             min(1, serving[model] / self.demand[model])
