Take a member for lost only if no daemon reaches it

A controller that is cut off from a member without an entry would have ended its group although other daemons reach the member and send the group requests: its own missed probe counted more than their reports.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
@@ -42,6 +42,7 @@
 
         ``departed`` are groups whose leaders have confirmed that they left.
         """
+        reachable_unregistered = self._reachability.reachable_unregistered()
         return FleetView(
             runners={
                 name: runner
@@ -51,9 +52,12 @@
             engine=engine,
             now_s=boot_time_s(),
             demand=self._demand.total(service),
-            lost_runners=self._reachability.unreachable,
+            # Another daemon may reach a runner from which this one is cut off.
+            lost_runners=(
+                self._reachability.unreachable - reachable_unregistered
+            ),
             known_members=self._reachability.known_members,
-            reachable_unregistered=self._reachability.reachable_unregistered(),
+            reachable_unregistered=reachable_unregistered,
             departed=departed,
             load_limits_apply=self._load_limits_apply(),
         )
