--- a/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_reachability.py
@@ -2,25 +2,16 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import eventlet
 
 from cowslipstep.fleet import (
-    LEADER_GRACE_S,
     DiscoveredRunner,
     GroupId,
     MembersByRank,
     ReportedGroup,
 )
-from cowslipstep.serving._group_members import (
-    LapsedEntries,
-    merge_members,
-    reachable_members,
-    suspected_members,
-    unregistered_members,
-)
 from cowslipstep.serving._runner_probes import PROBE_PERIOD_S, RunnerProbes
 from cowslipstep.serving._state import ServingState
 
@@ -46,7 +37,6 @@
         self._state = state
         self._probes = RunnerProbes(state.dialects.commands)
         self._known_members: dict[GroupId, dict[int, DiscoveredRunner]] = {}
-        self._lapsed = LapsedEntries(time.monotonic)
 
     @property
     def known_members(self) -> MembersByRank:
@@ -86,15 +76,9 @@
             eventlet.sleep(PROBE_PERIOD_S)
             reported = self._state.runner_table.groups.groups
             self._known_members = merge_members(self._known_members, reported)
-            unregistered = unregistered_members(
-                self._known_members, self._state.runner_table.runners.keys()
-            )
-            self._lapsed.update(unregistered)
             self._state.serving_groups.update_reachable_unregistered(
                 reachable_members(
-                    self._known_members,
-                    self.reachable_unregistered(),
-                    self._lapsed.before(LEADER_GRACE_S),
+                    self._known_members, self.reachable_unregistered()
                 ),
             )
             self._probes.probe(self._probe_targets(reported.values()))
@@ -119,3 +103,68 @@
             )
             targets.update(suspected_members(reported, suspected))
         return targets
+
+
+def reachable_members(
+    members: MembersByRank, reachable_unregistered: frozenset[str]
+) -> MembersByRank:
+    """Return the members whose names are in ``reachable_unregistered``."""
+    if not reachable_unregistered:
+        return {}
+    return {
+        key: _select_members(by_rank, reachable_unregistered)
+        for key, by_rank in members.items()
+    }
+
+
+def _select_members(
+    by_rank: Mapping[int, DiscoveredRunner],
+    reachable_unregistered: frozenset[str],
+) -> dict[int, DiscoveredRunner]:
+    return {
+        rank: member
+        for rank, member in by_rank.items()
+        if member.name in reachable_unregistered
+    }
+
+
+def merge_members(
+    members: MembersByRank,
+    reported: Mapping[GroupId, ReportedGroup],
+) -> dict[GroupId, dict[int, DiscoveredRunner]]:
+    """Return the past and present members of each group still reported."""
+    return {
+        key: {**members.get(key, {}), **reported_group.members}
+        for key, reported_group in reported.items()
+    }
+
+
+def unregistered_members(
+    members: MembersByRank,
+    registered: Collection[str],
+) -> dict[str, DiscoveredRunner]:
+    """Return the members that are not registered any more, by name."""
+    unregistered: dict[str, DiscoveredRunner] = {}
+    for by_rank in members.values():
+        unregistered.update(_by_name(by_rank.values()))
+    for name in unregistered.keys() & registered:
+        unregistered.pop(name)
+    return unregistered
+
+
+def suspected_members(
+    reported: Iterable[ReportedGroup],
+    suspected_names: frozenset[str],
+) -> dict[str, DiscoveredRunner]:
+    """Return all members of groups with a suspected member."""
+    suspected: dict[str, DiscoveredRunner] = {}
+    for reported_group in reported:
+        if not suspected_names.isdisjoint(reported_group.member_names):
+            suspected.update(_by_name(reported_group.members.values()))
+    return suspected
+
+
+def _by_name(
+    runners: Iterable[DiscoveredRunner],
+) -> dict[str, DiscoveredRunner]:
+    return {runner.name: runner for runner in runners}
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -4,7 +4,6 @@
 clock readings.
 """
 
-from cowslipstep.fleet._assess_group import LEADER_GRACE_S
 from cowslipstep.fleet._commands import (
     CloseCommand,
     CommandOutcome,
--- a/libs/fleet/src/cowslipstep/fleet/_assess_group.py
+++ b/libs/fleet/src/cowslipstep/fleet/_assess_group.py
@@ -12,13 +12,11 @@
 from cowslipstep.fleet._reported_groups import ReportedGroup
 from cowslipstep.fleet._runners import DiscoveredRunner, MemberState
 
-# A leader that answers leads its group for this time after its entry lapsed:
-# it may only be cut off from the store for a while.
-LEADER_GRACE_S = 2
-# After it the leader gets this time to finish its requests: it is commanded to
-# close first, and to leave then.
+# A leader that is no longer registered but still answers gets this time to
+# finish its requests: it is commanded to close first, and to leave after it.
 _LEADERLESS_DRAIN_S = 1.5
 
+
 _MEMBERS_FREE = GroupAssessment(members_free=True)
 _MEMBERS_KEPT = GroupAssessment.keep_members()
 
@@ -82,11 +80,10 @@
     if leader.name in view.runners:
         # The leader is registered without this group: it left or restarted.
         return _MEMBERS_FREE
-    is_probed = leader.name in view.reachable_unregistered
-    if not is_probed or leaderless_s < LEADER_GRACE_S:
+    if leader.name not in view.reachable_unregistered:
         # It may serve on: nothing is known until a probe of it has ended.
         return _MEMBERS_KEPT
-    if leaderless_s < LEADER_GRACE_S + _LEADERLESS_DRAIN_S:
+    if leaderless_s < _LEADERLESS_DRAIN_S:
         return GroupAssessment.keep_members(CloseGroup(key, leader))
     return GroupAssessment.keep_members(LeaveGroup(key, leader))
 
--- a/libs/fleet/src/cowslipstep/fleet/_planner.py
+++ b/libs/fleet/src/cowslipstep/fleet/_planner.py
@@ -137,7 +137,7 @@
         counts = Counter(
             self._pending_groups.models(view.now_s + _NEARLY_READY_S)
         )
-        counts.update(_serving_models(view, reported))
+        counts.update(_serving_models(reported))
         running = self._reallocations
         self._start_reallocations(running, view, reported, claimed, counts)
         yield from ending_decisions(running, reported)
@@ -152,7 +152,7 @@
         claimed: set[str],
     ) -> Iterator[FormGroup]:
         counts = Counter(self._pending_groups.models())
-        counts.update(_serving_models(view, reported))
+        counts.update(_serving_models(reported))
         counts.update(planned_changes(self._reallocations, reported))
         choice = GroupChoice(view, self._load_limiter, claimed, counts)
         chosen = choice.next_group()
@@ -172,27 +172,10 @@
         return decision
 
 
-def _serving_models(
-    view: FleetView, reported: Mapping[GroupId, ReportedGroup]
-) -> list[str]:
-    """Return the model of each group that accepts requests.
-
-    It also does while its leader answers without an entry.
-    """
+def _serving_models(reported: Mapping[GroupId, ReportedGroup]) -> list[str]:
+    """Return the model of each group that accepts requests."""
     return [
         reported_group.model
-        for key, reported_group in reported.items()
+        for reported_group in reported.values()
         if reported_group.leader_state is MemberState.open
-        or _has_reachable_leader(view, key, reported_group)
     ]
-
-
-def _has_reachable_leader(
-    view: FleetView, key: GroupId, reported_group: ReportedGroup
-) -> bool:
-    leader = view.known_members.get(key, {}).get(0)
-    return (
-        reported_group.leader is None
-        and leader is not None
-        and leader.name in view.reachable_unregistered
-    )
--- a/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
@@ -94,8 +94,7 @@
 ) -> ServingGroup | None:
     """Return a group if it is complete and its leader accepts requests.
 
-    ``None`` also if a member is draining. A leader that is no longer registered
-    counts as it was when it last was.
+    ``None`` also if a member is draining.
 
     Parameters
     ----------
@@ -108,12 +107,11 @@
         count as members of the group.
     """
     model = engine.model(reported_group.model)
-    members = {**reachable_unregistered, **reported_group.members}
-    if model is None or _state(members.get(0)) is not MemberState.open:
+    if model is None or reported_group.leader_state is not MemberState.open:
         return None
+    members = {**reachable_unregistered, **reported_group.members}
     ranks = range(model.group_size)
-    is_draining = any(runner.draining for runner in members.values())
-    if is_draining or not members.keys() >= set(ranks):
+    if reported_group.draining or not members.keys() >= set(ranks):
         return None
     members_by_rank = tuple(members[rank] for rank in ranks)
     return ServingGroup(reported_group.key, model.name, members_by_rank)
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -6,7 +6,6 @@
 from attrs import evolve
 
 from cowslipstep.fleet import (
-    LEADER_GRACE_S,
     CloseGroup,
     DiscoveredRunner,
     Epochs,
@@ -123,8 +122,7 @@
     assert formed(planner.decide(left))
 
 
-# Its entry may only have lapsed while it was cut off from the store.
-def test_leader_without_entry_closes_then_leaves() -> None:
+def test_unregistered_leader_closes_then_leaves() -> None:
     planner = new_planner()
     leader, member = open_pair()
     view = evolve(
@@ -132,13 +130,9 @@
         known_members={KEY: {0: leader, 1: member}},
         reachable_unregistered=frozenset((leader.name,)),
     )
-    decided = [
-        planner.decide(evolve(view, now_s=now_s))
-        for now_s in (0, LEADER_GRACE_S - 0.1, LEADER_GRACE_S, 5)
-    ]
-    assert decided[:2] == [[], []]
-    assert decided[2] == [CloseGroup(KEY, leader)]
-    assert decided[3] == [LeaveGroup(KEY, leader)]
+    assert planner.decide(view) == [CloseGroup(KEY, leader)]
+    late = evolve(view, now_s=5)
+    assert planner.decide(late) == [LeaveGroup(KEY, leader)]
 
 
 def test_group_of_unregistered_member_serves_on() -> None:
