Bound sockets to upstreams in one place

Read through as a newcomer: both ways to upstreams had the same lines that let a socket be read within limits, and that tell whether a response may end with its connection. Both lie beside the reader now. Imports of the moved modules are in order, a field that only its class uses is private, and the exponent of the replay's figures says where it comes from. No behaviour is changed.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_bounded_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_bounded_reader.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import urllib3
 from eventlet.hubs import trampoline
 
 from cowslipstep.daemon._read_limits import ReadLimits, Silence
@@ -107,3 +108,18 @@
         except TimeoutError as timeout:
             self._limits.apply(timeout)
         self._time_slice.restart()
+
+
+def bound_socket(sock: Any) -> BoundedReader:
+    """Let a connected socket be read within limits; return what sets them."""
+    reader = BoundedReader(sock)
+    if hasattr(sock, 'fd'):
+        # Only eventlet's sockets can be read within these limits; they hold
+        # the standard socket in ``fd``.
+        sock.recv_into = reader.recv_into
+    return reader
+
+
+def ends_with_connection(response: urllib3.HTTPResponse) -> bool:
+    """Return whether a response has neither a length nor chunks."""
+    return not response.chunked and response.length_remaining is None
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_http_errors.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_http_errors.py
@@ -8,12 +8,12 @@
 
 import urllib3
 
+from cowslipstep.daemon._bounded_reader import EndedEarly
 from cowslipstep.daemon._upstream_failures import (
     ConnectionEnded,
     UpstreamFailure,
 )
 from cowslipstep.model import MayHaveRun, Reason
-from cowslipstep.daemon._bounded_reader import EndedEarly
 
 
 @contextlib.contextmanager
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -4,13 +4,16 @@
 
 import contextlib
 from collections.abc import Iterator
-from typing import Any
 
 import urllib3
 from attrs import field, frozen
 from urllib3.connection import HTTPConnection
 
-from cowslipstep.daemon._bounded_reader import BoundedReader
+from cowslipstep.daemon._bounded_reader import (
+    BoundedReader,
+    bound_socket,
+    ends_with_connection,
+)
 from cowslipstep.daemon._http_errors import as_upstream_failure
 from cowslipstep.daemon._upstream_failures import (
     UpstreamFailure,
@@ -117,12 +120,7 @@
         raise UpstreamFailure(
             NotRun(Reason.connect_failed, retry_after_s=1), str(error)
         ) from error
-    sock: Any = connection.sock
-    reader = BoundedReader(sock)
-    if hasattr(sock, 'fd'):
-        # Only eventlet's sockets can be read within these limits.
-        sock.recv_into = reader.recv_into
-    return reader
+    return bound_socket(connection.sock)
 
 
 def _send(
@@ -141,6 +139,5 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        has_no_length = response.length_remaining is None
-        reader.allow_end(allowed=has_no_length and not response.chunked)
+        reader.allow_end(allowed=ends_with_connection(response))
         return response
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from cowslipstep.daemon._part_limit import MAX_EVENT_BYTES
+from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.daemon._stream_progress import StreamProgress
 from cowslipstep.daemon._upstream_failures import (
     ConnectionEnded,
@@ -14,7 +15,6 @@
 )
 from cowslipstep.model import MayHaveRun, Reason
 from cowslipstep.serving._delivery_state import DeliveryState
-from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.serving._response_timer import AttemptStart
 from cowslipstep.serving._upstream_http import OpenResponse
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_response_timer.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_response_timer.py
@@ -25,15 +25,9 @@
 
 @define
 class ResponseTimer:
-    """Clock readings of a request over all its attempts.
+    """Clock readings of a request over all its attempts; zero before."""
 
-    Attributes
-    ----------
-    first_sent_s
-        Clock reading at which the first attempt was sent; zero before.
-    """
-
-    first_sent_s: float = 0
+    _first_sent_s: float = 0
     _first: AttemptStart | None = None
     _begun_s: float = 0
     _last_event_s: float = 0
@@ -41,7 +35,7 @@
 
     def start_attempt(self, now_s: float, expected_s: float) -> AttemptStart:
         """Record that an attempt is sent."""
-        self.first_sent_s = self.first_sent_s or now_s
+        self._first_sent_s = self._first_sent_s or now_s
         return AttemptStart(now_s, expected_s)
 
     def record_events(self, start: AttemptStart, now_s: float) -> None:
@@ -60,8 +54,8 @@
         if first is None:
             return None
         return ResponseTimes(
-            self.first_sent_s - arrived_s,
-            first.sent_s - self.first_sent_s,
+            self._first_sent_s - arrived_s,
+            first.sent_s - self._first_sent_s,
             first.expected_s,
             self._begun_s - first.sent_s,
             self._longest_pause_s,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -6,18 +6,21 @@
 import socket
 import time
 from collections.abc import Iterator
-from typing import Any
 
 import urllib3
 from attrs import frozen
 from urllib3.connection import HTTPConnection
 
+from cowslipstep.daemon._bounded_reader import (
+    BoundedReader,
+    bound_socket,
+    ends_with_connection,
+)
+from cowslipstep.daemon._http_errors import as_upstream_failure
 from cowslipstep.daemon._part_limit import MAX_BODY_BYTES
+from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
-from cowslipstep.daemon._bounded_reader import BoundedReader
-from cowslipstep.daemon._http_errors import as_upstream_failure
-from cowslipstep.daemon._read_limits import Silence
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
@@ -164,12 +167,7 @@
             NotRun(Reason.connect_failed),
             f'{request.address}: {error}',
         ) from error
-    sock: Any = connection.sock
-    reader = BoundedReader(sock)
-    if hasattr(sock, 'fd'):
-        # Only eventlet's sockets can be read within these limits; they hold
-        # the standard socket in ``fd``.
-        sock.recv_into = reader.recv_into
+    reader = bound_socket(connection.sock)
     timeout_s = max(request.response_timeout_s, _MIN_TIMEOUT_S)
     with as_upstream_failure():
         # The connection sets this timeout on its socket for sending.
@@ -185,9 +183,5 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        reader.allow_end(allowed=_ends_with_connection(response))
+        reader.allow_end(allowed=ends_with_connection(response))
         return OpenResponse(response, reader)
-
-
-def _ends_with_connection(response: urllib3.HTTPResponse) -> bool:
-    return not response.chunked and response.length_remaining is None
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -9,12 +9,12 @@
 
 from attrs import evolve
 
+from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import ResponseHead, UpstreamRequest
 from cowslipstep.model import MayHaveRun, NotRun, Reason
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._event_streams import EventStream, first_events_of
-from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream
 from cowslipstep.serving._upstream_http import (
--- a/libs/fleet/src/cowslipstep/fleet/replay/_loss_figures.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_loss_figures.py
@@ -10,6 +10,8 @@
 from cowslipstep.fleet._decisions import CloseGroup, StageModel
 from cowslipstep.fleet.replay._fleet_replay import FleetReplay
 
+# A model whose load is weighted by the root of its group size gets runners in
+# proportion to its demand times this power of the size.
 _RUNNERS_EXPONENT = 0.75
 
 
