--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -136,7 +136,6 @@
             body=call.body,
             headers=call.headers,
             preload_content=False,
-            decode_content=False,
         )
         response = connection.getresponse()
         reader.allow_end(allowed=ends_with_connection(response))
