Show the spread of the load over the leaders of a model

Cause: whether some leaders are overloaded while others are idle could not be read from any log or gauge.

Change: each daemon samples the loads by which it chooses, at most every 0.1 s and model, and evaluates the samples of 5 s together: mean, 99th percentile and largest number of requests at a leader, number of leaders and mean age of the reports since they arrived (a report that came through a relay is older by the period of the relay). Log line `load over the leaders of a model`; gauges `leader_load_mean`, `_p99`, `_largest`, `_leaders` and `_report_age_s` by model and service. The choice itself is unchanged.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
@@ -22,6 +22,7 @@
 from cowslipstep.serving._demand import DemandEstimator
 from cowslipstep.serving._group_gauges import set_group_gauges
 from cowslipstep.serving._key_permission import key_permission
+from cowslipstep.serving._load_spread_log import set_load_spread_gauges
 from cowslipstep.serving._loop_pauses import LoopPauses
 from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._state import ServingState
@@ -99,6 +100,7 @@
             gauges.set(CounterKey(name), reading)
         _set_loop_pauses(gauges, state.process.loop_pauses)
         set_group_gauges(gauges, state, self._demand)
+        set_load_spread_gauges(gauges, state.load_samples)
         return gauges
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
@@ -26,7 +26,9 @@
         expected_s=round(chosen.expected_s, _MS_DECIMALS),
         remaining_s=round(delivery.remaining_s, _MS_DECIMALS),
         load=state.loads.total(chosen.runner.name).requests,
-        oldest_report_s=round(state.loads.oldest_age_s, _MS_DECIMALS),
+        oldest_report_s=round(
+            max(state.loads.report_ages_s, default=0), _MS_DECIMALS
+        ),
         configuration=state.configuration.version,
         runners=state.runner_table.revision,
         prompt_parts=delivery.routed.request.shared_prompt_parts,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -17,6 +17,10 @@
 from cowslipstep.serving._assembly import start_daemon
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._evidence_tasks import start_evidence_tasks
+from cowslipstep.serving._load_spread_log import (
+    LOAD_SPREAD_PERIOD_S,
+    log_load_spread,
+)
 from cowslipstep.serving._state import ServingState
 from cowslipstep.settings import ServingSettings
 from cowslipstep.tasks import LoopWatch
@@ -69,6 +73,13 @@
     )
     server = start_daemon(state)
     start_evidence_tasks(state)
+    state.process.tasks.start(
+        'log of the load spread',
+        repeat(
+            LOAD_SPREAD_PERIOD_S, lambda: log_load_spread(state.load_samples)
+        ),
+        essential=False,
+    )
     state.process.descriptors.log()
     state.process.tasks.start(
         'watch of tasks',
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -16,7 +16,7 @@
     PlatformClient,
     PlatformLimits,
 )
-from cowslipstep.routing import UpstreamLoads
+from cowslipstep.routing import LoadSamples, UpstreamLoads
 from cowslipstep.serving._configuration_in_force import ConfigurationInForce
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
@@ -85,6 +85,8 @@
         Decodes entries of runners into the table.
     loads
         Requests in progress at upstreams, over all daemons.
+    load_samples
+        Loads by which this daemon chose lately.
     suspicions
         Upstreams at which requests failed lately.
     harmful_prompts
@@ -127,6 +129,7 @@
     loads: UpstreamLoads = field(
         factory=lambda: UpstreamLoads(time.monotonic),
     )
+    load_samples: LoadSamples = field(factory=LoadSamples)
     suspicions: Suspicions = field(
         factory=lambda: Suspicions(time.monotonic),
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -4,7 +4,9 @@
 
 import math
 import random
+import time
 from collections import defaultdict
+from collections.abc import Iterable
 
 from attrs import frozen
 
@@ -151,8 +153,12 @@
         model: ModelProfile,
     ) -> ChosenUpstream | NotRun:
         usual = self._usual_requests[delivery.routed.service]
+        views = self._candidates.group_views(delivery, engine, model)
+        self._sample_loads(
+            ServedModel(delivery.routed.service, model.name), views
+        )
         admission = admit_request(
-            self._candidates.group_views(delivery, engine, model),
+            views,
             _demand(delivery),
             ModelTimes(engine, model, usual.usual(model.name, engine)),
             self._rng,
@@ -166,6 +172,17 @@
                 return NotRun(Reason.queue_full, retry_after_s)
         return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
 
+    def _sample_loads(
+        self, served: ServedModel, views: Iterable[GroupView]
+    ) -> None:
+        samples = self._state.load_samples
+        if samples.is_due(served, time.monotonic()):
+            samples.add(
+                served,
+                (view.load.requests for view in views),
+                self._state.loads.report_ages_s,
+            )
+
 
 def _demand(delivery: DeliveryState) -> RequestDemand:
     route = delivery.routed.route
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -39,6 +39,7 @@
     late_part,
 )
 from cowslipstep.routing._limits import workspace_policies
+from cowslipstep.routing._load_spread import LoadSamples, LoadSpread
 from cowslipstep.routing._overload import BEST_EFFORT_URGENCY, admit_request
 from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._prefix_map import PrefixMap
--- a/libs/routing/src/cowslipstep/routing/_upstream_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_upstream_loads.py
@@ -55,14 +55,16 @@
         return self.recent(REPORT_LIFETIME_S)
 
     @property
-    def oldest_age_s(self) -> float:
-        """Age of the oldest report that has not expired; zero without any."""
+    def report_ages_s(self) -> tuple[float, ...]:
+        """Ages of the reports that have not expired.
+
+        Seconds since they arrived; a relay's reports are older by its period.
+        """
         now_s = self._clock()
         ages_s = (
             now_s - received.received_s for received in self._received.values()
         )
-        unexpired_s = (age_s for age_s in ages_s if age_s <= REPORT_LIFETIME_S)
-        return max(unexpired_s, default=0)
+        return tuple(age_s for age_s in ages_s if age_s <= REPORT_LIFETIME_S)
 
     def recent(self, age_s: float) -> tuple[LoadReport, ...]:
         """Return the latest report of each peer that is at most this old."""
