Send no requests to runners of an evacuated failure domain

An operator evacuates a failure domain by an object evacuations/<domain> in the store; nothing read it, so that requests went on to runners of the domain.

Where bounds.evacuateMs is set, each daemon watches the kind. The first list is never a stale one, and nothing is served before it. The domains are checked at each choice of an upstream (first attempts, retries, substitutes, resumption) and again once the connection is made, directly before the request is written; that attempt counts as not run and goes elsewhere without a suspicion.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
@@ -25,7 +25,7 @@
 from cowslipstep.serving._key_permission import accepts_keys
 from cowslipstep.serving._metrics import RequestMetrics
 from cowslipstep.serving._request_delivery import RequestDelivery
-from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._state import ServingState, has_read_objects
 
 _OK = 200
 _NOT_FOUND = 404
@@ -101,10 +101,10 @@
 
     def _read(self, environ: Environ) -> CallerRequest:
         table = self._state.configuration.table
-        if table is None or not self._state.runner_table.was_read:
+        if table is None or not has_read_objects(self._state):
             raise RequestError(
                 NotRun(Reason.not_ready, _NOT_READY_RETRY_S),
-                'the configuration or the list of runners is not read yet',
+                'configuration, runners or evacuations are not read yet',
                 _UNAVAILABLE,
             )
         limits = table.configuration.limits
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -8,6 +8,7 @@
 from cowslipstep.serving._configuration_in_force import ConfigurationObserver
 from cowslipstep.serving._controller import GroupController
 from cowslipstep.serving._demand import DemandEstimator
+from cowslipstep.serving._evacuation_tasks import start_evacuation_tasks
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._key_confirmation import KeyConfirmation
 from cowslipstep.serving._kind_watch import (
@@ -132,6 +133,7 @@
     )
     for watch in watches:
         state.process.tasks.start(f'watch of {watch.kind}', watch.run)
+    start_evacuation_tasks(state)
     state.process.tasks.start(
         'registration',
         lambda: register_daemon(state.platform, state.own_entry),
--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 from cowslipstep.fleet import (
@@ -18,6 +18,7 @@
     trusted_upstreams,
 )
 from cowslipstep.serving._delivery_state import DeliveryState
+from cowslipstep.serving._evacuations import groups_outside
 from cowslipstep.serving._state import ServingState
 
 # Assumed network delay between failure domains; none is published.
@@ -50,6 +51,7 @@
             runner
             for runner in self._state.runner_table.runners.values()
             if _is_usable(runner, delivery)
+            and not self._state.evacuations.is_evacuated(runner.failure_domain)
         ]
         trusted = self._prefer_trusted(usable, lambda runner: runner.name)
         return min(trusted, key=self._load_then_distance, default=None)
@@ -84,12 +86,13 @@
         self,
         service: str,
         engine: EngineProfile,
-    ) -> tuple[ServingGroup, ...]:
-        return self._state.serving_groups.serving(
+    ) -> Sequence[ServingGroup]:
+        groups = self._state.serving_groups.serving(
             service,
             engine,
             self._state.runner_table.groups.groups,
         )
+        return groups_outside(self._state.evacuations.current, groups)
 
     def _load_then_distance(
         self, runner: DiscoveredRunner
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evacuations.py
@@ -0,0 +1,144 @@
+"""Evacuated failure domains as this daemon knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+
+from loguru import logger
+
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.fleet import Evacuations, ServingGroup, join_evacuations
+from cowslipstep.model import NotRun, Reason
+from cowslipstep.platform import KindChanges, ObjectPage
+
+# Objects whose names are the evacuated failure domains.
+EVACUATIONS_KIND = 'evacuations'
+
+
+class EvacuationState:
+    """Holds the newest evacuations from the platform or a peer.
+
+    Parameters
+    ----------
+    is_enabled
+        Whether failure domains are evacuated in this deployment; if not,
+        nothing is learned and no domain is evacuated.
+    """
+
+    def __init__(self, *, is_enabled: bool) -> None:
+        self._is_enabled = is_enabled
+        self._was_read = False
+        self._current = Evacuations()
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether failure domains are evacuated in this deployment."""
+        return self._is_enabled
+
+    @property
+    def is_known(self) -> bool:
+        """Whether it is known which domains are evacuated."""
+        return self._was_read or not self._is_enabled
+
+    @property
+    def current(self) -> Evacuations:
+        """The evacuations, and the revision up to which they were read."""
+        return self._current
+
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether the runners of a domain get no requests."""
+        return failure_domain in self._current.domains
+
+    def raise_if_evacuated(self, failure_domains: Collection[str]) -> None:
+        """Raise if one of these domains is evacuated.
+
+        Raises
+        ------
+        UpstreamFailure
+            With ``NotRun``: to be called before a request is written.
+        """
+        if self._current.concerns(failure_domains):
+            raise UpstreamFailure(
+                NotRun(Reason.upstream_evacuated),
+                'its failure domain is evacuated, nothing was sent',
+            )
+
+    def learn(self, received: Evacuations, source: str) -> None:
+        """Replace the known evacuations if the received ones are newer.
+
+        Parameters
+        ----------
+        received
+            Evacuations that were read completely up to their revision.
+        source
+            Where they come from, for the log.
+        """
+        if not self._is_enabled:
+            return
+        self._was_read = True
+        known = self._current
+        self._current = join_evacuations(known, received)
+        bound = logger.bind(revision=self._current.revision, source=source)
+        for begun in sorted(self._current.domains - known.domains):
+            bound.bind(failure_domain=begun).warning(
+                'evacuation begins, no more requests to this failure domain'
+            )
+        for ended in sorted(known.domains - self._current.domains):
+            bound.bind(failure_domain=ended).warning(
+                'evacuation ends, requests to this failure domain again'
+            )
+
+
+def groups_outside(
+    evacuations: Evacuations, groups: Sequence[ServingGroup]
+) -> Sequence[ServingGroup]:
+    """Return the groups without a member in an evacuated domain."""
+    if not evacuations.domains:
+        return groups
+    return [
+        group
+        for group in groups
+        if not evacuations.concerns(group.failure_domains)
+    ]
+
+
+class EvacuationObserver:
+    """Reads evacuations from the watch of their kind.
+
+    It keeps what the watch delivered apart from what peers report: a copy of
+    a peer may be ahead of the watch, which is complete at its own revision.
+
+    Parameters
+    ----------
+    state
+        Learns the evacuations.
+    """
+
+    def __init__(self, state: EvacuationState) -> None:
+        self._state = state
+        self._domains: frozenset[str] = frozenset()
+
+    def replace(self, page: ObjectPage) -> None:
+        """Replace the evacuations by a full list of the kind."""
+        self._domains = frozenset(
+            stored.key.name for stored in page.stored_objects
+        )
+        self._learn(page.revision)
+
+    def apply(self, changes: KindChanges) -> None:
+        """Apply evacuations that begin and end."""
+        domains = set(self._domains)
+        for change in changes.changes:
+            name = change.stored_object.key.name
+            if change.removed:
+                domains.discard(name)
+            else:
+                domains.add(name)
+        self._domains = frozenset(domains)
+        self._learn(changes.revision)
+
+    def on_outage(self) -> None:
+        """Keep the evacuations during an outage of the platform."""
+
+    def _learn(self, revision: int) -> None:
+        self._state.learn(Evacuations(revision, self._domains), 'platform')
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -7,18 +7,17 @@
 
 from attrs import Factory, define, field
 
-from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.delivery import RetryBudget
 from cowslipstep.model import DaemonEntry
 from cowslipstep.platform import (
     BudgetLimits,
-    CallHooks,
     PlatformClient,
     PlatformLimits,
 )
 from cowslipstep.routing import LoadSamples, UpstreamLoads
 from cowslipstep.serving._configuration_in_force import ConfigurationInForce
-from cowslipstep.serving._dialects import Dialects
+from cowslipstep.serving._dialects import Dialects, platform_client
+from cowslipstep.serving._evacuations import EvacuationState
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
 from cowslipstep.serving._model_work import ModelWork, no_work
 from cowslipstep.serving._process import Process, process_of
@@ -44,13 +43,7 @@
 
 
 def _platform(state: ServingState) -> PlatformClient:
-    return PlatformClient(
-        state.settings.platform_address,
-        state.settings.name,
-        state.platform_share,
-        CallHooks(time_limit=call_time_limit),
-        state.dialects.store,
-    )
+    return platform_client(state.settings, state.dialects, state.platform_share)
 
 
 def _runner_entries(state: ServingState) -> RunnerEntries:
@@ -83,6 +76,8 @@
         Runners that have registered.
     runner_entries
         Decodes entries of runners into the table.
+    evacuations
+        Failure domains whose runners get no requests.
     loads
         Requests in progress at upstreams, over all daemons.
     load_samples
@@ -126,6 +121,14 @@
     runner_entries: RunnerEntries = field(
         default=Factory(_runner_entries, takes_self=True),
     )
+    evacuations: EvacuationState = field(
+        default=Factory(
+            lambda state: EvacuationState(
+                is_enabled=state.settings.bounds.evacuation_s is not None
+            ),
+            takes_self=True,
+        ),
+    )
     loads: UpstreamLoads = field(
         factory=lambda: UpstreamLoads(time.monotonic),
     )
@@ -166,10 +169,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send requests."""
-        known = (
-            self.configuration.table is not None and self.runner_table.was_read
+        return (
+            has_read_objects(self)
+            and not self.stopping
+            and not self.process.tasks.broken()
         )
-        return known and not self.stopping and not self.process.tasks.broken()
 
     @property
     def platform_share(self) -> PlatformLimits:
@@ -215,3 +219,12 @@
             budget = _budget(self)
             self._retry_budgets[service] = budget
         return budget
+
+
+def has_read_objects(state: ServingState) -> bool:
+    """Return whether the objects that serving needs were read."""
+    return (
+        state.configuration.table is not None
+        and state.runner_table.was_read
+        and state.evacuations.is_known
+    )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -64,6 +64,8 @@
         Predicted time until the beginning of its response; zero if unknown.
     begins_by_s
         Clock reading by which the response must begin for the caller.
+    member_domains
+        Failure domains of the members of its group.
     """
 
     runner: DiscoveredRunner
@@ -71,6 +73,12 @@
     urgency: int = 0
     expected_s: float = 0
     begins_by_s: float = math.inf
+    member_domains: frozenset[str] = frozenset()
+
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Failure domains of the upstream and of the members of its group."""
+        return self.member_domains | {self.runner.failure_domain}
 
     @property
     def is_substitute(self) -> bool:
@@ -224,6 +232,7 @@
         response_timeout_s,
         _urgency(delivery),
         expected_s,
+        member_domains=group.failure_domains,
     )
 
 
@@ -237,4 +246,5 @@
         delivery.remaining_s,
         BEST_EFFORT_URGENCY + _urgency(delivery),
         expected_s,
+        member_domains=view.group.failure_domains,
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -5,7 +5,7 @@
 import contextlib
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import urllib3
 from attrs import frozen
@@ -36,6 +36,10 @@
 _MIN_TIMEOUT_S = 0.001
 
 
+def _admit() -> None:
+    """Let every request be sent."""
+
+
 @frozen
 class HttpRequest:
     """An HTTP request to an upstream.
@@ -56,6 +60,9 @@
         Longest time until the head of the response is complete, seconds.
     silence
         What happens before that if nothing is received.
+    admit
+        Called once the connection is made, directly before the request is
+        written; raises ``UpstreamFailure`` if it must not be sent any more.
     """
 
     address: Address
@@ -65,6 +72,7 @@
     body: bytes
     response_timeout_s: float
     silence: Silence | None = None
+    admit: Callable[[], None] = _admit
 
 
 class OpenResponse:
@@ -174,6 +182,7 @@
         connection.timeout = timeout_s
         reader.limit(timeout_s, _MAX_HEAD_BYTES, request.silence)
         reader.allow_end(allowed=False)
+        request.admit()
         connection.request(
             request.method,
             request.target,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import itertools
 import time
 from collections.abc import Callable, Iterator
@@ -131,6 +132,10 @@
             sent.request.body,
             min(sent.remaining_s, chosen.begins_by_s - time.monotonic()),
             Silence(chosen.response_timeout_s, on_silence),
+            functools.partial(
+                self._state.evacuations.raise_if_evacuated,
+                chosen.failure_domains,
+            ),
         )
 
     def _stream(
--- a/apps/cowslipstepd/tests/test_stream_silence.py
+++ b/apps/cowslipstepd/tests/test_stream_silence.py
@@ -85,6 +85,7 @@
         retry_budget=lambda _service: RetryBudget(saved=5),
         configuration=types.SimpleNamespace(table=None, version=0),
         runner_table=types.SimpleNamespace(revision=0),
+        evacuations=types.SimpleNamespace(raise_if_evacuated=bool),
     )
 
 
--- /dev/null
+++ b/libs/fleet/src/cowslipstep/fleet/_evacuations.py
@@ -0,0 +1,55 @@
+"""Failure domains that are evacuated, as of a revision of the platform.
+
+Load pattern: a failure domain is taken out of service as a whole, for example
+a third of all runners at once, while requests go on and some daemons are cut
+off from the platform.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import field, frozen
+
+
+@frozen
+class Evacuations:
+    """The evacuated failure domains.
+
+    Parameters
+    ----------
+    revision
+        Revision of the platform up to which the evacuations were read; zero
+        if they are not known.
+    domains
+        Failure domains whose runners get no requests.
+
+    Examples
+    --------
+    >>> Evacuations(3, frozenset(('north',))).concerns(('north', 'south'))
+    True
+    """
+
+    revision: int = 0
+    domains: frozenset[str] = field(default=frozenset())
+
+    def concerns(self, failure_domains: Iterable[str]) -> bool:
+        """Return whether one of these failure domains is evacuated."""
+        return bool(self.domains) and not self.domains.isdisjoint(
+            failure_domains
+        )
+
+
+def join_evacuations(known: Evacuations, received: Evacuations) -> Evacuations:
+    """Return the newer ones of two; the known ones if they are equally new.
+
+    An evacuation that was withdrawn is missing at a newer revision, so the
+    domains of both must not be merged.
+
+    Examples
+    --------
+    >>> known = Evacuations(3, frozenset(('north',)))
+    >>> join_evacuations(known, Evacuations(4)).domains
+    frozenset()
+    """
+    return received if received.revision > known.revision else known
--- a/libs/fleet/src/cowslipstep/fleet/_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -138,3 +138,8 @@
     def leader(self) -> DiscoveredRunner:
         """The first member, which receives the requests."""
         return self.members[0]
+
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Failure domains of its members."""
+        return frozenset(member.failure_domain for member in self.members)
--- a/libs/model/src/cowslipstep/model/_verdicts.py
+++ b/libs/model/src/cowslipstep/model/_verdicts.py
@@ -31,6 +31,8 @@
     upstream_moved
         The address belongs to another upstream, or to a runner that no
         longer leads a group.
+    upstream_evacuated
+        The failure domain of the upstream is evacuated; nothing was sent.
     upstream_failed
         The upstream responded with an error.
     upstream_cut
@@ -70,6 +72,7 @@
     connect_failed = 'connect_failed'
     upstream_refused = 'upstream_refused'
     upstream_moved = 'upstream_moved'
+    upstream_evacuated = 'upstream_evacuated'
     upstream_failed = 'upstream_failed'
     upstream_cut = 'upstream_cut'
     harmful_prompt = 'harmful_prompt'
--- a/libs/platform/src/cowslipstep/platform/_budget.py
+++ b/libs/platform/src/cowslipstep/platform/_budget.py
@@ -30,6 +30,7 @@
         'orders': Priority.orders,
         'configuration': Priority.configuration,
         'daemons': Priority.configuration,
+        'evacuations': Priority.configuration,
         'promptevidence': Priority.configuration,
     }
 )
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -34,6 +34,10 @@
         Time after which no daemon accepts an API key that the configuration
         no longer has, seconds, whatever the daemon can reach; infinite for no
         such limit.
+    evacuation_s
+        Time after which no daemon sends requests to runners of a failure
+        domain whose evacuation was written, seconds; ``None`` if failure
+        domains are not evacuated.
     """
 
     grace_s: float = field(default=8, validator=_POSITIVE)
@@ -43,6 +47,9 @@
     revocation_s: float = field(
         default=math.inf, validator=validators.ge(_MIN_REVOCATION_S)
     )
+    evacuation_s: float | None = field(
+        default=None, validator=validators.optional(_POSITIVE)
+    )
 
 
 @frozen
--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -61,6 +61,12 @@
     settings = decode_settings(SETTINGS)
     assert settings.peer_address == Address('10.1.0.40', 7340)
     assert settings.first_start
+    assert settings.bounds.evacuation_s is None
+
+
+def test_time_of_an_evacuation_is_decoded() -> None:
+    text = SETTINGS.replace('graceS = 8', 'graceS = 8\nevacuateMs = 5000')
+    assert decode_settings(text).bounds.evacuation_s == 5
 
 
 @pytest.mark.parametrize('text', ['', 'nodeName = 5', '= ='])
