Pass evacuations between daemons with the load reports

A daemon that the store refuses, and a follower of a relay, learn which failure domains are evacuated from the reports: the revision up to which the sender has read the kind, and the domains at that revision. The newest state counts as a whole, so that an evacuation that was withdrawn does not come back with an older report. Relays pass on the newest state of the reports that they sum. Followers no longer watch the kind while their relay reports. A changed domain is reported at once; a newer revision alone waits for the next report.

A restarted daemon serves nothing until it has the store's list or a report with a revision.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_evacuation_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evacuation_tasks.py
@@ -31,7 +31,8 @@
         EvacuationObserver(state.evacuations),
         WatchSchedule(
             lambda: _WATCH_INTERVAL_S,
-            is_relayed=bool,  # never
+            # The reports of the relay carry the evacuations.
+            is_relayed=lambda: state.relay_role.relies_on_relay,
             timeout_s=lambda: timeout_s,
             # An evacuation that was written before a restart must be known
             # after it.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_evacuations.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evacuations.py
@@ -9,6 +9,7 @@
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import Evacuations, ServingGroup, join_evacuations
 from cowslipstep.model import NotRun, Reason
+from cowslipstep.model.loads import LoadReport
 from cowslipstep.platform import KindChanges, ObjectPage
 
 # Objects whose names are the evacuated failure domains.
@@ -89,6 +90,15 @@
             )
 
 
+def learn_from_report(state: EvacuationState, report: LoadReport) -> None:
+    """Learn the evacuations that a peer knows, whatever its role is."""
+    if report.evacuations_revision:
+        received = Evacuations(
+            report.evacuations_revision, frozenset(report.evacuated_domains)
+        )
+        state.learn(received, report.daemon)
+
+
 def groups_outside(
     evacuations: Evacuations, groups: Sequence[ServingGroup]
 ) -> Sequence[ServingGroup]:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
@@ -13,6 +13,7 @@
 from cowslipstep.model.loads import LoadReport, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable, ReplyCallback, Traffic
 from cowslipstep.routing import MeshMember, Relay, Role
+from cowslipstep.serving._evacuations import learn_from_report
 from cowslipstep.serving._peer_catch_up import (
     PeerCatchUp,
     copy_configuration,
@@ -97,6 +98,7 @@
                 reply(Acknowledgement())
 
     def _receive_report(self, report: LoadReport) -> None:
+        learn_from_report(self._state.evacuations, report)
         match self._state.relay_role.record(report):
             case CompleteReport():
                 self._state.loads.record(report, replace_all=True)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
@@ -102,18 +102,24 @@
             is_controller=state.is_controller,
             reachable_unregistered=self._reachability.own_reachable,
             runners_revision=state.runner_table.revision,
+            evacuations_revision=state.evacuations.current.revision,
+            evacuated_domains=tuple(sorted(state.evacuations.current.domains)),
         )
 
 
 def has_changed(last_sent: LoadReport | None, report: LoadReport) -> bool:
     """Return whether a report has to be sent to a peer.
 
-    Changes of its sequence number and of demand alone do not count.
+    Changes of its sequence number, of demand and of the revision of unchanged
+    evacuations alone do not count.
     """
     if last_sent is None:
         return True
     comparable = evolve(
-        report, sequence=last_sent.sequence, demands=last_sent.demands
+        report,
+        sequence=last_sent.sequence,
+        demands=last_sent.demands,
+        evacuations_revision=last_sent.evacuations_revision,
     )
     if not report.from_relay:
         # Only followers of a relay need a new revision of runners at once: they
--- a/apps/cowslipstepd/tests/test_evacuations.py
+++ b/apps/cowslipstepd/tests/test_evacuations.py
@@ -20,8 +20,15 @@
 from _serving_harness import REPEATABLE, STREAM, Harness
 from attrs import evolve
 
-from cowslipstep.fleet import Evacuations, Route
+from cowslipstep.fleet import (
+    DiscoveredRunner,
+    Evacuations,
+    GroupId,
+    Route,
+    ServingGroup,
+)
 from cowslipstep.model import Address
+from cowslipstep.model.loads import LoadReport
 from cowslipstep.platform import (
     KindChanges,
     ObjectChange,
@@ -34,7 +41,10 @@
     EVACUATIONS_KIND,
     EvacuationObserver,
     EvacuationState,
+    groups_outside,
+    learn_from_report,
 )
+from cowslipstep.serving._report_builder import has_changed
 
 SOUTH = frozenset(('south',))
 REQUESTS = 20
@@ -155,6 +165,47 @@
         assert outcome == ({UNAVAILABLE}, {'north': 0, 'south': 0})
 
 
+def play_restart() -> list[tuple[bool, int]]:
+    """Return readiness and status before and after a peer's report."""
+    fleet = TwoDomains((Send(ANSWER),))
+    state = fleet.harness.state
+    state.evacuations = EvacuationState(is_enabled=True)
+    played = []
+    for report in (
+        LoadReport('d1', 1, 1),
+        LoadReport('d1', 2, 1, evacuations_revision=3),
+    ):
+        learn_from_report(state.evacuations, report)
+        status = fleet.harness.exchange(REPEATABLE).status
+        played.append((state.is_ready, status))
+    return played
+
+
+def test_nothing_is_served_before_they_are_known() -> None:
+    """A restarted daemon would send requests to an evacuated domain."""
+    played = in_green_process(play_restart)
+    assert played == [(False, UNAVAILABLE), (True, 200)]
+
+
+def test_new_domain_is_reported_at_once() -> None:
+    report = LoadReport('d0', 1, 1, evacuations_revision=4)
+    newer = evolve(report, evacuations_revision=5)
+    assert not has_changed(report, newer)
+    assert has_changed(report, evolve(newer, evacuated_domains=('south',)))
+
+
+def test_group_with_an_evacuated_member() -> None:
+    leader = DiscoveredRunner('r0', 's', Address('127.0.0.1', 1), 'north', 1)
+    member = evolve(leader, name='r1', failure_domain='south')
+    group_id = GroupId('s', 'g1', 1)
+    groups = (
+        ServingGroup(group_id, 'm', (leader, leader)),
+        ServingGroup(group_id, 'm', (leader, member)),
+    )
+    assert groups_outside(Evacuations(1), groups) == groups
+    assert groups_outside(Evacuations(1, SOUTH), groups) == [groups[0]]
+
+
 def play_late_evacuation(route: Route) -> tuple[int, int]:
     """Evacuate the chosen domain once the connection is made.
 
--- a/apps/cowslipstepd/tests/test_relayed_loads.py
+++ b/apps/cowslipstepd/tests/test_relayed_loads.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cowslipstep.fleet import Evacuations
 from cowslipstep.model import Address, DaemonEntry
 from cowslipstep.routing import UpstreamLoads
 from cowslipstep.serving import (
@@ -14,6 +15,7 @@
     _relay_role,
     _report_builder,
 )
+from cowslipstep.serving._evacuations import EvacuationState
 
 DOMAINS = ('north', 'south', 'west')
 DAEMONS_PER_DOMAIN = 6
@@ -55,6 +57,7 @@
             has_served=True,
             is_controller=False,
             model_work_s={},
+            evacuations=EvacuationState(is_enabled=True),
         )
         self.reports = _report_builder.ReportBuilder(
             self.state,
@@ -149,3 +152,31 @@
     fleet.run(30)
     links = sum(len(daemon.report_receivers()) for daemon in fleet.running())
     assert links < 3 * len(ENTRIES)
+
+
+# A relay, a follower, and a daemon that was cut off from the store: those that
+# do not reach it learn the state from the reports.
+@pytest.mark.parametrize('source', ['north-0', 'south-4', 'west-0'])
+def test_newest_evacuations_reach_each_daemon(fleet, source):
+    for evacuated in (
+        Evacuations(5, frozenset(('south',))),
+        Evacuations(9, frozenset(('west',))),
+        Evacuations(12),
+    ):
+        state = fleet.daemons[source].state
+        state.evacuations.learn(evacuated, 'platform')
+        fleet.run(3 * STEP_S)
+        known = {daemon.state.evacuations.current for daemon in fleet.running()}
+        assert known == {evacuated}
+
+
+def test_restarted_daemon_learns_the_evacuations(fleet):
+    evacuated = Evacuations(5, frozenset(('south',)))
+    relay = fleet.daemons['north-0'].state
+    relay.evacuations.learn(evacuated, 'platform')
+    known = EvacuationState(is_enabled=True)
+    fleet.daemons['south-3'].state.evacuations = known
+    assert not known.is_known
+    fleet.run(3 * STEP_S)
+    assert known.is_known
+    assert known.current == evacuated
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -146,6 +146,11 @@
         the daemons of its failure domain.
     covers_all_daemons
         Whether it includes the loads of all daemons but the receiver.
+    evacuations_revision
+        Revision of the platform up to which it has the evacuations of failure
+        domains; zero if it does not know them.
+    evacuated_domains
+        Failure domains that are evacuated at that revision, in order.
     """
 
     daemon: str
@@ -161,6 +166,8 @@
     from_relay: bool = False
     covers_all_daemons: bool = False
     doubts: tuple[UpstreamDoubt, ...] = ()
+    evacuations_revision: int = 0
+    evacuated_domains: tuple[str, ...] = ()
 
 
 LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -59,6 +59,8 @@
         doubts=tuple(
             UpstreamDoubt(doubt.upstream, doubt.daemons) for doubt in raw.doubts
         ),
+        evacuations_revision=raw.evacuationsRevision,
+        evacuated_domains=tuple(raw.evacuated),
     )
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -53,6 +53,8 @@
     _write_demands_and_doubts(builder, report)
     _write_names(builder, 'suspects', report.suspected_upstreams)
     _write_names(builder, 'heard', report.reachable_unregistered)
+    builder.evacuationsRevision = report.evacuations_revision
+    _write_names(builder, 'evacuated', report.evacuated_domains)
 
 
 def _write_waiting(builder: Any, waiting: tuple[int, ...]) -> None:
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -213,6 +213,9 @@
   # Loads include those of all daemons but the receiver.
   whole @11 :Bool;
   doubts @12 :List(UpstreamDoubt);
+  # Revision up to which the evacuations are known; zero if they are not.
+  evacuationsRevision @13 :UInt64;
+  evacuated @14 :List(Text);
 }
 
 # Number of daemons to which an upstream has not responded lately.
--- a/libs/peers/tests/test_frames.py
+++ b/libs/peers/tests/test_frames.py
@@ -25,6 +25,7 @@
     Request,
     SlotRequest,
 )
+from cowslipstep.model.loads import LoadReport
 from cowslipstep.peers import Frame, FrameError, decode_frame, encode_frame
 
 CELL = Cell('drafting', 'ebene')
@@ -45,6 +46,14 @@
     DaemonEntry('d0', Address('127.0.0.1', 80), 'ebene', 2**62),
     ConfigurationQuery(4),
     ConfigurationCopy(5, '{}'),
+    LoadReport('d0', 3, 5),
+    LoadReport(
+        'd0',
+        3,
+        5,
+        evacuations_revision=2**62,
+        evacuated_domains=('ebene', 'flacq'),
+    ),
 )
 
 
--- a/libs/routing/src/cowslipstep/routing/_report_sums.py
+++ b/libs/routing/src/cowslipstep/routing/_report_sums.py
@@ -43,6 +43,9 @@
     (3, True, True)
     """
     reports = (own, *others)
+    # The newest state counts, not the sum: a domain that is missing in it is
+    # no longer evacuated.
+    newest = max(reports, key=lambda report: report.evacuations_revision)
     return evolve(
         own,
         loads=_sum_loads(reports),
@@ -58,6 +61,8 @@
         is_controller=any(report.is_controller for report in reports),
         from_relay=True,
         covers_all_daemons=covers_all_daemons,
+        evacuations_revision=newest.evacuations_revision,
+        evacuated_domains=newest.evacuated_domains,
     )
 
 
--- a/libs/routing/tests/test_relays.py
+++ b/libs/routing/tests/test_relays.py
@@ -144,3 +144,15 @@
         reachable_unregistered=('h',),
         from_relay=True,
     )
+
+
+def test_sum_has_the_newest_evacuations() -> None:
+    """A domain that is no longer evacuated must not come back."""
+    known = LoadReport(
+        'a', 1, 0, evacuations_revision=4, evacuated_domains=('north',)
+    )
+    newer = evolve(known, evacuations_revision=5, evacuated_domains=())
+    for reports in ((known, [newer]), (newer, [known])):
+        report = sum_reports(*reports)
+        assert report.evacuations_revision == 5
+        assert not report.evacuated_domains
