Send watches again that a silent store has lost

Cause: a store that was silent never responds to the watches that it received meanwhile, and keeps their connections open. Followers of a relay watch the configuration for 25 s, because the reports of the relay reveal a newer version. Watches of evidence wait for 25 s on every daemon, and no report revealed one that hung.

Change: a pending watch call is given up and sent again from the same revision if the store left another call of this daemon without a response and responds again, if a peer has had a newer version for 1 s, if the relay says that it found the store silent (storeSilences in its load report), or if the relay has sent no report for 1.2 s. This covers the configuration, the runners, the daemons and the evidence. A call that is given up does not count for the circuit breaker. A relay reports the newest version that any of its daemons has, so that its own watch, which may hang too, delays nobody. A watch that is sent without a relay waits for 5 s, not 25 s.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -11,12 +11,7 @@
 from cowslipstep.serving._evacuation_tasks import start_evacuation_tasks
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._key_confirmation import KeyConfirmation
-from cowslipstep.serving._kind_watch import (
-    LONG_WATCH_TIMEOUT_S,
-    WATCH_TIMEOUT_S,
-    KindWatch,
-    WatchSchedule,
-)
+from cowslipstep.serving._kind_watch import KindWatch, WatchSchedule
 from cowslipstep.serving._peer_reports import PeerReports
 from cowslipstep.serving._reachability import Reachability
 from cowslipstep.serving._registration import DAEMONS_KIND, register_daemon
@@ -25,6 +20,7 @@
 from cowslipstep.serving._runner_observer import RunnerObserver
 from cowslipstep.serving._servers import start_servers
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._watch_reliance import WatchReliance
 
 # Minimum time between two watch calls of a kind: changes in between arrive in
 # one response. Each watch is a call to the platform.
@@ -80,6 +76,7 @@
 def _start_watches(state: ServingState, registry: DaemonRegistry) -> None:
     key = state.dialects.configuration_key
     bounds = state.settings.bounds
+    reliance = WatchReliance(state)
 
     def runners_interval_s() -> float:  # noqa: WPS430
         return (
@@ -98,15 +95,12 @@
                 # Each daemon watches the configuration itself: a relay would
                 # have to send the same large document to many daemons.
                 is_relayed=_never,
-                timeout_s=lambda: (
-                    LONG_WATCH_TIMEOUT_S
-                    if state.relay_role.relies_on_relay
-                    else WATCH_TIMEOUT_S
-                ),
+                timeout_s=reliance.timeout_s,
                 # After a restart, keys that were withdrawn before it must not
                 # be accepted again.
                 first_may_be_stale=False,
                 confirm=state.configuration.freshness.confirm,
+                doubt=reliance.doubt,
             ),
         ),
         KindWatch(
@@ -114,7 +108,9 @@
             state.dialects.runners_kind,
             RunnerObserver(state.runner_entries, bounds.registration_s),
             WatchSchedule(
-                runners_interval_s, lambda: state.relay_role.relies_on_relay
+                runners_interval_s,
+                lambda: state.relay_role.relies_on_relay,
+                doubt=reliance.doubt,
             ),
         ),
         KindWatch(
@@ -128,6 +124,7 @@
                     and state.relay_role.relies_on_relay
                 ),
                 _DAEMONS_LIST_DELAY_S,
+                doubt=reliance.doubt,
             ),
         ),
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evidence_tasks.py
@@ -19,11 +19,7 @@
 )
 from cowslipstep.routing.prompts import EVIDENCE_LIFETIME_S
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
-from cowslipstep.serving._kind_watch import (
-    LONG_WATCH_TIMEOUT_S,
-    KindWatch,
-    WatchSchedule,
-)
+from cowslipstep.serving._kind_watch import KindWatch, WatchSchedule
 from cowslipstep.serving._prompt_evidence import (
     EVIDENCE_KIND,
     Evidence,
@@ -31,6 +27,7 @@
     evidence_key,
 )
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._watch_reliance import WatchReliance
 
 # Callers send a refused or failed request to other daemons within a second.
 _WATCH_INTERVAL_S = 0.1
@@ -44,6 +41,7 @@
 
 def start_evidence_tasks(state: ServingState) -> None:
     """Start the tasks that read, write and remove evidence."""
+    reliance = WatchReliance(state)
     watch = KindWatch(
         state.platform,
         EVIDENCE_KIND,
@@ -51,7 +49,8 @@
         WatchSchedule(
             lambda: _WATCH_INTERVAL_S,
             is_relayed=bool,  # never
-            timeout_s=lambda: LONG_WATCH_TIMEOUT_S,
+            timeout_s=reliance.evidence_timeout_s,
+            doubt=reliance.doubt,
         ),
     )
     writer = EvidenceWriter(state.platform, state.harmful_prompts)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -15,8 +16,11 @@
     ObjectPage,
     PlatformClient,
     PlatformUnavailable,
+    WatchDoubt,
+    WatchGivenUp,
 )
 from cowslipstep.serving._clocks import boot_time_s
+from cowslipstep.serving._pending_watches import given_up_in_doubt
 
 # Longest wait of a watch call. Keep-alive probes detect a dead connection; a
 # store that accepts calls and never responds is detected only at this timeout.
@@ -46,6 +50,10 @@
     """Ignore until when all changes are known."""
 
 
+def _no_doubt(_sent_at_s: float) -> None:
+    """Return no doubt of a pending call."""
+
+
 @frozen
 class WatchSchedule:
     """When a watch calls the platform.
@@ -67,6 +75,9 @@
         Called with a moment before a call whose response was delivered: all
         earlier changes are known. Reading of a clock that does not stop while
         the host is suspended.
+    doubt
+        Returns why a watch call that was sent at that moment and is pending
+        may never get a response, if it may not; it is then sent again.
     """
 
     interval_s: Callable[[], float]
@@ -75,6 +86,7 @@
     timeout_s: Callable[[], float] = lambda: WATCH_TIMEOUT_S
     first_may_be_stale: bool = True
     confirm: Callable[[float], None] = _ignore
+    doubt: Callable[[float], WatchDoubt | None] = _no_doubt
 
 
 class KindWatch:
@@ -144,15 +156,26 @@
             eventlet.sleep(self._schedule.interval_s())
             if self._schedule.is_relayed():
                 return
-            asked_at_s = boot_time_s()
+            try:
+                revision = self._watch_from(revision)
+            except WatchGivenUp as doubt:
+                logger.info(
+                    'watch of {} given up and sent again: {}', self._kind, doubt
+                )
+
+    def _watch_from(self, revision: int) -> int:
+        """Apply the next changes; return the revision that they reach."""
+        asked_at_s = boot_time_s()
+        sent_at_s = time.monotonic()
+        with given_up_in_doubt(lambda: self._schedule.doubt(sent_at_s)):
             changes = self._client.watch_kind(
                 self._kind,
                 revision,
                 self._schedule.timeout_s(),
             )
-            self._observer.apply(changes)
-            self._schedule.confirm(asked_at_s)
-            revision = changes.revision
+        self._observer.apply(changes)
+        self._schedule.confirm(asked_at_s)
+        return changes.revision
 
     def _start_outage(self, error: PlatformUnavailable) -> None:
         if self._in_outage:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_catch_up.py
@@ -11,12 +11,14 @@
 from cowslipstep.model.loads import LoadReport, RunnersCopy, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable
 from cowslipstep.serving._clocks import boot_time_s
+from cowslipstep.serving._missed_changes import (
+    STALLED_WATCH_S,
+    MissedChanges,
+    follows_platform,
+)
 from cowslipstep.serving._state import ServingState
 
 _COPY_TIMEOUT_S = 1
-# A watch that lags behind a peer for this long may hang: a working watch
-# delivers a change within a third of this time.
-_STALLED_WATCH_S = 1
 # Parts of the time after which a withdrawn key is refused everywhere, at which
 # a peer is asked to confirm the configuration: a follower asks its relay early,
 # others only if the platform has not confirmed it.
@@ -57,7 +59,19 @@
         if version != self._version:
             self._version = version
             self._since_s = now_s
-        return now_s - self._since_s > _STALLED_WATCH_S
+        return now_s - self._since_s > STALLED_WATCH_S
+
+
+def _needs_confirmation(state: ServingState) -> bool:
+    """Return whether a peer should confirm the keys in force again."""
+    confirmed_at_s = state.configuration.freshness.confirmed_at_s
+    share = (
+        _FOLLOWER_RENEWAL_SHARE
+        if state.relay_role.relies_on_relay
+        else _RENEWAL_SHARE
+    )
+    revocation_s = state.settings.bounds.revocation_s
+    return boot_time_s() - confirmed_at_s > share * revocation_s
 
 
 class PeerCatchUp:
@@ -74,45 +88,51 @@
         self._in_progress = False
         self._configuration = _VersionLag()
         self._runners = _VersionLag()
+        self._last_query: Message | None = None
+        self._missed_changes = MissedChanges(state)
 
     def start(self, report: LoadReport, link: PeerLink) -> None:
         """Query the sender of a report if its versions are newer."""
+        self._missed_changes.note_report(report)
         query = self._query(report)
         if query is None or self._in_progress:
             return
         self._in_progress = True
+        self._last_query = query
         eventlet.spawn(self._fetch, query, link)
 
     def _query(self, report: LoadReport) -> Message | None:
+        """Return the next query; the two kinds take turns if both are due.
+
+        A relay may report a version of the configuration before it has it.
+        """
+        if isinstance(self._last_query, ConfigurationQuery):
+            return self._runners_query(report) or self._configuration_query(
+                report
+            )
+        return self._configuration_query(report) or self._runners_query(report)
+
+    def _configuration_query(
+        self, report: LoadReport
+    ) -> ConfigurationQuery | None:
         version = self._state.configuration.version
         is_behind = report.configuration_version > version
         if is_behind and self._configuration.is_stalled(version):
             return ConfigurationQuery(version)
-        if self._needs_confirmation():
+        if _needs_confirmation(self._state):
             return ConfigurationQuery(version)
-        runner_table = self._state.runner_table
-        if report.runners_revision <= runner_table.revision:
+        return None
+
+    def _runners_query(self, report: LoadReport) -> RunnersQuery | None:
+        known = self._state.runner_table.revision
+        if report.runners_revision <= known:
             return None
-        follows_platform = not (
-            runner_table.platform_lost or self._state.relay_role.relies_on_relay
-        )
-        if follows_platform and not self._runners.is_stalled(
-            runner_table.revision
+        if follows_platform(self._state) and not self._runners.is_stalled(
+            known
         ):
             # A daemon that reaches the platform gets the change from its watch.
             return None
-        return RunnersQuery(runner_table.revision)
-
-    def _needs_confirmation(self) -> bool:
-        """Return whether a peer should confirm the keys in force again."""
-        confirmed_at_s = self._state.configuration.freshness.confirmed_at_s
-        share = (
-            _FOLLOWER_RENEWAL_SHARE
-            if self._state.relay_role.relies_on_relay
-            else _RENEWAL_SHARE
-        )
-        revocation_s = self._state.settings.bounds.revocation_s
-        return boot_time_s() - confirmed_at_s > share * revocation_s
+        return RunnersQuery(known)
 
     def _fetch(self, query: Message, link: PeerLink) -> None:
         asked_at_s = boot_time_s()
@@ -138,4 +158,5 @@
                         asked_at_s - confirmed_age_s
                     )
             case RunnersCopy():
+                self._missed_changes.note_copy(copy)
                 self._state.runner_entries.apply_copy(copy)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_relay_role.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_relay_role.py
@@ -15,15 +15,12 @@
     MeshMember,
     Relay,
     RelayChoice,
-    Role,
 )
+from cowslipstep.serving._relay_reliance import RelayReliance
 
 # Source name of the sum of a failure domain. Its relays share the name, so
 # that the report of a new relay replaces that of the one before.
 _DOMAIN_SOURCE = 'domain {domain}'
-# Longer than the replacement of a failed relay takes, so that followers do not
-# turn to the platform meanwhile.
-_RELAY_LOSS_TIMEOUT_S = 2 * RELAY_TIMEOUT_S
 
 
 @frozen
@@ -97,7 +94,7 @@
         return self._last_report_s.get(name, 0)
 
 
-class RelayRole:
+class RelayRole(RelayReliance):
     """Chooses the role of this daemon by the reports that relays send.
 
     Parameters
@@ -107,50 +104,19 @@
     """
 
     def __init__(self, own: DaemonEntry) -> None:
+        super().__init__()
         self._own_domain = DomainRelays(own.failure_domain)
         self._choice = RelayChoice(
             own,
             self._own_domain.last_report_s,
             time.monotonic(),
         )
-        self._role: Role = MeshMember(frozenset())
-        self._has_read_daemons = False
-        self._relay_report_s: float = 0
-
-    @property
-    def current(self) -> Role:
-        """The role that was chosen last."""
-        return self._role
 
     @property
     def own_domain(self) -> DomainRelays:
         """The own failure domain and its relays."""
         return self._own_domain
 
-    @property
-    def has_read_daemons(self) -> bool:
-        """Whether the list of other daemons has been read."""
-        return self._has_read_daemons
-
-    @property
-    def relies_on_relay(self) -> bool:
-        """Whether reports of a relay replace queries to the platform.
-
-        Also true until the list of other daemons has been read: until then
-        the daemon neither watches nor probes runners, and does not acquire
-        the lease.
-        """
-        if not self._has_read_daemons:
-            return True
-        match self._role:
-            case Follower():
-                return (
-                    time.monotonic() - self._relay_report_s
-                    < _RELAY_LOSS_TIMEOUT_S
-                )
-            case _:
-                return False
-
     def choose(self, others: Collection[DaemonEntry]) -> bool:
         """Choose the role again; return whether it has changed."""
         previous = self._role
@@ -161,6 +127,8 @@
             self._has_read_daemons and isinstance(self._role, type(previous))
         )
         self._has_read_daemons = True
+        if changed and isinstance(previous, Follower):
+            self._left_relay_s = now_s
         if changed:
             # Gives the new relay time to send its first report.
             self._relay_report_s = now_s
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
@@ -104,6 +104,7 @@
             runners_revision=state.runner_table.revision,
             evacuations_revision=state.evacuations.current.revision,
             evacuated_domains=tuple(sorted(state.evacuations.current.domains)),
+            store_silences=state.platform.doubts.silences,
         )
 
 
--- a/apps/cowslipstepd/tests/test_relayed_loads.py
+++ b/apps/cowslipstepd/tests/test_relayed_loads.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import time
 import types
 
 import pytest
 
 from cowslipstep.fleet import Evacuations
 from cowslipstep.model import Address, DaemonEntry
+from cowslipstep.platform import WatchDoubts
 from cowslipstep.routing import UpstreamLoads
 from cowslipstep.serving import (
     _demand,
     _peer_reports,
+    _relay_reliance,
     _relay_role,
     _report_builder,
 )
@@ -54,6 +57,7 @@
             configuration=types.SimpleNamespace(version=1),
             suspicions=types.SimpleNamespace(suspected_upstreams=(), doubts=()),
             runner_table=types.SimpleNamespace(revision=1, platform_lost=False),
+            platform=types.SimpleNamespace(doubts=WatchDoubts(time.monotonic)),
             has_served=True,
             is_controller=False,
             model_work_s={},
@@ -116,7 +120,7 @@
 @pytest.fixture
 def fleet(monkeypatch) -> Fleet:
     clock = Clock()
-    for module in (_demand, _relay_role, _report_builder):
+    for module in (_demand, _relay_role, _relay_reliance, _report_builder):
         monkeypatch.setattr(module, 'time', clock)
     daemons = Fleet(clock)
     daemons.run(SETTLED_S)
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -122,7 +122,8 @@
     sequence
         Number of the report; grows with each one until the sender restarts.
     configuration_version
-        Version of the configuration that the sender applies.
+        Version of the configuration that the sender applies; in the report
+        of a relay the newest one that any of the daemons in it applies.
     loads
         Upstreams at which the sender has requests in progress.
     demands
@@ -151,6 +152,9 @@
         domains; zero if it does not know them.
     evacuated_domains
         Failure domains that are evacuated at that revision, in order.
+    store_silences
+        Number of times that the platform's store responded again to the
+        sender after a silence.
     """
 
     daemon: str
@@ -168,6 +172,7 @@
     doubts: tuple[UpstreamDoubt, ...] = ()
     evacuations_revision: int = 0
     evacuated_domains: tuple[str, ...] = ()
+    store_silences: int = 0
 
 
 LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -54,6 +54,7 @@
         is_controller=raw.keeper,
         reachable_unregistered=tuple(raw.heard),
         runners_revision=raw.runnersRevision,
+        store_silences=raw.storeSilences,
         from_relay=raw.relayed,
         covers_all_daemons=raw.whole,
         doubts=tuple(
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -216,6 +216,8 @@
   # Revision up to which the evacuations are known; zero if they are not.
   evacuationsRevision @13 :UInt64;
   evacuated @14 :List(Text);
+  # How often the store responded again to the sender after a silence.
+  storeSilences @15 :UInt32;
 }
 
 # Number of daemons to which an upstream has not responded lately.
--- a/libs/peers/tests/test_frames.py
+++ b/libs/peers/tests/test_frames.py
@@ -45,6 +45,7 @@
     Heartbeat('d0', 2**62, 9, True, 77, REPORT, (GOSSIP,)),
     DaemonEntry('d0', Address('127.0.0.1', 80), 'ebene', 2**62),
     ConfigurationQuery(4),
+    LoadReport('a', 1, 2, store_silences=3),
     ConfigurationCopy(5, '{}'),
     LoadReport('d0', 3, 5),
     LoadReport(
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -34,3 +34,8 @@
     StoredObject,
     VersionConflict,
 )
+from cowslipstep.platform._watch_doubts import (
+    WatchDoubt,
+    WatchDoubts,
+    WatchGivenUp,
+)
--- a/libs/platform/src/cowslipstep/platform/_caller.py
+++ b/libs/platform/src/cowslipstep/platform/_caller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import random
 import time
 from collections.abc import Iterator
 
@@ -11,13 +10,8 @@
 from cowslipstep.platform._budgets import CallBudgets
 from cowslipstep.platform._call_hooks import CallObserver
 from cowslipstep.platform._calls import CallOutcome, CallRecord, PlatformCall
-from cowslipstep.platform._circuit_breaker import CircuitBreaker
-from cowslipstep.platform._objects import (
-    HistoryGone,
-    ObjectMissing,
-    PlatformUnavailable,
-    VersionConflict,
-)
+from cowslipstep.platform._objects import PlatformUnavailable
+from cowslipstep.platform._store_contact import StoreContact
 from cowslipstep.platform._transport import (
     PlatformResponse,
     PlatformTransport,
@@ -45,14 +39,13 @@
     ) -> None:
         self._transport = transport
         self._budgets = budgets
-        self._breaker = CircuitBreaker(time.monotonic, random.Random())
+        self._contact = StoreContact()
         self._on_call = on_call
-        self._last_response_at_s = float('-inf')
 
     @property
-    def last_response_at_s(self) -> float:
-        """Clock reading at the last response; minus infinity for none."""
-        return self._last_response_at_s
+    def contact(self) -> StoreContact:
+        """What the outcomes of calls show of the store."""
+        return self._contact
 
     def call(self, call: PlatformCall) -> PlatformResponse:
         """Send one call and return its response.
@@ -73,7 +66,7 @@
             return self._transport.send(call)
 
     def _admit(self, call: PlatformCall) -> None:
-        if not self._breaker.admit():
+        if not self._contact.admit():
             raise self._not_sent_error(call, CallOutcome.backing_off)
         if not self._budgets.admit(call):
             raise self._not_sent_error(call, CallOutcome.over_budget)
@@ -91,25 +84,12 @@
 
     @contextlib.contextmanager
     def _recorded(self, call: PlatformCall) -> Iterator[None]:
-        outcome = CallOutcome.answered
+        sent_at_s = time.monotonic()
         try:
             yield
-        except VersionConflict:
-            outcome = CallOutcome.conflict
-            raise
-        except (ObjectMissing, HistoryGone):
-            outcome = CallOutcome.missing
-            raise
-        except BaseException:
-            outcome = CallOutcome.failed
+        except BaseException as error:
+            outcome = self._contact.record_error(error, sent_at_s)
+            self._on_call(CallRecord(call.method, call.kind, outcome))
             raise
-        finally:
-            self._record(call, outcome)
-
-    def _record(self, call: PlatformCall, outcome: CallOutcome) -> None:
-        self._on_call(CallRecord(call.method, call.kind, outcome))
-        if outcome is CallOutcome.failed:
-            self._breaker.record_failure()
-            return
-        self._breaker.record_success()
-        self._last_response_at_s = time.monotonic()
+        self._contact.record_response(sent_at_s)
+        self._on_call(CallRecord(call.method, call.kind, CallOutcome.answered))
--- a/libs/platform/src/cowslipstep/platform/_calls.py
+++ b/libs/platform/src/cowslipstep/platform/_calls.py
@@ -24,12 +24,17 @@
 
 
 class CallOutcome(enum.StrEnum):
-    """Outcome of a call; the last two mean that it was not sent."""
+    """Outcome of a call; the last two mean that it was not sent.
+
+    A call that was given up shows neither that the store responds nor that
+    it does not.
+    """
 
     answered = 'answered'
     conflict = 'conflict'
     missing = 'missing'
     failed = 'failed'
+    given_up = 'given_up'
     over_budget = 'over_budget'
     backing_off = 'backing_off'
 
--- a/libs/platform/src/cowslipstep/platform/_objects.py
+++ b/libs/platform/src/cowslipstep/platform/_objects.py
@@ -40,11 +40,25 @@
         by it, ``MayHaveRun`` when a change may have taken effect.
     message
         The call and what failed.
+    is_silent
+        Whether there was no response within the time limit of the call.
     """
 
-    def __init__(self, verdict: NotRun | MayHaveRun, message: str) -> None:
+    def __init__(
+        self,
+        verdict: NotRun | MayHaveRun,
+        message: str,
+        *,
+        is_silent: bool = False,
+    ) -> None:
         super().__init__(message)
         self._verdict = verdict
+        self._is_silent = is_silent
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether there was no response within the time limit."""
+        return self._is_silent
 
     @property
     def verdict(self) -> NotRun | MayHaveRun:
--- a/libs/platform/src/cowslipstep/platform/_reader.py
+++ b/libs/platform/src/cowslipstep/platform/_reader.py
@@ -12,6 +12,7 @@
 from cowslipstep.platform._kind_reader import KindReader
 from cowslipstep.platform._objects import ObjectKey, StoredObject
 from cowslipstep.platform._transport import PlatformResponse
+from cowslipstep.platform._watch_doubts import WatchDoubts
 
 _READ_METHOD = 'GET'
 _NOT_MODIFIED_STATUS = 304
@@ -23,7 +24,12 @@
     @property
     def last_response_at_s(self) -> float:
         """Monotonic clock reading at the platform's last response."""
-        return self._caller.last_response_at_s
+        return self._caller.contact.last_response_at_s
+
+    @property
+    def doubts(self) -> WatchDoubts:
+        """Which pending watch calls may never get a response."""
+        return self._caller.contact.doubts
 
     def read(self, key: ObjectKey) -> StoredObject:
         """Read one object.
--- a/libs/platform/src/cowslipstep/platform/_transport.py
+++ b/libs/platform/src/cowslipstep/platform/_transport.py
@@ -120,19 +120,8 @@
         try:
             with self._time_limit(limit_s):
                 response = self._exchange(call)
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as refused:
-            raise PlatformUnavailable(
-                NotRun(Reason.platform_down),
-                f'{call}: {refused}',
-            ) from refused
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise PlatformUnavailable(
-                MayHaveRun(Reason.platform_down),
-                f'{call}: {error}',
-            ) from error
+            raise _unavailable(call, error) from error
         return self._checked(response, call)
 
     def _exchange(self, call: PlatformCall) -> PlatformResponse:
@@ -171,6 +160,20 @@
         return response
 
 
+def _unavailable(call: PlatformCall, error: Exception) -> PlatformUnavailable:
+    message = f'{call}: {error}'
+    not_run = NotRun(Reason.platform_down)
+    may_have_run = MayHaveRun(Reason.platform_down)
+    match error:
+        case urllib3.exceptions.NewConnectionError():
+            return PlatformUnavailable(not_run, message)
+        case urllib3.exceptions.ConnectTimeoutError():
+            return PlatformUnavailable(not_run, message, is_silent=True)
+        case urllib3.exceptions.ReadTimeoutError():
+            return PlatformUnavailable(may_have_run, message, is_silent=True)
+    return PlatformUnavailable(may_have_run, message)
+
+
 def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
     ends_at_s = time.monotonic() + _BODY_TIMEOUT_S
     time_slice = TimeSlice()
--- a/libs/platform/tests/test_transport.py
+++ b/libs/platform/tests/test_transport.py
@@ -41,5 +41,6 @@
 
 
 def test_a_read_times_out(client):
-    with pytest.raises(PlatformUnavailable):
+    with pytest.raises(PlatformUnavailable) as raised:
         client.read(KEY)
+    assert raised.value.is_silent
--- a/libs/routing/src/cowslipstep/routing/_report_sums.py
+++ b/libs/routing/src/cowslipstep/routing/_report_sums.py
@@ -48,6 +48,9 @@
     newest = max(reports, key=lambda report: report.evacuations_revision)
     return evolve(
         own,
+        configuration_version=max(
+            report.configuration_version for report in reports
+        ),
         loads=_sum_loads(reports),
         demands=_sum_demands(reports),
         suspected_upstreams=_distinct_names(
--- a/libs/routing/tests/test_relays.py
+++ b/libs/routing/tests/test_relays.py
@@ -156,3 +156,10 @@
         report = sum_reports(*reports)
         assert report.evacuations_revision == 5
         assert not report.evacuated_domains
+
+
+def test_a_relay_reports_the_newest_version() -> None:
+    # Its own watch may hang; its followers must hear of the version.
+    newer = LoadReport('b', 1, 9)
+    report = sum_reports(LoadReport('a', 1, 7), [newer])
+    assert report.configuration_version == 9
