Move capacity out of an evacuated failure domain

The controller counted the groups of an evacuated domain as capacity and formed new ones there. Its runners count as draining now, so that their groups are closed, finish their requests and are left, and no group is formed of them. Groups that are still open there no longer count, pending ones are given up, and in one decision new groups elsewhere come before the closings. The gauge of serving groups leaves them out as well. Nothing changes without an evacuation.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_fleet_log.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_fleet_log.py
@@ -39,6 +39,7 @@
         term=term,
         runners=len(view.runners),
         lost=len(view.lost_runners),
+        evacuated=len(view.evacuated),
         demand=_rounded(view.demand),
     ).info('groups are formed or closed')
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cowslipstep.fleet import EngineProfile, FleetView, GroupId
+from cowslipstep.fleet import EngineProfile, FleetView, GroupId, drain_evacuated
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._demand import DemandEstimator
 from cowslipstep.serving._reachability import Reachability
@@ -43,7 +43,7 @@
         ``departed`` are groups whose leaders have confirmed that they left.
         """
         reachable_unregistered = self._reachability.reachable_unregistered()
-        return FleetView(
+        view = FleetView(
             runners={
                 name: runner
                 for name, runner in self._state.runner_table.runners.items()
@@ -61,6 +61,7 @@
             departed=departed,
             load_limits_apply=self._load_limits_apply(),
         )
+        return drain_evacuated(view, self._state.evacuations.current)
 
     def _load_limits_apply(self) -> bool:
         """Return whether weight loads are limited.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_group_gauges.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_group_gauges.py
@@ -8,6 +8,7 @@
 from cowslipstep.fleet import EngineProfile
 from cowslipstep.metrics import CounterKey, Gauges
 from cowslipstep.serving._demand import DemandEstimator
+from cowslipstep.serving._evacuations import groups_outside
 from cowslipstep.serving._state import ServingState
 
 
@@ -44,9 +45,13 @@
 def _serving_groups(
     state: ServingState, service: str, engine: EngineProfile
 ) -> dict[str, float]:
-    """Count the serving groups of each model, also where there are none."""
+    """Count the serving groups of each model, also where there are none.
+
+    Groups with a member in an evacuated failure domain get no requests.
+    """
     groups = state.serving_groups.serving(
         service, engine, state.runner_table.groups.groups
     )
-    counts = Counter(group.model for group in groups)
+    outside = groups_outside(state.evacuations.current, groups)
+    counts = Counter(group.model for group in outside)
     return {model.name: counts[model.name] for model in engine.models}
--- a/apps/cowslipstepd/tests/test_group_gauges.py
+++ b/apps/cowslipstepd/tests/test_group_gauges.py
@@ -19,6 +19,7 @@
 )
 from cowslipstep.metrics import Gauges
 from cowslipstep.model import Address
+from cowslipstep.serving._evacuations import EvacuationState
 from cowslipstep.serving._group_gauges import set_group_gauges
 from cowslipstep.serving._serving_group_cache import ServingGroupCache
 
@@ -56,6 +57,7 @@
         configuration=types.SimpleNamespace(table=TABLE),
         serving_groups=ServingGroupCache(),
         runner_table=types.SimpleNamespace(groups=groups),
+        evacuations=EvacuationState(is_enabled=False),
     )
     demand: Any = types.SimpleNamespace(total=lambda _: {'large': 1.5})
     gauges = Gauges()
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -30,7 +30,11 @@
 )
 from cowslipstep.fleet._engines import EngineProfile, ModelProfile, ServedModel
 from cowslipstep.fleet._epochs import Epochs
-from cowslipstep.fleet._evacuations import Evacuations, join_evacuations
+from cowslipstep.fleet._evacuations import (
+    Evacuations,
+    drain_evacuated,
+    join_evacuations,
+)
 from cowslipstep.fleet._fleet_summary import (
     FleetSummary,
     RunnerUse,
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -41,6 +41,9 @@
         Whether loads of weights count towards the limits of the weight store.
     registrations_settled
         Whether few runners have registered recently.
+    evacuated
+        Names of runners whose failure domain is evacuated; they also count as
+        draining.
     """
 
     runners: Mapping[str, DiscoveredRunner]
@@ -53,6 +56,7 @@
     departed: frozenset[GroupId] = field(factory=frozenset)
     load_limits_apply: bool = True
     registrations_settled: bool = True
+    evacuated: frozenset[str] = field(factory=frozenset)
 
     @property
     def answering(self) -> list[DiscoveredRunner]:
@@ -64,6 +68,12 @@
         ]
 
 
+def usable_names(view: FleetView) -> frozenset[str]:
+    """Return the runners that answer and whose domain is not evacuated."""
+    answering = frozenset(runner.name for runner in view.answering)
+    return answering - view.evacuated
+
+
 @frozen
 class FormGroup:
     """Decision to form a group of runners; the first one is its leader."""
--- a/libs/fleet/src/cowslipstep/fleet/_evacuations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_evacuations.py
@@ -7,9 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import functools
+from collections.abc import Iterable, Mapping
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
+
+from cowslipstep.fleet._decisions import FleetView
+from cowslipstep.fleet._runners import DiscoveredRunner
+
+# Copies of runners that are kept between the decisions of the controller: a
+# third of the largest fleet.
+_KEPT_COPIES = 1024
 
 
 @frozen
@@ -53,3 +61,24 @@
     frozenset()
     """
     return received if received.revision > known.revision else known
+
+
+def drain_evacuated(view: FleetView, evacuations: Evacuations) -> FleetView:
+    """Return a view in which the runners of evacuated domains are draining."""
+    if not evacuations.domains:
+        return view
+    evacuated: Mapping[str, DiscoveredRunner] = {
+        name: _draining(runner)
+        for name, runner in view.runners.items()
+        if runner.failure_domain in evacuations.domains
+    }
+    return evolve(
+        view,
+        runners={**view.runners, **evacuated},
+        evacuated=frozenset(evacuated),
+    )
+
+
+@functools.lru_cache(maxsize=_KEPT_COPIES)
+def _draining(runner: DiscoveredRunner) -> DiscoveredRunner:
+    return evolve(runner, draining=True)
--- a/libs/fleet/src/cowslipstep/fleet/_pending_groups.py
+++ b/libs/fleet/src/cowslipstep/fleet/_pending_groups.py
@@ -7,7 +7,12 @@
 
 from attrs import frozen
 
-from cowslipstep.fleet._decisions import FleetView, FormGroup, OpenGroup
+from cowslipstep.fleet._decisions import (
+    FleetView,
+    FormGroup,
+    OpenGroup,
+    usable_names,
+)
 from cowslipstep.fleet._reported_groups import ReportedGroup
 from cowslipstep.fleet._runners import GroupId, MemberState
 
@@ -77,8 +82,11 @@
         view: FleetView,
         reported: Mapping[GroupId, ReportedGroup],
     ) -> None:
-        """Drop groups that opened, timed out or lost a member."""
-        answering_names = frozenset(runner.name for runner in view.answering)
+        """Drop groups that opened, timed out, or lost a member.
+
+        A member whose failure domain is evacuated counts as lost.
+        """
+        answering_names = usable_names(view)
         self._pending_groups = {
             key: pending
             for key, pending in self._pending_groups.items()
--- a/libs/fleet/src/cowslipstep/fleet/_planner.py
+++ b/libs/fleet/src/cowslipstep/fleet/_planner.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from attrs import evolve
 
 from cowslipstep.fleet._assess_group import assess_group
-from cowslipstep.fleet._decisions import FleetDecision, FleetView, FormGroup
+from cowslipstep.fleet._decisions import (
+    CloseGroup,
+    FleetDecision,
+    FleetView,
+    FormGroup,
+)
 from cowslipstep.fleet._epochs import Epochs
 from cowslipstep.fleet._group_choice import ChosenGroup, GroupChoice
 from cowslipstep.fleet._pending_groups import PendingGroups
@@ -81,6 +86,9 @@
         decisions.extend(self._reallocate(view, reported, claimed))
         decisions.extend(self._form_groups(view, reported, claimed))
         decisions.extend(stage_models(view, self._load_limiter))
+        if view.evacuated:
+            # Capacity is formed elsewhere first.
+            decisions = _closings_last(decisions)
         return [
             decision
             for decision in decisions
@@ -137,7 +145,7 @@
         counts = Counter(
             self._pending_groups.models(view.now_s + _NEARLY_READY_S)
         )
-        counts.update(_serving_models(reported))
+        counts.update(_serving_models(view, reported))
         running = self._reallocations
         self._start_reallocations(running, view, reported, claimed, counts)
         yield from ending_decisions(running, reported)
@@ -152,7 +160,7 @@
         claimed: set[str],
     ) -> Iterator[FormGroup]:
         counts = Counter(self._pending_groups.models())
-        counts.update(_serving_models(reported))
+        counts.update(_serving_models(view, reported))
         counts.update(planned_changes(self._reallocations, reported))
         choice = GroupChoice(view, self._load_limiter, claimed, counts)
         chosen = choice.next_group()
@@ -172,10 +180,23 @@
         return decision
 
 
-def _serving_models(reported: Mapping[GroupId, ReportedGroup]) -> list[str]:
-    """Return the model of each group that accepts requests."""
+def _serving_models(
+    view: FleetView, reported: Mapping[GroupId, ReportedGroup]
+) -> list[str]:
+    """Return the model of each group that gets requests.
+
+    A group with an evacuated member gets none, though it is open until it is
+    closed: others are formed in its place without a wait for that.
+    """
     return [
         reported_group.model
         for reported_group in reported.values()
         if reported_group.leader_state is MemberState.open
+        and view.evacuated.isdisjoint(reported_group.member_names)
     ]
+
+
+def _closings_last(decisions: Iterable[FleetDecision]) -> list[FleetDecision]:
+    return sorted(
+        decisions, key=lambda decision: isinstance(decision, CloseGroup)
+    )
--- a/libs/fleet/src/cowslipstep/fleet/_running_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_running_reallocations.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from cowslipstep.fleet._decisions import FleetView
+from cowslipstep.fleet._decisions import FleetView, usable_names
 from cowslipstep.fleet._possible_reallocations import (
     Reallocation,
     ReportedGroups,
@@ -54,7 +54,7 @@
 
     def drop_ended(self, view: FleetView, reported: ReportedGroups) -> None:
         """Drop the reallocations that are complete or have failed."""
-        answering_names = frozenset(runner.name for runner in view.answering)
+        answering_names = usable_names(view)
         for domain, reallocation in tuple(self._running.items()):
             if (
                 reallocation.fails_at_s <= view.now_s
--- a/libs/fleet/src/cowslipstep/fleet/replay/_fleet_replay.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_fleet_replay.py
@@ -19,6 +19,7 @@
 )
 from cowslipstep.fleet._engines import EngineProfile
 from cowslipstep.fleet._epochs import Epochs
+from cowslipstep.fleet._evacuations import Evacuations, drain_evacuated
 from cowslipstep.fleet._planner import FleetPlanner
 from cowslipstep.fleet._runners import DiscoveredRunner, GroupId
 from cowslipstep.fleet.replay._simulated_runners import (
@@ -61,6 +62,8 @@
         still responds.
     loads_limited_from_s
         Clock reading from which loads of weights are limited.
+    evacuations
+        Failure domains that are evacuated.
     """
 
     engine: EngineProfile
@@ -71,6 +74,7 @@
     probe_s: float = 0
     loads_limited_from_s: float = 0
     now_s: float = 0
+    evacuations: Evacuations = Evacuations()
     term: int = 1
     decisions: list[FleetDecision] = field(factory=list)
     runners: SimulatedRunners = field(init=False)
@@ -154,7 +158,7 @@
             for name, probed_at_s in self._probed_at_s.items()
             if probed_at_s <= self.now_s
         )
-        return FleetView(
+        view = FleetView(
             dict(self._entries),
             self.engine,
             self.now_s,
@@ -164,6 +168,7 @@
             reachable_unregistered=probed & alive,
             load_limits_apply=self.now_s > self.loads_limited_from_s,
         )
+        return drain_evacuated(view, self.evacuations)
 
     def _remember_members(self) -> None:
         for runner in self._entries.values():
