--- a/apps/cowslipstepd/src/cowslipstep/serving/_evacuation_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evacuation_tasks.py
@@ -1,7 +1,9 @@
-"""Task that watches the evacuations of failure domains."""
+"""Tasks that watch the evacuations of failure domains and log their use."""
 
 from __future__ import annotations
 
+from cowslipstep.daemon._tasks import repeat
+from cowslipstep.serving._evacuation_log import EvacuationLog
 from cowslipstep.serving._evacuations import (
     EVACUATIONS_KIND,
     EvacuationObserver,
@@ -14,13 +16,14 @@
 from cowslipstep.serving._state import ServingState
 
 _WATCH_INTERVAL_S = 0.3
+_LOG_PERIOD_S = 1
 # A watch call waits for this part of the time within which an evacuation takes
 # effect: a call to a silent store ends up to 2 s later, and a list follows.
 _WATCH_TIMEOUT_SHARE = 0.4
 
 
 def start_evacuation_tasks(state: ServingState) -> None:
-    """Start the task, if failure domains are evacuated in this deployment."""
+    """Start the tasks, if failure domains are evacuated in this deployment."""
     evacuation_s = state.settings.bounds.evacuation_s
     if evacuation_s is None:
         return
@@ -40,3 +43,8 @@
         ),
     )
     state.process.tasks.start(f'watch of {watch.kind}', watch.run)
+    state.process.tasks.start(
+        'log of evacuations',
+        repeat(_LOG_PERIOD_S, EvacuationLog(state).log),
+        essential=False,
+    )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
@@ -20,6 +20,7 @@
 from cowslipstep.model import Address
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._demand import DemandEstimator
+from cowslipstep.serving._evacuation_use import set_evacuation_gauges
 from cowslipstep.serving._group_gauges import set_group_gauges
 from cowslipstep.serving._key_permission import key_permission
 from cowslipstep.serving._load_spread_log import set_load_spread_gauges
@@ -103,6 +104,7 @@
         _set_loop_pauses(gauges, state.process.loop_pauses)
         set_group_gauges(gauges, state, self._demand)
         set_load_spread_gauges(gauges, state.load_samples)
+        set_evacuation_gauges(gauges, state)
         return gauges
 
 
--- a/apps/cowslipstepd/tests/test_evacuations.py
+++ b/apps/cowslipstepd/tests/test_evacuations.py
@@ -27,8 +27,9 @@
     Route,
     ServingGroup,
 )
+from cowslipstep.metrics import Gauges
 from cowslipstep.model import Address
-from cowslipstep.model.loads import LoadReport
+from cowslipstep.model.loads import LoadReport, UpstreamLoad
 from cowslipstep.platform import (
     KindChanges,
     ObjectChange,
@@ -37,6 +38,7 @@
     StoredObject,
 )
 from cowslipstep.serving import _upstream_http
+from cowslipstep.serving._evacuation_use import set_evacuation_gauges
 from cowslipstep.serving._evacuations import (
     EVACUATIONS_KIND,
     EvacuationObserver,
@@ -233,6 +235,28 @@
     assert in_green_process(play_late_evacuation, route) == (200, 0)
 
 
+def test_use_of_an_evacuated_domain_is_shown() -> None:
+    """An operator must see when the domain is idle."""
+    assert in_green_process(gauges_of_a_busy_domain) == {
+        'evacuations_revision 2',
+        'evacuated_domains 1',
+        'evacuated_in_use{failure_domain="south",unit="group"} 1',
+        'evacuated_in_use{failure_domain="south",unit="runner"} 1',
+    }
+
+
+def gauges_of_a_busy_domain() -> set[str]:
+    fleet = TwoDomains((Send(ANSWER),))
+    state = fleet.harness.state
+    fleet.evacuate('south')
+    busy = (UpstreamLoad('engine-1', 2), UpstreamLoad('engine-0', 1))
+    state.loads.record(LoadReport('d1', 1, 1, busy))
+    gauges = Gauges()
+    with state.loads.own.counted('plain-1'):
+        set_evacuation_gauges(gauges, state)
+    return {line.removeprefix('cowslipstep_') for line in gauges.render()}
+
+
 def play_stream_in_progress() -> bytes:
     events = (event(1), event(2))
     head = response_head(
