Take only valid final statuses for responses, on every path

Cause: http.client reads a status by int(): it takes signs, underscores, leading zeros and spaces, and any number from 100 to 999; it takes every informational status but 100 for the final one. HTTP/0.9 and HTTP/1.1x pass for versions. Each path that reads a response uses it.

Measured before the change, by scripted runners: requests of callers were answered with 600, 999, 101, 102 and 103, and with 200 for +200, 2_0_0, 0200, a status after two spaces, HTTP/0.9 and HTTP/1.1x; a status of 999 with a header that states a refusal became a 503, which promises that the request has not run. Probes of reports took 600, 999 and 101 for a response. The final response after a 102 or 103 was lost on each path. A command of the product's own daemon to a host raised an error that nothing caught when the response had no valid status. 000, 0, 99, 20, an empty status, HTTP/2.0 and ICY were refused as having maybe run.

Change: one check of the status line (parse_status_line in cowslipstep.platform) is called by the response class that all connections use: HTTP/1.x, one space, three digits from 100 to 599, not 101. Informational responses are passed over, up to 128 KB. Anything else is BadStatusLine, which the paths turn into MayHaveRun, a missed probe, or an unknown outcome of a command. The reader of cache events and the commands to hosts use the same connections.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_cached_prefixes.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_cached_prefixes.py
@@ -12,6 +12,7 @@
 
 from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.model import Address
+from cowslipstep.platform import CheckedPool
 from cowslipstep.routing import GroupSlots, PrefixMap
 
 _FETCH_TIMEOUT_S = 1
@@ -26,6 +27,7 @@
 )
 _HASH_HEX_DIGITS = 16
 _HEX_BASE = 16
+_EVENTS_PATH = '/cache-events?after=0'
 
 
 class CachedPrefixReader:
@@ -102,12 +104,11 @@
 
 
 def _fetch_events(address: Address) -> Any:
-    url = f'http://{address}/cache-events?after=0'
     with (
-        urllib3.PoolManager(retries=False) as http,
+        CheckedPool(address.ip, address.port, retries=False) as http,
         call_time_limit(_FETCH_LIMIT_S),
     ):
         response = http.request(
-            'GET', url, timeout=_FETCH_TIMEOUT_S, preload_content=False
+            'GET', _EVENTS_PATH, timeout=_FETCH_TIMEOUT_S, preload_content=False
         )
         return json.loads(response.read(_MAX_EVENTS_BYTES))
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_commands.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_commands.py
@@ -6,18 +6,19 @@
 import json
 import time
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import Any
 
 import eventlet
 import urllib3
 from attrs import frozen
 from loguru import logger
-from urllib3.connection import HTTPConnection
 
 from cowslipstep.daemon._health_calls import parse_health
 from cowslipstep.daemon._prober import Prober
 from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.groups import AssignCommand, HostCommand, ReleaseCommand
+from cowslipstep.platform import CheckedConnection
 
 _COMMAND_TIMEOUT_S = 0.5
 # Time for a command as a whole: to connect, and to read the response.
@@ -26,6 +27,12 @@
 _RESEND_PERIOD_S = 1
 _MAX_CONCURRENT_COMMANDS = 16
 _OK = 200
+_COMMAND_ERRORS = (
+    HTTPException,
+    OSError,
+    ValueError,
+    urllib3.exceptions.HTTPError,
+)
 
 
 @frozen
@@ -65,7 +72,7 @@
         self._sent_at_s[command.runner.host] = sent_at_s
         try:
             health = _send_if_authorized(command, authority)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except _COMMAND_ERRORS as error:
             host = command.runner.host
             logger.bind(host=host).warning(
                 'command failed, sent again while it is due: {}', error
@@ -84,7 +91,7 @@
     or if the host refused the command.
     """
     address = command.runner.address
-    connection = HTTPConnection(
+    connection = CheckedConnection(
         address.ip,
         address.port,
         timeout=_COMMAND_TIMEOUT_S,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health_calls.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health_calls.py
@@ -4,13 +4,14 @@
 
 import contextlib
 import json
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 from typing import Any
 
 from urllib3.connection import HTTPConnection
 
 from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.groups import HostReport, HostState
+from cowslipstep.platform import CheckedResponse
 
 _OK = 200
 _HEALTH_TIMEOUT_S = 0.5
@@ -38,7 +39,7 @@
         connection.connect()
     host = f'{connection.host}:{connection.port}'
     connection.send(f'GET /health HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode())
-    response = HTTPResponse(connection.sock, method='GET')
+    response = CheckedResponse(connection.sock, method='GET')
     with contextlib.closing(response), call_time_limit(_HEALTH_TIMEOUT_S):
         response.begin()
         if response.status != _OK:
@@ -49,7 +50,7 @@
     return document
 
 
-def _read_bounded(response: HTTPResponse) -> bytes:
+def _read_bounded(response: CheckedResponse) -> bytes:
     body = response.read(_MAX_HEALTH_BYTES + 1)
     if len(body) > _MAX_HEALTH_BYTES:
         raise HTTPException(f'expected at most {_MAX_HEALTH_BYTES} bytes')
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_prober.py
@@ -26,6 +26,7 @@
     record_report,
 )
 from cowslipstep.model import Runner
+from cowslipstep.platform import CheckedConnection
 
 _PROBE_TIMEOUT_S = 0.5
 _MEMBER_PROBE_PERIOD_S = 0.5
@@ -74,7 +75,7 @@
             self._records[report.host] = record_report(record, report)
 
     def _probe_forever(self, runner: Runner) -> None:
-        connection = HTTPConnection(
+        connection = CheckedConnection(
             runner.address.ip,
             runner.address.port,
             timeout=_PROBE_TIMEOUT_S,
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream.py
@@ -20,6 +20,7 @@
     raise_for_status,
 )
 from cowslipstep.model import Address, NotRun, Reason
+from cowslipstep.platform import CheckedConnection
 
 _CONNECT_TIMEOUT_S = 1
 _MAX_CHUNK_BYTES = 65536
@@ -103,7 +104,7 @@
     UpstreamFailure
         If there is no response, or its status is 500 or above.
     """
-    connection = HTTPConnection(
+    connection = CheckedConnection(
         call.address.ip, call.address.port, timeout=_CONNECT_TIMEOUT_S
     )
     with contextlib.closing(connection):
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -21,6 +21,7 @@
 from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import Address, MayHaveRun, NotRun, Reason
+from cowslipstep.platform import CheckedConnection
 
 # Several times the longest round trip within a deployment.
 CONNECT_TIMEOUT_S = 0.3
@@ -157,7 +158,7 @@
     UpstreamFailure
         If the upstream cannot be reached or sends no valid response.
     """
-    connection = HTTPConnection(
+    connection = CheckedConnection(
         request.address.ip,
         request.address.port,
         timeout=CONNECT_TIMEOUT_S,
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -14,6 +14,11 @@
     CallRecord,
     PlatformCall,
 )
+from cowslipstep.platform._checked_http import (
+    CheckedConnection,
+    CheckedPool,
+    CheckedResponse,
+)
 from cowslipstep.platform._client import PlatformClient
 from cowslipstep.platform._conditional_change import ChangeOutcomeUnknown
 from cowslipstep.platform._dialect import (
@@ -34,6 +39,7 @@
     StoredObject,
     VersionConflict,
 )
+from cowslipstep.platform._status_lines import parse_status_line
 from cowslipstep.platform._watch_doubts import (
     WatchDoubt,
     WatchDoubts,
--- a/libs/platform/src/cowslipstep/platform/_transport.py
+++ b/libs/platform/src/cowslipstep/platform/_transport.py
@@ -22,6 +22,7 @@
 )
 from cowslipstep.platform._call_hooks import TimeLimit
 from cowslipstep.platform._calls import PlatformCall
+from cowslipstep.platform._checked_http import CheckedPool
 from cowslipstep.platform._dialect import StoreResponses
 from cowslipstep.platform._objects import (
     HistoryGone,
@@ -90,7 +91,7 @@
     ) -> None:
         self._responses = responses
         self._time_limit = time_limit
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = CheckedPool(
             address.ip,
             address.port,
             maxsize=_MAX_IDLE_CONNECTIONS,
