Make the step on cached prompts cause its condition

Cause: the step sent two prompts at once and assumed that they run on different groups. The choice on this path is not random (GroupChoice._preferred takes the least loaded group), but both prompts run on one group if the first has ended before the second arrives, or while the dispatcher does not count the other group as ready. Which of the two happened in the one failed run is not known: its log was not kept.

Change: the step sends pairs of new prompts until the prompts of one pair ran once each, on different groups, and the scenario goes on with that pair. Its assertions stay.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -169,15 +170,30 @@
     return two_groups
 
 
-@given('each of two prompts is cached on a different group')
-def cache_prompts(fleet: LocalFleet) -> None:
-    address = fleet.plan.daemons[0].http
-    calls = [Call(prompt, 'grid-a', tokens=400) for prompt in PROMPTS]
-    sent = send_all(calls, round_robin([address]), len(PROMPTS))
-    assert all(outcome.correct for outcome in sent)
-    groups = [_groups_of(fleet, prompt) for prompt in PROMPTS]
-    assert groups[0] != groups[1]
-    wait_until(lambda: _is_published(fleet), 'both prompts in the cache events')
+@given(
+    'each of two prompts is cached on a different group',
+    target_fixture='prompts',
+)
+def cache_prompts(fleet: LocalFleet) -> tuple[str, ...]:
+    """Send pairs of new prompts until one ran on two groups.
+
+    Both run on one group if the first has ended before the second arrives, or
+    while the dispatcher does not count the other group as ready.
+    """
+    pairs = (
+        tuple(f'{number} {prompt}' for prompt in PROMPTS)
+        for number in itertools.count()
+    )
+    cached: list[tuple[str, ...]] = []
+    wait_until(
+        lambda: _has_parted(fleet, next(pairs), cached),
+        'two prompts ran on different groups',
+    )
+    wait_until(
+        lambda: _is_published(fleet, cached[0]),
+        'both prompts in the cache events',
+    )
+    return cached[0]
 
 
 @when(
@@ -201,9 +217,14 @@
 
 
 @then('each of the two prompts runs on its group again')
-def check_groups(fleet: LocalFleet, dispatcher: str, caller: Caller) -> None:
+def check_groups(
+    fleet: LocalFleet,
+    dispatcher: str,
+    caller: Caller,
+    prompts: tuple[str, ...],
+) -> None:
     other = _other(fleet, dispatcher)
-    for prompt in PROMPTS:
+    for prompt in prompts:
         assert caller.send(other, Call(prompt, 'grid-a', tokens=1)).correct
         assert len(set(_groups_of(fleet, prompt))) == 1
 
@@ -230,14 +251,30 @@
     )
 
 
-def _is_published(fleet: LocalFleet) -> bool:
+def _has_parted(
+    fleet: LocalFleet,
+    prompts: tuple[str, ...],
+    parted: list[tuple[str, ...]],
+) -> bool:
+    """Send both prompts at once; add them if they ran on two groups."""
+    calls = [Call(prompt, 'grid-a', tokens=400) for prompt in prompts]
+    address = fleet.plan.daemons[0].http
+    sent = send_all(calls, round_robin([address]), len(calls))
+    assert all(outcome.correct for outcome in sent)
+    first, second = (set(_groups_of(fleet, prompt)) for prompt in prompts)
+    if len(first) == len(second) == 1 and first != second:
+        parted.append(prompts)
+    return bool(parted)
+
+
+def _is_published(fleet: LocalFleet, prompts: tuple[str, ...]) -> bool:
     """Whether the engines have published cache events of both prompts."""
     http = urllib3.PoolManager(retries=False)
     published = ''
     for host in fleet.plan.hosts:
         url = f'http://{host.address}/cache-events?after=0'
         published += http.request('GET', url).data.decode()
-    return all(_prefix_digest(prompt) in published for prompt in PROMPTS)
+    return all(_prefix_digest(prompt) in published for prompt in prompts)
 
 
 def _prefix_digest(prompt: str) -> str:
