--- a/libs/routing/src/cowslipstep/routing/_cold_allowance.py
+++ b/libs/routing/src/cowslipstep/routing/_cold_allowance.py
@@ -13,8 +13,6 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
-from collections.abc import Callable
 
 from attrs import define, field, frozen
 
@@ -52,7 +50,8 @@
     def in_touch(self) -> int:
         """Requests that are dealt out to daemons that hear of others."""
         # A rate below one would keep the runner unused while it is cold.
-        return min(math.floor(self.bound), max(1, math.floor(self.per_s)))
+        whole = max(1, math.floor(self.per_s))
+        return min(math.floor(self.bound), whole)
 
     @property
     def cut_off(self) -> int:
@@ -60,7 +59,8 @@
 
         The daemons that are in touch may have dealt out their own anew.
         """
-        return min(self.in_touch, math.floor(self.bound) - self.in_touch)
+        rest = math.floor(self.bound) - self.in_touch
+        return min(self.in_touch, rest)
 
 
 @frozen
@@ -125,61 +125,59 @@
     """Requests that a daemon has sent to cold runners lately.
 
     A request counts from the moment at which it was allowed until a window
-    after it was written, however long the writing takes.
+    after it was written, however long the writing takes. All times are
+    readings of a clock that does not stop while the host is suspended.
 
     Parameters
     ----------
-    clock
-        Clock that does not stop while the host is suspended, seconds.
+    starts_s
+        Time before which no request is allowed, seconds.
 
     Examples
     --------
-    >>> now = [0.0]
-    >>> allowance = ColdAllowance(lambda: now[0], hold_s=0)
-    >>> allowance.take('r', 1), allowance.take('r', 1)
+    >>> allowance = ColdAllowance(starts_s=0)
+    >>> allowance.take('r', 1, now_s=0), allowance.take('r', 1, now_s=0)
     (True, False)
-    >>> allowance.record_written('r')
-    >>> now[0] = 1.1
-    >>> allowance.take('r', 1)
+    >>> allowance.record_written('r', now_s=0)
+    >>> allowance.take('r', 1, now_s=1.1)
     True
     """
 
-    _clock: Callable[[], float]
-    _hold_s: float = COLD_START_HOLD_S
-    _started_s: float = field(init=False)
-    # Clock readings until which sent requests count; infinite while they are
-    # written.
-    _counted_until_s: defaultdict[str, list[float]] = field(
-        init=False, factory=lambda: defaultdict(list)
+    _starts_s: float
+    # Times until which sent requests count; infinite while they are written.
+    _counted_until_s: dict[str, tuple[float, ...]] = field(
+        init=False, factory=dict
     )
 
-    def __attrs_post_init__(self) -> None:
-        self._started_s = self._clock()
-
-    def allows(self, runner: str, share: int) -> bool:
+    def allows(self, runner: str, share: int, now_s: float) -> bool:
         """Return whether one more request may be sent to a runner now."""
-        now_s = self._clock()
-        if share <= 0 or now_s < self._started_s + self._hold_s:
+        if now_s < self._starts_s:
             return False
         return len(self._counted(runner, now_s)) < share
 
-    def take(self, runner: str, share: int) -> bool:
+    def take(self, runner: str, share: int, now_s: float) -> bool:
         """Count a request that is written now, if one more is allowed."""
-        if not self.allows(runner, share):
+        if not self.allows(runner, share, now_s):
             return False
-        self._counted_until_s[runner].append(math.inf)
+        self._counted_until_s[runner] = (
+            *self._counted(runner, now_s),
+            math.inf,
+        )
         return True
 
-    def record_written(self, runner: str) -> None:
+    def record_written(self, runner: str, now_s: float) -> None:
         """Record that a request that was taken is written."""
-        counted = self._counted_until_s[runner]
-        counted[counted.index(math.inf)] = self._clock() + COLD_WINDOW_S
-
-    def _counted(self, runner: str, now_s: float) -> list[float]:
-        counted = self._counted_until_s.get(runner)
-        if counted is None:
-            return []
-        counted[:] = [until_s for until_s in counted if until_s > now_s]
-        if not counted:
-            self._counted_until_s.pop(runner)
+        counted = list(self._counted_until_s[runner])
+        counted.remove(math.inf)
+        self._counted_until_s[runner] = (*counted, now_s + COLD_WINDOW_S)
+
+    def _counted(self, runner: str, now_s: float) -> tuple[float, ...]:
+        """Return until when each request counts; forget the others."""
+        counted = tuple(
+            until_s
+            for until_s in self._counted_until_s.pop(runner, ())
+            if until_s > now_s
+        )
+        if counted:
+            self._counted_until_s[runner] = counted
         return counted
