Limit the requests that all daemons send to a cold runner

Cause: coldRemainingMs and coldPerS were read nowhere, so a runner that had just started got as many requests as a warm one and crashed. Change: the adapter decodes the time from the entry, and the limits of a service and of the deployment. A cold runner without allowance is no candidate; the allowance is taken after the connection is made, as the request is written. A request that gets none goes elsewhere without a retry and without suspicion of the runner. Load reports carry the number of daemons that are known, so that one that has read few names takes no large share; followers of a relay list the daemons once more then. Tests: states in two tests get the attributes that are read now.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_upstream_failures.py
@@ -44,6 +44,10 @@
     """
 
 
+class NotSent(UpstreamFailure):
+    """The request was not written, for a reason apart from the upstream."""
+
+
 def raise_for_status(
     response: urllib3.BaseHTTPResponse,
     address: Address,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_assembly.py
@@ -122,6 +122,8 @@
                 lambda: (
                     state.relay_role.has_read_daemons
                     and state.relay_role.relies_on_relay
+                    # Lists them once more if the relay knows others.
+                    and not state.cold_runners.misses_daemons
                 ),
                 _DAEMONS_LIST_DELAY_S,
                 doubt=reliance.doubt,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -10,6 +10,7 @@
 
 from cowslipstep.daemon._upstream_failures import (
     ConnectionEnded,
+    NotSent,
     UpstreamFailure,
 )
 from cowslipstep.model import Reason
@@ -22,6 +23,7 @@
 from cowslipstep.serving._request_log import (
     log_attempt,
     log_failure,
+    log_not_sent,
     log_silence,
 )
 from cowslipstep.serving._state import ServingState
@@ -125,6 +127,12 @@
         failure: UpstreamFailure,
     ) -> None:
         """Record a failed attempt."""
+        if isinstance(failure, NotSent):
+            # The upstream is not at fault, and no retry was used up.
+            delivery.attempts -= 1
+            delivery.avoided.add(attempt.chosen.runner.name)
+            log_not_sent(delivery, attempt.chosen, failure)
+            return
         name = attempt.chosen.runner.name
         delivery.record_failure(name, failure.verdict)
         self._metrics.record_failure(delivery, failure)
--- /dev/null
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
@@ -0,0 +1,151 @@
+"""Limits on the requests that this daemon sends to cold runners."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import Collection, Iterator
+
+from attrs import Factory, define, field
+from loguru import logger
+
+from cowslipstep.daemon._upstream_failures import NotSent
+from cowslipstep.fleet import DiscoveredRunner
+from cowslipstep.model import NotRun, Reason
+from cowslipstep.routing.cold import (
+    COLD_START_HOLD_S,
+    COLD_WINDOW_S,
+    ColdAllowance,
+    KnownFleet,
+    cold_share,
+)
+from cowslipstep.serving._cold_times import ColdFacts, ColdTimes
+
+# Retry-After of a request that no cold runner may get, spread so that callers
+# do not return together.
+_MIN_RETRY_S = 0.25
+_RETRY_SPREAD_SHARE = 0.5
+_LOG_DECIMALS = 3
+
+
+@define
+class ColdRunners:
+    """Limits the requests to cold runners.
+
+    Parameters
+    ----------
+    facts
+        What the limits depend on.
+
+    Attributes
+    ----------
+    times
+        Until when each runner is cold.
+    held_back
+        Requests that were not sent or were refused because of the limits.
+    """
+
+    _facts: ColdFacts
+    times: ColdTimes = field(
+        default=Factory(
+            lambda runners: ColdTimes(runners._facts),  # noqa: WPS437
+            takes_self=True,
+        )
+    )
+    held_back: int = 0
+    _fleet: KnownFleet | None = None
+    # Nothing is sent to cold runners until the list of daemons has been read.
+    _allowance: ColdAllowance | None = None
+    _places: dict[str, int] = field(factory=dict)
+
+    @property
+    def misses_daemons(self) -> bool:
+        """Whether others know daemons whose names this one has not read."""
+        fleet = self._fleet
+        if fleet is None or self._facts.bounds().cold_overage is None:
+            return False
+        return fleet.size > len(fleet.others) + 1
+
+    def update_fleet(self, others: Collection[str], largest_known: int) -> None:
+        """Set the daemons that share the limits."""
+        if self._allowance is None:
+            starts_s = self._facts.clock() + COLD_START_HOLD_S
+            self._allowance = ColdAllowance(starts_s)
+        fleet = KnownFleet(self._facts.own, frozenset(others), largest_known)
+        is_changed = fleet != self._fleet
+        self._fleet = fleet
+        self._places = {
+            name: place
+            for name, place in self._places.items()
+            if self.times.remaining_s(name) and not is_changed
+        }
+
+    def may_send(self, runner: DiscoveredRunner) -> bool:
+        """Return whether a request may be sent to a runner now."""
+        if not self.times.remaining_s(runner.name):
+            return True
+        return self._allowance is not None and self._allowance.allows(
+            runner.name, self._share(runner), self._facts.clock()
+        )
+
+    @contextlib.contextmanager
+    def writing(self, runner: DiscoveredRunner) -> Iterator[None]:
+        """Count a request that is written within the context.
+
+        Raises
+        ------
+        NotSent
+            If the runner is cold and this daemon may not send the request.
+        """
+        if not self.times.remaining_s(runner.name):
+            yield
+            return
+        allowance = self._allowance
+        if allowance is None or not allowance.take(
+            runner.name, self._share(runner), self._facts.clock()
+        ):
+            self.held_back += 1
+            raise NotSent(
+                NotRun(Reason.no_capacity),
+                f'{runner.name} is cold and may get no other request now',
+            )
+        try:
+            yield
+        finally:
+            allowance.record_written(runner.name, self._facts.clock())
+
+    def refusal(self, service: str, rng: random.Random) -> NotRun | None:
+        """Refuse a request without an upstream if there are cold ones."""
+        longest_s = max(
+            map(self.times.remaining_s, self.times.names(service)), default=0
+        )
+        if not longest_s:
+            return None
+        self.held_back += 1
+        wait_s = min(COLD_WINDOW_S, max(_MIN_RETRY_S, longest_s))
+        spread = 1 + rng.uniform(0, _RETRY_SPREAD_SHARE)
+        return NotRun(Reason.no_capacity, wait_s * spread)
+
+    def _share(self, runner: DiscoveredRunner) -> int:
+        limit = self._facts.limit(runner.service)
+        fleet = self._fleet
+        if limit is None or fleet is None:
+            return 0
+        in_touch = not fleet.others or self._facts.hears_others()
+        dealt = limit.in_touch if in_touch else limit.cut_off
+        return cold_share(dealt, self._place(runner, fleet), fleet.size)
+
+    def _place(self, runner: DiscoveredRunner, fleet: KnownFleet) -> int:
+        place = self._places.get(runner.name)
+        if place is None:
+            place = fleet.place(runner.name)
+            self._places[runner.name] = place
+            cold_s = self.times.remaining_s(runner.name)
+            logger.bind(
+                upstream=runner.name,
+                service=runner.service,
+                cold_s=round(cold_s, _LOG_DECIMALS),
+                place=place,
+                daemons=fleet.size,
+            ).info('runner is cold, requests to it are limited')
+        return place
--- a/apps/cowslipstepd/src/cowslipstep/serving/_configuration_in_force.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_configuration_in_force.py
@@ -9,7 +9,7 @@
 from attrs import define
 from loguru import logger
 
-from cowslipstep.fleet import ServingConfiguration
+from cowslipstep.fleet import ColdStart, ServingConfiguration
 from cowslipstep.model import DocumentError
 from cowslipstep.platform import (
     KindChanges,
@@ -120,6 +120,16 @@
             logger.warning('configuration ignored, invalid document: {}', error)
 
 
+def cold_start(
+    in_force: ConfigurationInForce, service: str
+) -> ColdStart | None:
+    """Return the limits on cold runners of a service, if it has any."""
+    if in_force.table is None:
+        return None
+    configured = in_force.table.configuration.services.get(service)
+    return configured.cold if configured else None
+
+
 class ConfigurationObserver:
     """Updates the configuration in force from the watch of its kind.
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
@@ -7,7 +7,6 @@
 
 from attrs import frozen
 
-from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.fleet import (
     CallerRequest,
     CommandOutcome,
@@ -18,14 +17,7 @@
     ServingConfiguration,
     UpstreamRequest,
 )
-from cowslipstep.platform import (
-    CallHooks,
-    ObjectKey,
-    PlatformClient,
-    PlatformLimits,
-    StoreDialect,
-)
-from cowslipstep.settings import ServingSettings
+from cowslipstep.platform import ObjectKey, StoreDialect
 
 
 class RequestHeaders(Protocol):
@@ -101,16 +93,3 @@
     runner: Callable[[str, str], DiscoveredRunner]
     configuration_key: ObjectKey = ObjectKey('configuration', 'main')
     runners_kind: str = 'runners'
-
-
-def platform_client(
-    settings: ServingSettings, dialects: Dialects, limits: PlatformLimits
-) -> PlatformClient:
-    """Return a client of the deployment's platform."""
-    return PlatformClient(
-        settings.platform_address,
-        settings.name,
-        limits,
-        CallHooks(time_limit=call_time_limit),
-        dialects.store,
-    )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
@@ -92,6 +92,8 @@
             ),
             'keeper': int(state.is_controller),
             'relay_fed': int(state.relay_role.relies_on_relay),
+            'cold_runners': state.cold_runners.times.count,
+            'cold_requests_held_back': state.cold_runners.held_back,
             'harmful_prompts': len(state.harmful_prompts.guard.combinations),
             'requests_in_progress': state.loads.own.requests,
             'caller_connections': self._connections.open_count,
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import eventlet
 from loguru import logger
 
@@ -129,6 +131,9 @@
         others = self._registry.others
         if len(others) + 1 != self._state.daemon_count:
             self._state.divide_limits(len(others) + 1)
+        self._state.cold_runners.update_fleet(
+            others, _largest_known(self._state.loads.reports)
+        )
         if self._state.relay_role.choose(others.values()):
             logger.bind(daemons=self._state.daemon_count).info(
                 'role in load reports is now {}',
@@ -136,6 +141,10 @@
             )
 
 
+def _largest_known(reports: Iterable[LoadReport]) -> int:
+    return max((report.daemons_known for report in reports), default=0)
+
+
 def _report_period_s(role: Role) -> float:
     match role:
         case MeshMember():
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registration.py
@@ -10,6 +10,7 @@
 import eventlet
 from loguru import logger
 
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.model import (
     Address,
     CowslipstepError,
@@ -17,8 +18,11 @@
     DocumentError,
 )
 from cowslipstep.platform import (
+    CallHooks,
     ObjectKey,
     PlatformClient,
+    PlatformLimits,
+    StoreDialect,
     StoredObject,
     VersionConflict,
 )
@@ -49,14 +53,34 @@
     )
 
 
+def platform_client(
+    settings: ServingSettings, limits: PlatformLimits, store: StoreDialect
+) -> PlatformClient:
+    """Return the client of the platform of this daemon."""
+    return PlatformClient(
+        settings.platform_address,
+        settings.name,
+        limits,
+        CallHooks(time_limit=call_time_limit),
+        store,
+    )
+
+
 def register_daemon(client: PlatformClient, entry: DaemonEntry) -> None:
     """Write the entry of this daemon, retrying until it is stored.
 
     Never returns, because a task that returns is started again.
     """
-    while not _is_written(client, entry):
-        eventlet.sleep(_RETRY_DELAY_S)
-    eventlet.Event().wait()
+    while True:
+        try:
+            _write(client, entry)
+        except CowslipstepError as error:
+            logger.info(
+                'registration of this daemon failed, retrying: {}', error
+            )
+            eventlet.sleep(_RETRY_DELAY_S)
+        else:
+            eventlet.Event().wait()
 
 
 def decode_daemon(stored: StoredObject) -> DaemonEntry:
@@ -102,15 +126,6 @@
     return address
 
 
-def _is_written(client: PlatformClient, entry: DaemonEntry) -> bool:
-    try:
-        _write(client, entry)
-    except CowslipstepError as error:
-        logger.info('registration of this daemon failed, retrying: {}', error)
-        return False
-    return True
-
-
 def _write(client: PlatformClient, entry: DaemonEntry) -> None:
     key = ObjectKey(DAEMONS_KIND, entry.name)
     body = json.dumps(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
@@ -105,6 +105,9 @@
             evacuations_revision=state.evacuations.current.revision,
             evacuated_domains=tuple(sorted(state.evacuations.current.domains)),
             store_silences=state.platform.doubts.silences,
+            daemons_known=(
+                state.daemon_count if state.relay_role.has_read_daemons else 0
+            ),
         )
 
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_log.py
@@ -53,6 +53,19 @@
     ).info('try failed: {}', failure)
 
 
+def log_not_sent(
+    delivery: DeliveryState,
+    chosen: ChosenUpstream,
+    failure: UpstreamFailure,
+) -> None:
+    """Log why a request was not written, so that it goes elsewhere."""
+    logger.bind(
+        request_id=delivery.routed.request.request_id,
+        upstream=chosen.runner.name,
+        elapsed_s=round(delivery.now_s - delivery.arrived_s, _MS_DECIMALS),
+    ).info('request not sent, another upstream is tried: {}', failure)
+
+
 def log_silence(delivery: DeliveryState, chosen: ChosenUpstream) -> None:
     """Log that an upstream is silent, so that others are tried."""
     logger.bind(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_runner_table.py
@@ -57,6 +57,12 @@
         self.changed[name] = self.revision if revision is None else revision
 
 
+def _ignore(
+    _former: DiscoveredRunner | None, _present: DiscoveredRunner | None
+) -> None:
+    """Ignore an entry."""
+
+
 class RunnerEntries:
     """Decodes entries of runners into the table.
 
@@ -68,6 +74,9 @@
         Decodes an entry.
     on_change
         Called after each change with the groups that it affects.
+    on_entry
+        Called with the former and the present entry of each runner that has
+        a new one or is removed.
     """
 
     def __init__(
@@ -75,10 +84,14 @@
         table: RunnerTable,
         decode: Callable[[str, str], DiscoveredRunner],
         on_change: Callable[[set[GroupId]], object],
+        on_entry: Callable[
+            [DiscoveredRunner | None, DiscoveredRunner | None], object
+        ] = _ignore,
     ) -> None:
         self._table = table
         self._decode = decode
         self._on_change = on_change
+        self._on_entry = on_entry
         # Hashes of the invalid entries: those may be long.
         self._invalid_entries: dict[str, int] = {}
 
@@ -102,6 +115,7 @@
             )
             return
         self._invalid_entries.pop(name, None)
+        self._on_entry(self._table.runners.get(name), runner)
         self._table.runners[name] = runner
         self._table.documents[name] = document
         self._table.record_change(name)
@@ -112,7 +126,9 @@
         self._invalid_entries.pop(name, None)
         if self._table.documents.pop(name, None) is not None:
             self._table.record_change(name)
-        if self._table.runners.pop(name, None) is not None:
+        runner = self._table.runners.pop(name, None)
+        if runner is not None:
+            self._on_entry(runner, None)
             logger.info('runner {} is gone', name)
             self._on_change(self._table.groups.remove(name))
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -15,13 +15,17 @@
     PlatformLimits,
 )
 from cowslipstep.routing import LoadSamples, UpstreamLoads
-from cowslipstep.serving._configuration_in_force import ConfigurationInForce
-from cowslipstep.serving._dialects import Dialects, platform_client
+from cowslipstep.serving._cold_runners import ColdFacts, ColdRunners
+from cowslipstep.serving._configuration_in_force import (
+    ConfigurationInForce,
+    cold_start,
+)
+from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._evacuations import EvacuationState
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
 from cowslipstep.serving._model_work import ModelWork, no_work
 from cowslipstep.serving._process import Process, process_of
-from cowslipstep.serving._registration import own_entry
+from cowslipstep.serving._registration import own_entry, platform_client
 from cowslipstep.serving._relay_role import RelayRole
 from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
 from cowslipstep.serving._serving_group_cache import ServingGroupCache
@@ -43,7 +47,9 @@
 
 
 def _platform(state: ServingState) -> PlatformClient:
-    return platform_client(state.settings, state.dialects, state.platform_share)
+    return platform_client(
+        state.settings, state.platform_share, state.dialects.store
+    )
 
 
 def _runner_entries(state: ServingState) -> RunnerEntries:
@@ -51,6 +57,18 @@
         state.runner_table,
         state.dialects.runner,
         state.serving_groups.invalidate,
+        state.cold_runners.times.observe,
+    )
+
+
+def _cold_runners(state: ServingState) -> ColdRunners:
+    return ColdRunners(
+        ColdFacts(
+            state.settings.name,
+            lambda: state.settings.bounds,
+            lambda service: cold_start(state.configuration, service),
+            lambda: bool(state.loads.reports),
+        )
     )
 
 
@@ -74,6 +92,8 @@
         Groups that serve requests.
     runner_table
         Runners that have registered.
+    cold_runners
+        Runners that are cold, and what may be sent to them.
     runner_entries
         Decodes entries of runners into the table.
     evacuations
@@ -118,6 +138,9 @@
     )
     serving_groups: ServingGroupCache = field(factory=ServingGroupCache)
     runner_table: RunnerTable = field(factory=RunnerTable)
+    cold_runners: ColdRunners = field(
+        default=Factory(_cold_runners, takes_self=True),
+    )
     runner_entries: RunnerEntries = field(
         default=Factory(_runner_entries, takes_self=True),
     )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -148,7 +148,7 @@
     ) -> ChosenUpstream | NotRun:
         runner = self._candidates.least_loaded(delivery)
         if runner is None:
-            return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
+            return self._no_upstream(delivery)
         if not may_run_elsewhere(delivery):
             return ChosenUpstream(runner, delivery.remaining_s)
         # Half of the time is left for a second attempt.
@@ -178,7 +178,13 @@
                 return _best_effort(delivery, view, expected_s)
             case Overloaded(retry_after_s):
                 return NotRun(Reason.queue_full, retry_after_s)
-        return NotRun(Reason.no_capacity, _RETRY_AFTER_S)
+        return self._no_upstream(delivery)
+
+    def _no_upstream(self, delivery: DeliveryState) -> NotRun:
+        cold = self._state.cold_runners
+        return cold.refusal(delivery.routed.service, self._rng) or NotRun(
+            Reason.no_capacity, _RETRY_AFTER_S
+        )
 
     def _sample_loads(
         self, served: ServedModel, views: Iterable[GroupView]
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -37,10 +37,6 @@
 _MIN_TIMEOUT_S = 0.001
 
 
-def _admit() -> None:
-    """Let every request be sent."""
-
-
 @frozen
 class HttpRequest:
     """An HTTP request to an upstream.
@@ -61,9 +57,9 @@
         Longest time until the head of the response is complete, seconds.
     silence
         What happens before that if nothing is received.
-    admit
-        Called once the connection is made, directly before the request is
-        written; raises ``UpstreamFailure`` if it must not be sent any more.
+    writing
+        Returns a context in which the request is written, once there is a
+        connection; it may raise ``UpstreamFailure`` instead.
     """
 
     address: Address
@@ -73,7 +69,9 @@
     body: bytes
     response_timeout_s: float
     silence: Silence | None = None
-    admit: Callable[[], None] = _admit
+    writing: Callable[[], contextlib.AbstractContextManager[None]] = (
+        contextlib.nullcontext
+    )
 
 
 class OpenResponse:
@@ -183,15 +181,15 @@
         connection.timeout = timeout_s
         reader.limit(timeout_s, _MAX_HEAD_BYTES, request.silence)
         reader.allow_end(allowed=False)
-        request.admit()
-        connection.request(
-            request.method,
-            request.target,
-            body=request.body or None,
-            headers=request.headers,
-            preload_content=False,
-            decode_content=False,
-        )
+        with request.writing():
+            connection.request(
+                request.method,
+                request.target,
+                body=request.body or None,
+                headers=request.headers,
+                preload_content=False,
+                decode_content=False,
+            )
         response = connection.getresponse()
         reader.allow_end(allowed=ends_with_connection(response))
         return OpenResponse(response, reader)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -118,6 +118,20 @@
             waiting.enter_context(own.waiting(name, chosen.urgency))
             yield waiting
 
+    @contextlib.contextmanager
+    def _writing(self, chosen: ChosenUpstream) -> Iterator[None]:
+        """Hold while a request is written, if it may still be sent.
+
+        Raises
+        ------
+        UpstreamFailure
+            With ``NotRun``, if a failure domain of the upstream is evacuated
+            or the upstream is cold and may get no more requests now.
+        """
+        self._state.evacuations.raise_if_evacuated(chosen.failure_domains)
+        with self._state.cold_runners.writing(chosen.runner):
+            yield
+
     def _http_request(
         self,
         sent: UpstreamRequest,
@@ -132,10 +146,7 @@
             sent.request.body,
             min(sent.remaining_s, chosen.begins_by_s - time.monotonic()),
             Silence(chosen.response_timeout_s, on_silence),
-            functools.partial(
-                self._state.evacuations.raise_if_evacuated,
-                chosen.failure_domains,
-            ),
+            functools.partial(self._writing, chosen),
         )
 
     def _stream(
--- a/apps/cowslipstepd/tests/test_relayed_loads.py
+++ b/apps/cowslipstepd/tests/test_relayed_loads.py
@@ -30,6 +30,8 @@
     for domain in DOMAINS
     for number in range(DAEMONS_PER_DOMAIN)
 )
+# Daemons whose names a daemon has read in some tests.
+KNOWN = 3
 
 
 class Clock:
@@ -51,6 +53,7 @@
         self.others: dict[str, DaemonEntry] = {}
         self.state = types.SimpleNamespace(
             own_entry=entry,
+            daemon_count=len(ENTRIES),
             relay_role=_relay_role.RelayRole(entry),
             loads=UpstreamLoads(clock.monotonic),
             settings=types.SimpleNamespace(name=entry.name),
@@ -152,6 +155,19 @@
     assert fleet.known_requests() == {len(fleet.running())}
 
 
+# A daemon that has read few names must not take a large share of a limit.
+def test_all_daemons_learn_how_many_there_are(fleet):
+    for daemon in fleet.daemons.values():
+        daemon.state.daemon_count = KNOWN
+    fleet.daemons['north-3'].state.daemon_count = 2 * KNOWN
+    fleet.run(SETTLED_S)
+    assert {
+        _peer_reports._largest_known(daemon.state.loads.reports)
+        for name, daemon in fleet.daemons.items()
+        if name != 'north-3'
+    } == {2 * KNOWN}
+
+
 def test_number_of_links_stays_bounded(fleet):
     fleet.run(30)
     links = sum(len(daemon.report_receivers()) for daemon in fleet.running())
--- a/apps/cowslipstepd/tests/test_stream_silence.py
+++ b/apps/cowslipstepd/tests/test_stream_silence.py
@@ -86,6 +86,7 @@
         configuration=types.SimpleNamespace(table=None, version=0),
         runner_table=types.SimpleNamespace(revision=0),
         evacuations=types.SimpleNamespace(raise_if_evacuated=bool),
+        cold_runners=types.SimpleNamespace(writing=contextlib.nullcontext),
     )
 
 
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -15,6 +15,7 @@
 )
 from cowslipstep.fleet._configuration import (
     CallerLimits,
+    ColdStart,
     KeyIdentity,
     ServiceConfiguration,
     ServingConfiguration,
--- a/libs/fleet/src/cowslipstep/fleet/_configuration.py
+++ b/libs/fleet/src/cowslipstep/fleet/_configuration.py
@@ -8,12 +8,32 @@
 from cowslipstep.fleet._routes import Route
 
 
+@frozen
+class ColdStart:
+    """How runners of a service are to be used after they start.
+
+    Parameters
+    ----------
+    duration_s
+        Time for which a runner is cold, seconds.
+    per_s
+        Requests a second that a cold runner can bear.
+    """
+
+    duration_s: float
+    per_s: float
+
+
 @frozen
 class ServiceConfiguration:
-    """A service of upstreams; it serves models if it has an engine."""
+    """A service of upstreams; it serves models if it has an engine.
+
+    Its cold runners have no limit if ``cold`` is ``None``.
+    """
 
     name: str
     engine: EngineProfile | None = None
+    cold: ColdStart | None = None
 
 
 @frozen
--- a/libs/fleet/src/cowslipstep/fleet/_runners.py
+++ b/libs/fleet/src/cowslipstep/fleet/_runners.py
@@ -104,6 +104,9 @@
         Models whose weights are staged on its host.
     group_position
         Membership in a group; ``None`` without one.
+    cold_s
+        Time for which the runner stays cold, seconds, when its entry was
+        written; ``None`` if that is not known.
     """
 
     name: str
@@ -116,6 +119,7 @@
     loaded_models: tuple[str, ...] = ()
     staged_models: tuple[str, ...] = ()
     group_position: GroupPosition | None = None
+    cold_s: float | None = None
 
     @property
     def group_id(self) -> GroupId | None:
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -155,6 +155,9 @@
     store_silences
         Number of times that the platform's store responded again to the
         sender after a silence.
+    daemons_known
+        Number of daemons that the sender knows, itself included; zero until
+        it has read their list.
     """
 
     daemon: str
@@ -173,6 +176,7 @@
     evacuations_revision: int = 0
     evacuated_domains: tuple[str, ...] = ()
     store_silences: int = 0
+    daemons_known: int = 0
 
 
 LoadMessage = LoadReport | RunnersQuery | RunnersCopy
--- a/libs/peers/src/cowslipstep/peers/_decode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_decode_loads.py
@@ -62,6 +62,7 @@
         ),
         evacuations_revision=raw.evacuationsRevision,
         evacuated_domains=tuple(raw.evacuated),
+        daemons_known=raw.daemonsKnown,
     )
 
 
--- a/libs/peers/src/cowslipstep/peers/_encode_loads.py
+++ b/libs/peers/src/cowslipstep/peers/_encode_loads.py
@@ -47,6 +47,7 @@
     builder.whole = report.covers_all_daemons
     builder.runnersRevision = report.runners_revision
     builder.storeSilences = report.store_silences
+    builder.daemonsKnown = report.daemons_known
     for load_entry, load in _new_entries(builder, 'loads', report.loads):
         load_entry.upstream = load.upstream
         load_entry.requests = load.requests
--- a/libs/peers/src/cowslipstep/peers/peer.capnp
+++ b/libs/peers/src/cowslipstep/peers/peer.capnp
@@ -218,6 +218,9 @@
   evacuated @14 :List(Text);
   # How often the store responded again to the sender after a silence.
   storeSilences @15 :UInt32;
+  # The largest number of daemons that the sender, or one whose loads are
+  # included, has read from their list.
+  daemonsKnown @16 :UInt16;
 }
 
 # Number of daemons to which an upstream has not responded lately.
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -18,13 +18,6 @@
 )
 from cowslipstep.routing._cell_choice import CellBatch, CellChoice, order_cells
 from cowslipstep.routing._cell_slots import CellSlots
-from cowslipstep.routing._cold_allowance import (
-    COLD_START_HOLD_S,
-    ColdAllowance,
-    ColdLimit,
-    KnownFleet,
-    cold_share,
-)
 from cowslipstep.routing._dispatcher import Dispatcher
 from cowslipstep.routing._dispatcher_types import (
     CellPolicy,
--- a/libs/routing/src/cowslipstep/routing/_report_sums.py
+++ b/libs/routing/src/cowslipstep/routing/_report_sums.py
@@ -62,6 +62,7 @@
         doubts=_sum_doubts(reports),
         has_served=any(report.has_served for report in reports),
         is_controller=any(report.is_controller for report in reports),
+        daemons_known=max(report.daemons_known for report in reports),
         from_relay=True,
         covers_all_daemons=covers_all_daemons,
         evacuations_revision=newest.evacuations_revision,
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -38,6 +38,11 @@
         Time after which no daemon sends requests to runners of a failure
         domain whose evacuation was written, seconds; ``None`` if failure
         domains are not evacuated.
+    cold_overage
+        Requests that a cold runner may get in any second, as a multiple of
+        the rate that it can bear; ``None`` for no limit.
+    cold_slack
+        Requests that it may get in addition.
     """
 
     grace_s: float = field(default=8, validator=_POSITIVE)
@@ -50,6 +55,10 @@
     evacuation_s: float | None = field(
         default=None, validator=validators.optional(_POSITIVE)
     )
+    cold_overage: float | None = field(
+        default=None, validator=validators.optional(validators.ge(0))
+    )
+    cold_slack: float = field(default=0, validator=validators.ge(0))
 
 
 @frozen
