Count only registered daemons in the number that reports carry

Cause: a daemon that could list but not register would count itself, and all followers would watch the list of daemons for good. Change: reports carry the number of entries that were read; entries of runners that are warm, and deployments without limits, are not looked up again at each choice.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
@@ -43,6 +43,8 @@
         Until when each runner is cold.
     held_back
         Requests that were not sent or were refused because of the limits.
+    listed
+        Number of daemons whose entries this one has read, itself included.
     """
 
     _facts: ColdFacts
@@ -53,6 +55,7 @@
         )
     )
     held_back: int = 0
+    listed: int = 0
     _fleet: KnownFleet | None = None
     # Nothing is sent to cold runners until the list of daemons has been read.
     _allowance: ColdAllowance | None = None
@@ -66,8 +69,21 @@
             return False
         return fleet.size > len(fleet.others) + 1
 
-    def update_fleet(self, others: Collection[str], largest_known: int) -> None:
-        """Set the daemons that share the limits."""
+    def update_fleet(
+        self, others: Collection[str], listed: int, largest_known: int
+    ) -> None:
+        """Set the daemons that share the limits.
+
+        Parameters
+        ----------
+        others
+            Names of the other daemons whose entries this one has read.
+        listed
+            Number of all entries that it has read.
+        largest_known
+            Largest number of entries that any other daemon has read.
+        """
+        self.listed = listed
         if self._allowance is None:
             starts_s = self._facts.clock() + COLD_START_HOLD_S
             self._allowance = ColdAllowance(starts_s)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_cold_times.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_cold_times.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from attrs import define, field, frozen
@@ -95,6 +96,8 @@
             if former is not None:
                 self._sightings.pop(former.name, None)
             return
+        if self._facts.bounds().cold_overage is None:
+            return
         had_time = former is None or former.cold_s is not None
         if present.cold_s is None and not had_time:
             return
@@ -105,13 +108,18 @@
     def remaining_s(self, name: str) -> float:
         """Return how long a runner stays cold; zero if it is not limited."""
         sighting = self._sightings.get(name)
-        if sighting is None or self._facts.limit(sighting.service) is None:
+        if sighting is None:
             return 0
-        cold_s = sighting.cold_s
-        if cold_s is None:
-            start = self._facts.cold_start(sighting.service)
-            cold_s = start.duration_s if start else 0
-        remaining_s = sighting.received_s + cold_s - self._facts.clock()
+        ends_s = sighting.received_s + self._cold_s(sighting)
+        remaining_s = ends_s - self._facts.clock()
         if remaining_s <= 0:
             self._sightings.pop(name)
-        return max(0, remaining_s)
+            return 0
+        return remaining_s if self._facts.limit(sighting.service) else 0
+
+    def _cold_s(self, sighting: _Sighting) -> float:
+        if sighting.cold_s is not None:
+            return sighting.cold_s
+        start = self._facts.cold_start(sighting.service)
+        # The configuration may be read after the entry.
+        return start.duration_s if start else math.inf
--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
@@ -132,7 +132,9 @@
         if len(others) + 1 != self._state.daemon_count:
             self._state.divide_limits(len(others) + 1)
         self._state.cold_runners.update_fleet(
-            others, _largest_known(self._state.loads.reports)
+            others,
+            self._registry.listed,
+            _largest_known(self._state.loads.reports),
         )
         if self._state.relay_role.choose(others.values()):
             logger.bind(daemons=self._state.daemon_count).info(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_registry.py
@@ -10,7 +10,7 @@
 
 
 class DaemonRegistry:
-    """Holds the entries of the other daemons, as watched at the platform.
+    """Holds the entries of daemons, as watched at the platform.
 
     Parameters
     ----------
@@ -20,9 +20,14 @@
 
     def __init__(self, own: DaemonEntry) -> None:
         self._own = own
-        self._others: dict[str, DaemonEntry] = {}
+        self._entries: dict[str, DaemonEntry] = {}
         self._was_read = False
 
+    @property
+    def listed(self) -> int:
+        """Number of the entries that were read, the own one included."""
+        return len(self._entries)
+
     @property
     def was_read(self) -> bool:
         """Whether the entries were listed at least once."""
@@ -31,32 +36,35 @@
     @property
     def others(self) -> dict[str, DaemonEntry]:
         """Entries of the other daemons by name."""
-        return self._others
+        return {
+            name: entry
+            for name, entry in self._entries.items()
+            if name != self._own.name
+        }
 
     def replace(self, page: ObjectPage) -> None:
         """Replace all entries."""
         self._was_read = True
-        self._others.clear()
+        self._entries.clear()
         for stored in page.stored_objects:
-            self._add(stored)
+            _put(self._entries, stored)
 
     def apply(self, changes: KindChanges) -> None:
         """Apply changes of entries."""
         for change in changes.changes:
             if change.removed:
-                self._others.pop(change.stored_object.key.name, None)
+                self._entries.pop(change.stored_object.key.name, None)
             else:
-                self._add(change.stored_object)
+                _put(self._entries, change.stored_object)
 
     def on_outage(self) -> None:
         """Keep the entries during an outage of the platform."""
 
-    def _add(self, stored: StoredObject) -> None:
-        if stored.key.name == self._own.name:
-            return
-        try:
-            entry = decode_daemon(stored)
-        except DocumentError as error:
-            logger.warning('invalid daemon entry ignored: {}', error)
-            return
-        self._others[entry.name] = entry
+
+def _put(entries: dict[str, DaemonEntry], stored: StoredObject) -> None:
+    try:
+        entry = decode_daemon(stored)
+    except DocumentError as error:
+        logger.warning('invalid daemon entry ignored: {}', error)
+        return
+    entries[entry.name] = entry
--- a/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_report_builder.py
@@ -105,9 +105,7 @@
             evacuations_revision=state.evacuations.current.revision,
             evacuated_domains=tuple(sorted(state.evacuations.current.domains)),
             store_silences=state.platform.doubts.silences,
-            daemons_known=(
-                state.daemon_count if state.relay_role.has_read_daemons else 0
-            ),
+            daemons_known=state.cold_runners.listed,
         )
 
 
--- a/apps/cowslipstepd/tests/test_cold_runners.py
+++ b/apps/cowslipstepd/tests/test_cold_runners.py
@@ -50,7 +50,7 @@
             'd0', lambda: bounds, lambda _service: ColdStart(3, 2), bool, clock
         )
     )
-    runners.update_fleet((), 0)
+    runners.update_fleet((), 1, 0)
     clock.now_s = SETTLED_S
     return runners
 
@@ -160,7 +160,7 @@
     )
     state = serving.state
     state.settings = evolve(state.settings, bounds=BOUNDS)
-    state.cold_runners.update_fleet((), 0)
+    state.cold_runners.update_fleet((), 1, 0)
     state.cold_runners._allowance = ColdAllowance(starts_s=0)
     for number, runner in enumerate(state.runner_table.runners.values()):
         present = evolve(runner, cold_s=60 if number < cold else 0)
--- a/apps/cowslipstepd/tests/test_relayed_loads.py
+++ b/apps/cowslipstepd/tests/test_relayed_loads.py
@@ -53,7 +53,7 @@
         self.others: dict[str, DaemonEntry] = {}
         self.state = types.SimpleNamespace(
             own_entry=entry,
-            daemon_count=len(ENTRIES),
+            cold_runners=types.SimpleNamespace(listed=KNOWN),
             relay_role=_relay_role.RelayRole(entry),
             loads=UpstreamLoads(clock.monotonic),
             settings=types.SimpleNamespace(name=entry.name),
@@ -157,9 +157,8 @@
 
 # A daemon that has read few names must not take a large share of a limit.
 def test_all_daemons_learn_how_many_there_are(fleet):
-    for daemon in fleet.daemons.values():
-        daemon.state.daemon_count = KNOWN
-    fleet.daemons['north-3'].state.daemon_count = 2 * KNOWN
+    state = fleet.daemons['north-3'].state
+    state.cold_runners.listed = 2 * KNOWN
     fleet.run(SETTLED_S)
     assert {
         _peer_reports._largest_known(daemon.state.loads.reports)
--- a/libs/model/src/cowslipstep/model/_load_reports.py
+++ b/libs/model/src/cowslipstep/model/_load_reports.py
@@ -156,8 +156,7 @@
         Number of times that the platform's store responded again to the
         sender after a silence.
     daemons_known
-        Number of daemons that the sender knows, itself included; zero until
-        it has read their list.
+        Number of daemons whose entries the sender has read.
     """
 
     daemon: str
--- a/libs/peers/tests/test_frames.py
+++ b/libs/peers/tests/test_frames.py
@@ -55,6 +55,7 @@
         evacuations_revision=2**62,
         evacuated_domains=('ebene', 'flacq'),
     ),
+    LoadReport('d0', 4, 5, daemons_known=71),
 )
 
 
