List the daemons again only once after several have joined

Change: a follower waits until names have been missing for 3 s; daemons without names count as before it meanwhile, so the bound does not depend on it.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 from collections.abc import Collection, Iterator
 
@@ -26,6 +27,9 @@
 _MIN_RETRY_S = 0.25
 _RETRY_SPREAD_SHARE = 0.5
 _LOG_DECIMALS = 3
+# Daemons that join together register within this time, so that their names
+# are read by one call.
+_LIST_AGAIN_DELAY_S = 3
 
 
 @define
@@ -59,15 +63,17 @@
     _fleet: KnownFleet | None = None
     # Nothing is sent to cold runners until the list of daemons has been read.
     _allowance: ColdAllowance | None = None
+    # Until when this daemon had read all names, seconds.
+    _complete_s: float = math.inf
     _places: dict[str, int] = field(factory=dict)
 
     @property
     def misses_daemons(self) -> bool:
-        """Whether others know daemons whose names this one has not read."""
-        fleet = self._fleet
-        if fleet is None or self._facts.bounds().cold_overage is None:
+        """Whether others have long known daemons that this one has not read."""
+        if self._facts.bounds().cold_overage is None:
             return False
-        return fleet.size > len(fleet.others) + 1
+        missing_s = self._facts.clock() - self._complete_s
+        return missing_s > _LIST_AGAIN_DELAY_S
 
     def update_fleet(
         self, others: Collection[str], listed: int, largest_known: int
@@ -84,10 +90,13 @@
             Largest number of entries that any other daemon has read.
         """
         self.listed = listed
+        now_s = self._facts.clock()
         if self._allowance is None:
-            starts_s = self._facts.clock() + COLD_START_HOLD_S
-            self._allowance = ColdAllowance(starts_s)
+            self._allowance = ColdAllowance(now_s + COLD_START_HOLD_S)
+            self._complete_s = now_s
         fleet = KnownFleet(self._facts.own, frozenset(others), largest_known)
+        if fleet.names_all:
+            self._complete_s = now_s
         is_changed = fleet != self._fleet
         self._fleet = fleet
         self._places = {
--- a/apps/cowslipstepd/tests/test_cold_runners.py
+++ b/apps/cowslipstepd/tests/test_cold_runners.py
@@ -138,6 +138,19 @@
     assert runners.times.count == 0
 
 
+# Each call to the platform is paid for.
+def test_names_of_daemons_are_read_again_once() -> None:
+    clock = Clock()
+    runners = cold_runners(clock)
+    runners.update_fleet((), 1, 1)
+    for is_due in (False, True):
+        clock.now_s += 2
+        runners.update_fleet((), 1, 3)
+        assert runners.misses_daemons == is_due
+    runners.update_fleet(('d1', 'd2'), 3, 3)
+    assert not runners.misses_daemons
+
+
 def decode(name: str, document: str) -> DiscoveredRunner:
     return evolve(UNKNOWN, name=name, cold_s=float(document))
 
--- a/apps/cowslipstepd/tests/test_daemon_registry.py
+++ b/apps/cowslipstepd/tests/test_daemon_registry.py
@@ -65,3 +65,13 @@
     listed = tuple(itertools.starmap(stored, bodies.items()))
     registry.replace(ObjectPage(listed, '', 1))
     assert set(registry.others) == {'a', 'b'}
+
+
+# Other daemons count this one only once its entry is stored.
+def test_own_entry_counts_once_it_is_read() -> None:
+    registry = DaemonRegistry(OWN)
+    registry.replace(ObjectPage((stored('a', body()),), '', 1))
+    assert (registry.listed, set(registry.others)) == (1, {'a'})
+    both = (stored('a', body()), stored('own', body()))
+    registry.replace(ObjectPage(both, '', 2))
+    assert (registry.listed, set(registry.others)) == (2, {'a'})
--- a/libs/routing/src/cowslipstep/routing/_cold_allowance.py
+++ b/libs/routing/src/cowslipstep/routing/_cold_allowance.py
@@ -86,6 +86,11 @@
         """Number of daemons, those included whose names are not known."""
         return max(len(self.others) + 1, self.largest_known)
 
+    @property
+    def names_all(self) -> bool:
+        """Whether the names of all daemons are known."""
+        return self.size == len(self.others) + 1
+
     def place(self, runner: str) -> int:
         """Return the place of this daemon in the order for a runner.
 
