--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
@@ -20,12 +20,9 @@
 from cowslipstep.model import Address
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._demand import DemandEstimator
-from cowslipstep.serving._evacuation_use import set_evacuation_gauges
-from cowslipstep.serving._group_gauges import set_group_gauges
 from cowslipstep.serving._key_permission import key_permission
-from cowslipstep.serving._load_spread_log import set_load_spread_gauges
-from cowslipstep.serving._loop_pauses import LoopPauses
 from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._serving_gauges import set_serving_gauges
 from cowslipstep.serving._state import ServingState
 
 _NOT_FOUND = 404
@@ -103,19 +100,10 @@
         gauges = Gauges()
         for name, reading in gauge_readings.items():
             gauges.set(CounterKey(name), reading)
-        _set_loop_pauses(gauges, state.process.loop_pauses)
-        set_group_gauges(gauges, state, self._demand)
-        set_load_spread_gauges(gauges, state.load_samples)
-        set_evacuation_gauges(gauges, state)
+        set_serving_gauges(gauges, state, self._demand)
         return gauges
 
 
-def _set_loop_pauses(gauges: Gauges, pauses: LoopPauses) -> None:
-    for quantile, pause_s in pauses.quantiles_s().items():
-        labels = (('quantile', str(quantile)),)
-        gauges.set(CounterKey('loop_pause_s', labels), pause_s)
-
-
 def _bounded(remaining_s: float) -> float:
     """Return a gauge for a time that may be infinite or in the past."""
     return max(0, min(remaining_s, _NO_LIMIT_S))
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from attrs import Factory, define, field
@@ -23,13 +22,13 @@
 from cowslipstep.serving._dialects import Dialects
 from cowslipstep.serving._evacuations import EvacuationState
 from cowslipstep.serving._harmful_prompts import HarmfulPrompts
-from cowslipstep.serving._model_work import ModelWork, no_work
+from cowslipstep.serving._counted_requests import ModelWork, no_loads, no_work
 from cowslipstep.serving._process import Process, process_of
 from cowslipstep.serving._registration import own_entry, platform_client
 from cowslipstep.serving._relay_role import RelayRole
 from cowslipstep.serving._runner_table import RunnerEntries, RunnerTable
 from cowslipstep.serving._serving_group_cache import ServingGroupCache
-from cowslipstep.serving._suspicions import Suspicions
+from cowslipstep.serving._suspicions import Suspicions, no_suspicions
 from cowslipstep.settings import ServingSettings
 
 # Below one, so that the limits hold while new daemons are not counted yet.
@@ -152,13 +151,9 @@
             takes_self=True,
         ),
     )
-    loads: UpstreamLoads = field(
-        factory=lambda: UpstreamLoads(time.monotonic),
-    )
+    loads: UpstreamLoads = field(factory=no_loads)
     load_samples: LoadSamples = field(factory=LoadSamples)
-    suspicions: Suspicions = field(
-        factory=lambda: Suspicions(time.monotonic),
-    )
+    suspicions: Suspicions = field(factory=no_suspicions)
     harmful_prompts: HarmfulPrompts = field(factory=HarmfulPrompts)
     process: Process = field(
         default=Factory(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
 
 from cowslipstep.model import Reason
@@ -108,3 +109,8 @@
     """Return the recent failures with the one at this moment."""
     earliest_s = now_s - _FAILURE_WINDOW_S
     return [*(time_s for time_s in failures_s if time_s > earliest_s), now_s]
+
+
+def no_suspicions() -> Suspicions:
+    """Return the suspicions before the first request."""
+    return Suspicions(time.monotonic)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -162,8 +162,10 @@
     ) -> ChosenUpstream | NotRun:
         usual = self._usual_requests[delivery.routed.service]
         views = self._candidates.group_views(delivery, engine, model)
-        self._sample_loads(
-            ServedModel(delivery.routed.service, model.name), views
+        _sample_loads(
+            self._state,
+            ServedModel(delivery.routed.service, model.name),
+            views,
         )
         admission = admit_request(
             views,
@@ -186,16 +188,17 @@
             Reason.no_capacity, _RETRY_AFTER_S
         )
 
-    def _sample_loads(
-        self, served: ServedModel, views: Iterable[GroupView]
-    ) -> None:
-        samples = self._state.load_samples
-        if samples.is_due(served, time.monotonic()):
-            samples.add(
-                served,
-                (view.load.requests for view in views),
-                self._state.loads.report_ages_s,
-            )
+
+def _sample_loads(
+    state: ServingState, served: ServedModel, views: Iterable[GroupView]
+) -> None:
+    samples = state.load_samples
+    if samples.is_due(served, time.monotonic()):
+        samples.add(
+            served,
+            (view.load.requests for view in views),
+            state.loads.report_ages_s,
+        )
 
 
 def _demand(delivery: DeliveryState) -> RequestDemand:
