Send a given-up watch at once, and check again while a peer is ahead

Cause: a watch that was given up waited for the usual interval of 0.3 s before it was sent again, and a daemon checked only once for each of its own versions whether its watch lags, so that a second watch lost in the same silence was found by its timeout only.

Change: no wait after a watch was given up; the check is made again, once a second, while a peer reports a newer version.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_kind_watch.py
@@ -152,13 +152,16 @@
         if not stale:
             self._schedule.confirm(asked_at_s)
         revision = page.revision
+        pause_s = self._schedule.interval_s()
         while True:
-            eventlet.sleep(self._schedule.interval_s())
+            eventlet.sleep(pause_s)
             if self._schedule.is_relayed():
                 return
+            pause_s = self._schedule.interval_s()
             try:
                 revision = self._watch_from(revision)
             except WatchGivenUp as doubt:
+                pause_s = 0
                 logger.info(
                     'watch of {} given up and sent again: {}', self._kind, doubt
                 )
--- a/apps/cowslipstepd/src/cowslipstep/serving/_missed_changes.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_missed_changes.py
@@ -67,6 +67,7 @@
             eventlet.spawn_after(STALLED_WATCH_S, self._check, version)
 
     def _check(self, version: int) -> None:
+        self._checked_version = -1
         if self._state.configuration.version == version:
             self._doubt(WatchDoubt.peer_is_ahead)
 
