--- a/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_cold_runners.py
@@ -46,7 +46,8 @@
     times
         Until when each runner is cold.
     held_back
-        Requests that were not sent or were refused because of the limits.
+        How often a request was not sent, or found no upstream, because of
+        the limits.
     listed
         Number of daemons whose entries this one has read, itself included.
     """
@@ -156,9 +157,12 @@
         fleet = self._fleet
         if limit is None or fleet is None:
             return 0
-        in_touch = not fleet.others or self._facts.hears_others()
-        dealt = limit.in_touch if in_touch else limit.cut_off
-        return cold_share(dealt, self._place(runner, fleet), fleet.size)
+        place = self._place(runner, fleet)
+        share = cold_share(limit.in_touch, place, fleet.size)
+        # Most daemons have no share; reports are looked up only for others.
+        if share and fleet.others and not self._facts.hears_others():
+            return cold_share(limit.cut_off, place, fleet.size)
+        return share
 
     def _place(self, runner: DiscoveredRunner, fleet: KnownFleet) -> int:
         place = self._places.get(runner.name)
--- a/apps/cowslipstepd/tests/test_cold_runners.py
+++ b/apps/cowslipstepd/tests/test_cold_runners.py
@@ -131,6 +131,15 @@
     assert runners.may_send(COLD)
 
 
+# The others may deal out all that the bound allows.
+def test_cut_off_daemon_sends_less() -> None:
+    runners = cold_runners(Clock(), ServingBounds(cold_overage=1))
+    runners.times.observe(None, UNKNOWN)
+    assert runners.may_send(UNKNOWN)
+    runners.update_fleet(('d1',), 2, 2)
+    assert not runners.may_send(UNKNOWN)
+
+
 def test_without_the_bound_there_is_no_limit() -> None:
     runners = cold_runners(Clock(), ServingBounds())
     runners.times.observe(None, COLD)
