Test the limits on cold leaders of groups, too

Cause: only plain runners were tested over sockets, with a clock that a slow machine could outrun. Change: streams at two leaders pass the same tests; the clock stands still.

--- a/apps/cowslipstepd/tests/test_cold_runners.py
+++ b/apps/cowslipstepd/tests/test_cold_runners.py
@@ -10,12 +10,21 @@
 import eventlet
 import pytest
 from _green_processes import in_green_process
-from _scripted_runners import Pause, ScriptedRunners, Send, response
-from _serving_harness import ONCE, SERVICES, Harness
+from _scripted_runners import (
+    LAST_CHUNK,
+    Pause,
+    ScriptedRunners,
+    Send,
+    chunk,
+    event,
+    response,
+    response_head,
+)
+from _serving_harness import ONCE, ROUTES, SERVICES, STREAM, Harness
 from attrs import evolve
 
 from cowslipstep.daemon._upstream_failures import NotSent
-from cowslipstep.fleet import ColdStart, DiscoveredRunner
+from cowslipstep.fleet import ColdStart, DiscoveredRunner, Route
 from cowslipstep.model import Address
 from cowslipstep.routing.cold import ColdAllowance
 from cowslipstep.serving._cold_runners import ColdRunners
@@ -29,7 +38,12 @@
 WARM = evolve(UNKNOWN, cold_s=0)
 LIMITED = ColdStart(60, 2)
 SETTLED_S = 10
-SCRIPT = (Pause(0.2), Send(response(b'done')))
+WHOLE = (Pause(0.2), Send(response(b'done')))
+STREAMED = (
+    Pause(0.2),
+    Send(response_head('Transfer-Encoding: chunked')),
+    Send(chunk(event(0)) + LAST_CHUNK),
+)
 REQUESTS = 12
 
 
@@ -175,29 +189,34 @@
 
 
 def harness(cold: int) -> Harness:
-    """Return a daemon before two plain runners, the first ones cold."""
-    serving = Harness(ScriptedRunners(0), ScriptedRunners(2, SCRIPT))
+    """Return a daemon before two runners of each service, some of them cold."""
+    serving = Harness(ScriptedRunners(2, STREAMED), ScriptedRunners(2, WHOLE))
     serving.configure(
-        ONCE, services=[evolve(known, cold=LIMITED) for known in SERVICES]
+        *ROUTES, services=[evolve(known, cold=LIMITED) for known in SERVICES]
     )
     state = serving.state
     state.settings = evolve(state.settings, bounds=BOUNDS)
-    state.cold_runners.update_fleet((), 1, 0)
-    state.cold_runners._allowance = ColdAllowance(starts_s=0)
+    # The clock stands still, so that a slow machine frees no share.
+    cold_state = state.cold_runners
+    cold_state._facts = evolve(cold_state._facts, clock=float)
+    cold_state.times._facts = cold_state._facts
+    cold_state.update_fleet((), 1, 0)
+    cold_state._allowance = ColdAllowance(starts_s=0)
     for number, runner in enumerate(state.runner_table.runners.values()):
-        present = evolve(runner, cold_s=60 if number < cold else 0)
-        state.cold_runners.times.observe(runner, present)
+        cold_state.times.observe(
+            runner, evolve(runner, cold_s=60 if number % 2 < cold else 0)
+        )
     return serving
 
 
-def exchanged(cold: int) -> tuple[Counter[int], int, bool]:
+def exchanged(cold: int, route: Route) -> tuple[Counter[int], int, bool]:
     """Send requests at the same time.
 
     Returns their statuses, how many were held back, and whether a runner is
     suspected.
     """
     serving = harness(cold)
-    routes = itertools.repeat(ONCE, REQUESTS)
+    routes = itertools.repeat(route, REQUESTS)
     received = eventlet.GreenPool(REQUESTS).imap(serving.exchange, routes)
     statuses = Counter(one.status for one in received)
     return (
@@ -209,13 +228,15 @@
 
 # All requests choose a runner before any of them is written, so that most of
 # those at the cold one are not sent and go to the other one.
-def test_requests_go_elsewhere() -> None:
-    statuses, held_back, suspected = in_green_process(exchanged, 1)
+@pytest.mark.parametrize('route', [ONCE, STREAM], ids=lambda route: route.name)
+def test_requests_go_elsewhere(route: Route) -> None:
+    statuses, held_back, suspected = in_green_process(exchanged, 1, route)
     assert statuses == {200: REQUESTS}
     assert held_back and not suspected
 
 
-def test_requests_are_refused_if_all_are_cold() -> None:
-    statuses, held_back, suspected = in_green_process(exchanged, 2)
+@pytest.mark.parametrize('route', [ONCE, STREAM], ids=lambda route: route.name)
+def test_requests_are_refused_if_all_are_cold(route: Route) -> None:
+    statuses, held_back, suspected = in_green_process(exchanged, 2, route)
     assert statuses == {200: 4, 503: REQUESTS - 4}
     assert held_back and not suspected
