Test that a crowd of untrusted clients stays within the machine

Cause: nothing bounds the sum of what callers make a process hold. Clients that stop just short of the end of their requests brought a process down.

Change: tests with the marker `crowd` start the product's own daemon and the daemon of the users' platform, connect a crowd and check that the process lives, that VmHWM and the open descriptors stay within the machine (160 MB, 1200 descriptors), and that an ordinary request is served meanwhile. The bound on memory of the product's own daemon stands in the test until the daemon has a setting for it (`memory_bytes`); an address space limit would count memory that is never touched. `make test` runs these tests after all others, in one process.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 	$(BIN)/python -m cowslipstep_standins.demo --serve
 
 test: setup
-	$(BIN)/python -m pytest -q -n 3 --dist loadfile
+	$(BIN)/python -m pytest -q -n 3 --dist loadfile -m 'not crowd'
+	$(BIN)/python -m pytest -q -m crowd
 
 lint: setup
 	$(BIN)/ruff format --check -q $(SOURCES)
--- /dev/null
+++ b/tests/test_untrusted_clients.py
@@ -0,0 +1,177 @@
+"""Clients that nobody controls must not bring down a daemon.
+
+Each test lets a crowd of connections send all but the end of its requests, and
+checks that the process lives within the memory and descriptors of its machine,
+and that it serves an ordinary request while the crowd stays connected.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import pathlib
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+import urllib3
+from _crowds import CROWDS, UNREAD_RESPONSES, Crowd, crowd_connected
+from _site_fleet import site_fleet
+from attrs import fields_dict, frozen
+
+from cowslipstep.settings import DaemonSettings
+from cowslipstep_standins._caller import Caller
+from cowslipstep_standins._documents import daemon_settings
+from cowslipstep_standins._fleet import LocalFleet, local_fleet
+from cowslipstep_standins._outcomes import Call
+from cowslipstep_standins._plan import FleetShape
+from cowslipstep_standins._processes import wait_until
+
+pytestmark = [pytest.mark.crowd, pytest.mark.timeout(90)]
+
+# Memory and descriptors of the machine; smaller than any in use, so that a
+# small crowd suffices.
+_MEMORY_MB = 160
+_MAX_DESCRIPTORS = 1200
+_BYTES_PER_MB = 1_000_000
+_BYTES_PER_KIB = 1024
+_OK = 200
+_OWN_HEAD = (
+    b'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+    b'Authorization: Bearer key-grid-a\r\nContent-Type: application/json\r\n'
+)
+_SITE_HEAD = (
+    b'POST /orders/1 HTTP/1.1\r\nHost: orders.example\r\n'
+    b'X-Cowslipstep-Request-Id: r1\r\n'
+)
+
+
+@frozen
+class Target:
+    """A daemon before a crowd.
+
+    Parameters
+    ----------
+    pid
+        Process id.
+    address
+        Where it serves callers.
+    head
+        Request line and headers of a valid request.
+    is_running
+        Returns whether the process lives.
+    is_served
+        Sends one ordinary request and returns whether it is served.
+    """
+
+    pid: int
+    address: str
+    head: bytes
+    is_running: Callable[[], bool]
+    is_served: Callable[[], bool]
+
+    @property
+    def peak_bytes(self) -> int:
+        """Largest resident memory so far."""
+        status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(line.split()[1]) * _BYTES_PER_KIB
+
+    @property
+    def open_descriptors(self) -> int:
+        """Number of open descriptors."""
+        descriptors = pathlib.Path(f'/proc/{self.pid}/fd').iterdir()
+        return len(tuple(descriptors))
+
+
+@contextlib.contextmanager
+def own_daemon(_folder: pathlib.Path) -> Iterator[Target]:
+    """Run the product's own daemon with a group and a plain service."""
+    with local_fleet(FleetShape(services=1)) as fleet:
+        planned = fleet.plan.daemons[0]
+        fleet.daemon(planned.name).stop()
+        process = fleet.start_daemon(planned.name, _own_settings(fleet))
+        fleet.wait_until_serving()
+        yield Target(
+            process.pid,
+            planned.http,
+            _OWN_HEAD,
+            lambda: process.running,
+            lambda: _own_request(planned.http),
+        )
+
+
+@contextlib.contextmanager
+def site_daemon(folder: pathlib.Path) -> Iterator[Target]:
+    """Run the daemon of the users' platform with a plain runner."""
+    with site_fleet(folder, _MEMORY_MB, _MAX_DESCRIPTORS) as fleet:
+        wait_until(
+            lambda: _site_request(fleet.address), 'the site daemon serves'
+        )
+        yield Target(
+            fleet.process.pid,
+            fleet.address,
+            _SITE_HEAD,
+            lambda: fleet.process.poll() is None,
+            lambda: _site_request(fleet.address),
+        )
+
+
+CASES = (
+    *itertools.product(CROWDS, (own_daemon, site_daemon)),
+    (UNREAD_RESPONSES, site_daemon),
+)
+
+
+@pytest.mark.parametrize(
+    ('crowd', 'daemon'),
+    CASES,
+    ids=[f'{crowd.name}, {daemon.__name__}' for crowd, daemon in CASES],
+)
+def test_a_crowd_stays_within_the_machine(
+    crowd: Crowd,
+    daemon: Callable[[pathlib.Path], Any],
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a process that holds more than its machine has."""
+    with (
+        daemon(tmp_path) as target,
+        crowd_connected(crowd, target.address, target.head),
+    ):
+        assert target.is_running()
+        served = target.is_served()
+        assert target.is_running()
+        assert target.peak_bytes <= _MEMORY_MB * _BYTES_PER_MB
+        assert target.open_descriptors <= _MAX_DESCRIPTORS
+        assert served
+
+
+def _own_settings(fleet: LocalFleet) -> dict[str, Any]:
+    """Return settings with the memory of the machine, once there is one."""
+    settings = daemon_settings(fleet.plan, fleet.plan.daemons[0])
+    if 'memory_bytes' in fields_dict(DaemonSettings):
+        settings['memory_bytes'] = _MEMORY_MB * _BYTES_PER_MB
+    return settings
+
+
+def _own_request(address: str) -> bool:
+    return Caller().send(address, Call('ordinary', 'grid-a', tokens=1)).correct
+
+
+def _site_request(address: str) -> bool:
+    try:
+        response = urllib3.PoolManager(retries=False).request(
+            'POST',
+            f'http://{address}/orders/1',
+            body=b'{}',
+            headers={
+                'Host': 'orders.example',
+                'X-Cowslipstep-Request-Id': 'ordinary',
+            },
+            timeout=30,
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return response.status == _OK
