Bound what callers make a process hold by one budget of bytes

Cause: each body, head and response had a limit, their sum had none. Two causes made it worse: reads gathered a body of small chunks in objects of a few bytes until 64 kB were there, and a request that failed left its bodies to the garbage collector, since the watcher for hang-ups kept the exception that ended it with the error of the request as its context.

Change: the library cowslipstep.memory decides who may hold bytes and who loses (least progress first, then the newest; a reserve for small holders). The servers for callers of both programs charge heads, bodies, responses held whole and responses that are sent, as the bytes arrive, and release them at the end of each request. A loser gets 503 with Retry-After, or is closed while its response is sent. Chunked bodies are read as they arrive; a chunk whose size is no number gets 400 in place of 500. limits.memoryMb, memory_bytes and maxHeaderBytes are read. The connections of callers are bounded by memory, too. Log lines, gauges, counters, docs/design/untrusted-clients.md.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_connections.py
@@ -9,12 +9,17 @@
 
 from eventlet import Timeout, wsgi
 
+from cowslipstep.daemon._caller_input import ChunkedInput
+from cowslipstep.daemon._caller_memory import unlimited_memory
 from cowslipstep.daemon._caller_reader import DISCARD_REST, CallerReader
+from cowslipstep.daemon._caller_writer import CallerWriter
+from cowslipstep.daemon._charges import MemoryRefused, Phase
 from cowslipstep.daemon._connection_limits import (
     ConnectionLimits,
     default_limits,
 )
 from cowslipstep.daemon._hangup import RECEIVING_CLOSED
+from cowslipstep.daemon._held_bytes import HELD_BYTES, HeldBytes
 from cowslipstep.daemon._http import OVER_LIMIT, Environ
 from cowslipstep.daemon._idle_connections import IdleConnections
 
@@ -22,6 +27,10 @@
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
 )
+_NO_MEMORY = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\nRetry-After: 1\r\n\r\n'
+)
 
 
 class CallerConnections:
@@ -31,12 +40,18 @@
     ----------
     current_limits
         Returns the limits in force; open connections follow them, too.
+
+    Attributes
+    ----------
+    memory
+        Memory that the connections may take; set before they are opened.
     """
 
     def __init__(
         self, current_limits: Callable[[], ConnectionLimits] = default_limits
     ) -> None:
         self._current_limits = current_limits
+        self.memory = unlimited_memory()
         self._open: set[CallerConnection] = set()
         self._idle = IdleConnections()
         self._closing = False
@@ -91,10 +106,18 @@
     """Reads the lines of a request's head and notices if it is cut.
 
     The parser takes the end of the connection for the end of the head.
+
+    Parameters
+    ----------
+    lines
+        Reader of the connection.
+    max_bytes
+        Longest head without the request line.
     """
 
-    def __init__(self, lines: Any) -> None:
+    def __init__(self, lines: Any, max_bytes: int) -> None:
         self._lines = lines
+        self._bytes_left = max_bytes
         self._cut = False
 
     @property
@@ -103,12 +126,34 @@
         return self._cut
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return the next line."""
+        """Return the next line.
+
+        Raises
+        ------
+        HeadersTooLarge
+            If the head is longer than it may be.
+        """
         line: bytes = self._lines.readline(limit)
         self._cut = self._cut or not line
+        self._bytes_left -= len(line)
+        if self._bytes_left < 0:
+            raise wsgi.HeadersTooLarge
         return line
 
 
+def _is_other_timeout(failure: BaseException, head_timeout: Any) -> bool:
+    return isinstance(failure, Timeout) and failure is not head_timeout
+
+
+def _refusal(failure: BaseException) -> bytes:
+    """Return the response to a request whose head is not whole."""
+    match failure:
+        case MemoryRefused():
+            return _NO_MEMORY
+        case _:
+            return _REQUEST_TIMEOUT
+
+
 class CallerConnection(wsgi.HttpProtocol):
     """Serves the requests of one connection; creating it serves them all.
 
@@ -123,6 +168,8 @@
     """
 
     rfile: Any
+    wfile: Any
+    _held: HeldBytes
 
     def __init__(
         self, connections: CallerConnections, conn_state: Any, server: Any
@@ -149,20 +196,33 @@
         environ[RECEIVING_CLOSED] = self._receiving_closed
         environ[DISCARD_REST] = self.rfile.discard_rest
         environ[OVER_LIMIT] = self._over_limit
+        environ[HELD_BYTES] = self._held
+        body = environ['wsgi.input']
+        if body.chunked_input:
+            body = ChunkedInput(self.rfile, body)
+            environ['wsgi.input'] = body
+            environ['eventlet.input'] = body
         return environ
 
     def handle(self) -> None:  # noqa: WPS110
         """Serve requests until the connection is closed."""
-        self.rfile = CallerReader(self.rfile, self.request)
-        with self._connections.opened(self) as over_limit:
+        with (
+            self._connections.opened(self) as over_limit,
+            self._connections.memory.opened(self.request) as held,
+        ):
+            self._held = held
+            self.rfile = CallerReader(self.rfile, self.request, held)
+            self.wfile = CallerWriter(self.wfile, held)
             self._over_limit = over_limit
             super().handle()
 
     def parse_request(self) -> bool:
         """Parse the head of a request; return false if it is not served."""
-        lines = _HeadLines(self.rfile)
+        limits = self._connections.limits
+        lines = _HeadLines(self.rfile, limits.max_head_bytes)
         self.rfile = lines
-        parsed: bool = super().parse_request()
+        with self._held.charges.waiting(Phase.receiving):
+            parsed: bool = super().parse_request()
         self._head_timeout.cancel()
         if lines.cut:
             self.close_connection = True
@@ -177,14 +237,19 @@
         self._head_timeout = Timeout(self._connections.limits.head_timeout_s)
         try:
             super().handle_one_request()
-        except Timeout as timeout:
-            if timeout is not self._head_timeout:
+        except (Timeout, MemoryRefused) as failure:
+            if _is_other_timeout(failure, self._head_timeout):
                 raise
-            self.wfile.write(_REQUEST_TIMEOUT)
+            self.wfile.write(_refusal(failure))
             self.close_connection = True
         finally:
             self._head_timeout.cancel()
-        if self._connections.closing or self._over_limit:
+            self._held.release_all()
+        if (
+            self._connections.closing
+            or self._over_limit
+            or self._held.charges.lost
+        ):
             self.close_connection = True
 
     def _wait_for_request(self) -> bool:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_reader.py
@@ -8,6 +8,8 @@
 
 from attrs import define
 
+from cowslipstep.daemon._charged_lines import ChargedLines
+from cowslipstep.daemon._held_bytes import HeldBytes
 from cowslipstep.daemon._http import Environ
 from cowslipstep.tasks import TimeSlice
 
@@ -58,18 +60,21 @@
         Buffered file of the connection.
     sock
         Socket of the connection.
+    held
+        What the connection holds.
     """
 
-    def __init__(self, lines: Any, sock: Any) -> None:
-        self._lines = lines
+    def __init__(self, lines: Any, sock: Any, held: HeldBytes) -> None:
+        self._lines = ChargedLines(lines, held)
         self._sock = sock
+        self._held = held
         self._time_slice = TimeSlice()
         self._rest = _Rest()
 
     @property
     def closed(self) -> bool:
         """Whether the file is closed."""
-        return bool(self._lines.closed)
+        return self._lines.closed
 
     def close(self) -> None:
         """Close the file."""
@@ -79,7 +84,7 @@
         """Wait for the next request; return false at the end."""
         self._rest = _Rest()
         try:
-            return bool(self._lines.peek(1))
+            return self._lines.wait()
         except OSError:
             return False
 
@@ -89,13 +94,15 @@
         self._rest = _Rest(_MAX_DISCARDED_BYTES, ends_at_s)
         self._sock.settimeout(_MAX_DISCARD_S)
 
-    def read(self, size: int = -1) -> bytes:
-        """Return up to this many bytes; fewer at the end of the connection.
+    def read(self, size: int) -> bytes:
+        """Return at least one byte and up to this many; none at the end.
 
         Raises
         ------
         RequestTooLong
             If the caller goes on with a request that was refused.
+        MemoryRefused
+            If the connection may not hold what was received.
         """
         self._time_slice.end_if_over()
         return self._rest.counted(self._lines.read(size))
@@ -103,16 +110,22 @@
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line, or as much of it as the limit allows.
 
+        A line without a limit is part of the framing of a body, which is not
+        held.
+
         Raises
         ------
         RequestTooLong
             If a line has no end within the longest one that is read, or the
             caller goes on with a request that was refused.
+        MemoryRefused
+            If the connection may not hold what was received.
         """
         self._time_slice.end_if_over()
         if limit >= 0:
             return self._rest.counted(self._lines.readline(limit))
         line = self._rest.counted(self._lines.readline(_MAX_LINE_BYTES + 1))
+        self._held.forget(len(line))
         if len(line) > _MAX_LINE_BYTES:
             raise RequestTooLong(
                 f'expected lines of at most {_MAX_LINE_BYTES} bytes'
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_connection_limits.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_connection_limits.py
@@ -21,12 +21,16 @@
         Time after which an idle connection is closed, seconds.
     head_timeout_s
         Time from the first byte of a request to the end of its head, seconds.
+    max_head_bytes
+        Longest head of a request, without the request line. The parser takes
+        no longer one than the default.
     """
 
     max_connections: int = 10000
     max_refused: int = 100
     idle_timeout_s: float = 60
     head_timeout_s: float = 60
+    max_head_bytes: int = 65536
 
 
 def default_limits() -> ConnectionLimits:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_daemon.py
@@ -12,6 +12,7 @@
 from cowslipstep.daemon._listening import listen_http
 from cowslipstep.daemon._order_assembly import start_order_execution
 from cowslipstep.daemon._owner_calls import OwnerCalls
+from cowslipstep.daemon._own_limits import connection_limits
 from cowslipstep.daemon._planned_stop import stop_as_planned
 from cowslipstep.daemon._service_delivery import ServiceDelivery
 from cowslipstep.daemon._slots import SlotService
@@ -32,7 +33,15 @@
     stop = stop_event()
     state = create_state(settings)
     listener = listen_http(settings.http_address)
-    server = CallerServer(listener, _start(state), lambda: state.stopping)
+    limits = connection_limits(settings)
+    server = CallerServer(
+        listener,
+        _start(state),
+        lambda: state.stopping,
+        lambda: limits,
+    )
+    server.connections.memory = state.caller_memory
+    state.caller_memory.log(limits.max_connections)
     server.start()
     with maintain_status(state):
         stop.wait()
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_hangup.py
@@ -8,6 +8,7 @@
 
 from eventlet.greenthread import getcurrent, kill, spawn
 from eventlet.hubs import trampoline
+from greenlet import GreenletExit
 
 from cowslipstep.daemon._http import Environ
 
@@ -40,9 +41,12 @@
 
 
 def _watch(connection: socket.socket, waiting_task: object) -> None:
-    trampoline(connection.fileno(), read=True)
-    if not _has_unread_bytes(connection):
-        kill(waiting_task, CallerGone())
+    # A task that ends with an exception keeps it. Its context is the error
+    # that ends the request, with all frames and the bodies that they hold.
+    with contextlib.suppress(GreenletExit):
+        trampoline(connection.fileno(), read=True)
+        if not _has_unread_bytes(connection):
+            kill(waiting_task, CallerGone())
 
 
 def _has_unread_bytes(connection: socket.socket) -> bool:
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_health.py
@@ -40,6 +40,7 @@
     lines = itertools.chain(
         state.counters.render(),
         state.gauges.render(),
+        state.caller_memory.render(),
         render_cooperatively(state.histograms),
     )
     return send_lines(start_response, lines)
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_relay.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from cowslipstep.daemon._held_responses import HeldResponse
 from cowslipstep.daemon._part_limit import (
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -85,10 +86,11 @@
     timeout_s: float,
 ) -> Iterator[ResponsePart]:
     limit = PartLimit(MAX_BODY_BYTES, timeout_s)
-    body = bytearray()
-    for chunk in response.read_chunks():
-        body += chunk
-        limit.check(len(body))
+    with HeldResponse() as held:
+        for chunk in response.read_chunks():
+            held.add(chunk)
+            limit.check(len(held))
+        body = bytes(held)
     if run.response_begun:
         raise UpstreamFailure(
             MayHaveRun(Reason.upstream_failed),
@@ -96,7 +98,7 @@
         )
     run.response_begun = True
     yield ResponseHead(response.status, response.content_type, len(body))
-    yield bytes(body)
+    yield body
 
 
 def _events(
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_request_bodies.py
@@ -5,17 +5,19 @@
 from typing import Any
 
 import eventlet
+from eventlet.wsgi import ChunkReadError
 
 from cowslipstep.daemon._caller_reader import RequestTooLong, discard_rest
+from cowslipstep.daemon._charges import MemoryRefused
+from cowslipstep.daemon._held_bytes import gathered, receiving, release_all
 from cowslipstep.daemon._http import OVER_LIMIT, Environ
+from cowslipstep.daemon._request_errors import no_capacity
 from cowslipstep.model import NotRun, Reason, RequestError
 
 _BAD_REQUEST = 400
 _MAX_CONTENT_LENGTH_DIGITS = 18
 _TOO_LARGE = 413
 _REQUEST_TIMEOUT = 408
-_UNAVAILABLE = 503
-_RETRY_AFTER_S = 1
 # A body is gathered in parts of this size, whatever the size of its chunks.
 _PART_BYTES = 65536
 # Longest time for which a body is received.
@@ -30,22 +32,19 @@
     RequestError
         If the body is longer than ``max_bytes`` or shorter than stated, or
         ``Content-Length`` is not a number, or the body does not arrive in
-        time, or the daemon has too many connections.
+        time, or the daemon has too many connections or no memory left.
     """
     try:
         return _read_admitted(environ, max_bytes)
     except RequestError:
+        release_all(environ)
         discard_rest(environ)
         raise
 
 
 def _read_admitted(environ: Environ, max_bytes: int) -> bytes:
     if environ.get(OVER_LIMIT):
-        raise RequestError(
-            NotRun(Reason.no_capacity, _RETRY_AFTER_S),
-            'the daemon has no room for more connections',
-            _UNAVAILABLE,
-        )
+        raise no_capacity('the daemon has no room for more connections')
     return _read_whole(environ, max_bytes)
 
 
@@ -59,32 +58,34 @@
         or int(content_length) > max_bytes
     ):
         raise _too_large(max_bytes)
-    body = _receive(environ['wsgi.input'], max_bytes)
+    with receiving(environ):
+        body = _receive(environ['wsgi.input'], max_bytes)
     if len(body) < int(content_length):
         raise bad_request('the connection ended within the body')
     return body
 
 
 def _receive(source: Any, max_bytes: int) -> bytes:
-    body = bytearray()
     late = RequestError(
         NotRun(Reason.bad_request),
         f'the body did not arrive within {_MAX_BODY_S} s',
         _REQUEST_TIMEOUT,
     )
-    with eventlet.Timeout(_MAX_BODY_S, late):
+    with gathered() as body, eventlet.Timeout(_MAX_BODY_S, late):
         while part := _read_part(source):
             body += part
             if len(body) > max_bytes:
                 raise _too_large(max_bytes)
-    return bytes(body)
+        return bytes(body)
 
 
 def _read_part(source: Any) -> bytes:
     try:
         part: bytes = source.read(_PART_BYTES)
-    except RequestTooLong as error:
+    except (RequestTooLong, ChunkReadError) as error:
         raise bad_request(str(error)) from error
+    except MemoryRefused as error:
+        raise no_capacity(str(error.strerror)) from error
     return part
 
 
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_request_errors.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_request_errors.py
@@ -17,6 +17,7 @@
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
+_RETRY_AFTER_S = 1
 
 
 def request_error(verdict: Verdict, message: str) -> RequestError:
@@ -31,6 +32,13 @@
     return f'event: error\ndata: {json.dumps(document)}\n\n'.encode()
 
 
+def no_capacity(message: str) -> RequestError:
+    """Return the error of a request for which there is no room."""
+    return RequestError(
+        NotRun(Reason.no_capacity, _RETRY_AFTER_S), message, _UNAVAILABLE
+    )
+
+
 def _failed_verdict(verdict: Verdict) -> NotRun | MayHaveRun:
     match verdict:
         case Completed():
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_state.py
@@ -7,6 +7,7 @@
 
 from attrs import Factory, define, field
 
+from cowslipstep.daemon._caller_memory import CallerMemory
 from cowslipstep.daemon._live_daemons import LiveDaemons, daemons_in
 from cowslipstep.daemon._logs import log_event
 from cowslipstep.daemon._membership import Membership
@@ -14,6 +15,7 @@
     OrderLedgerCallHandler,
     refuse_order_ledger_call,
 )
+from cowslipstep.daemon._own_limits import caller_memory
 from cowslipstep.groups import DomainLedger, ReadinessTable
 from cowslipstep.metrics import (
     Counters,
@@ -61,6 +63,8 @@
         Events of groups, leases and drains, for operators.
     requests
         Requests that were refused or whose outcome is uncertain.
+    caller_memory
+        Budget for what callers make this process hold.
     stopping
         Whether a planned stop has begun.
     intake_closed
@@ -107,6 +111,12 @@
     gauges: Gauges = field(factory=Gauges)
     events: EventLog = field(factory=lambda: EventLog(log_event))
     requests: RequestLog = field(factory=RequestLog)
+    caller_memory: CallerMemory = field(
+        default=Factory(
+            lambda state: caller_memory(state.settings),
+            takes_self=True,
+        ),
+    )
     stopping: bool = False
     intake_closed: bool = False
     stop_hooks: list[Callable[[], None]] = field(factory=list)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
@@ -81,7 +81,8 @@
         try:
             return self._respond(environ, start_response)
         except RequestError as error:
-            failure = error
+            # The traceback refers to this frame and that of the body.
+            failure = error.with_traceback(None)
         except CallerGone:
             logger.bind(request_id=_request_id(environ)).info(
                 'caller closed the connection, request ended'
--- a/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_metrics_application.py
@@ -70,6 +70,7 @@
         lines = itertools.chain(
             self._requests.render(),
             self._gauges().render(),
+            self._connections.memory.render(),
         )
         return send_lines(start_response, lines)
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_run.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_run.py
@@ -95,7 +95,7 @@
     state: ServingState,
     load_settings: Callable[[], ServingSettings],
 ) -> None:
-    """Apply the bounds of new settings and the limit of sockets.
+    """Apply the bounds of new settings and the limits of the machine.
 
     Other settings, such as addresses, need a restart. Settings that cannot be
     loaded are logged and ignored.
@@ -109,6 +109,7 @@
         state.settings,
         bounds=settings.bounds,
         max_sockets=settings.max_sockets,
+        memory_bytes=settings.memory_bytes,
     )
     state.process.apply(settings)
     logger.info('settings reloaded')
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -16,6 +16,7 @@
     bound_socket,
     ends_with_connection,
 )
+from cowslipstep.daemon._held_responses import HeldResponse
 from cowslipstep.daemon._http_errors import as_upstream_failure
 from cowslipstep.daemon._part_limit import MAX_BODY_BYTES
 from cowslipstep.daemon._read_limits import Silence
@@ -135,16 +136,16 @@
             If the connection breaks, the deadline passes first, or the body
             is larger than ``MAX_BODY_BYTES``.
         """
-        body = bytearray()
-        while len(body) <= MAX_BODY_BYTES:
-            chunk = self.read_chunk(deadline_s - time.monotonic())
-            if not chunk:
-                return bytes(body)
-            body += chunk
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_cut),
-            f'expected a body of at most {MAX_BODY_BYTES} bytes, got more',
-        )
+        with HeldResponse() as held:
+            while len(held) <= MAX_BODY_BYTES:
+                chunk = self.read_chunk(deadline_s - time.monotonic())
+                if not chunk:
+                    return bytes(held)
+                held.add(chunk)
+            raise UpstreamFailure(
+                MayHaveRun(Reason.upstream_cut),
+                f'expected a body of at most {MAX_BODY_BYTES} bytes, got more',
+            )
 
 
 @contextlib.contextmanager
--- a/libs/fleet/src/cowslipstep/fleet/_configuration.py
+++ b/libs/fleet/src/cowslipstep/fleet/_configuration.py
@@ -48,11 +48,14 @@
         Time after which an idle connection is closed, seconds.
     head_timeout_s
         Time that the head of a request may take, seconds.
+    max_head_bytes
+        Longest head of a request, without the request line.
     """
 
     max_body_bytes: int = 4194304
     idle_timeout_s: float = 60
     head_timeout_s: float = 60
+    max_head_bytes: int = 65536
 
 
 @frozen
--- a/libs/settings/src/cowslipstep/settings/_daemon.py
+++ b/libs/settings/src/cowslipstep/settings/_daemon.py
@@ -49,6 +49,9 @@
         The other daemons known when this one starts.
     max_body_bytes
         Maximum size of a request body, bytes.
+    memory_bytes
+        Memory that the machine has for this daemon; zero for all of the
+        machine, or the limit of the process.
     stop_grace_s
         Maximum wait for streams to end in a planned stop, seconds.
     unready_delay_s
@@ -78,6 +81,7 @@
         default=_DEFAULT_MAX_BODY_BYTES,
         validator=validators.gt(0),
     )
+    memory_bytes: int = field(default=0, validator=validators.ge(0))
     stop_grace_s: float = field(
         default=_DEFAULT_STOP_GRACE_S,
         validator=validators.ge(0),
--- a/libs/settings/src/cowslipstep/settings/_serving.py
+++ b/libs/settings/src/cowslipstep/settings/_serving.py
@@ -12,6 +12,7 @@
 # A shorter time leaves none for a call to the platform.
 _MIN_REVOCATION_S = 1.0
 _MIN_SOCKETS = 1.0
+_MIN_MEMORY_BYTES = 1.0
 
 
 @frozen
@@ -94,6 +95,8 @@
     max_sockets
         Sockets that may be open at the same time; infinite for no limit but
         that of the process.
+    memory_bytes
+        Memory of the machine; infinite for no limit but that of the process.
     bounds
         Limits of the deployment.
     log_level
@@ -115,5 +118,8 @@
     max_sockets: float = field(
         default=math.inf, validator=validators.ge(_MIN_SOCKETS)
     )
+    memory_bytes: float = field(
+        default=math.inf, validator=validators.ge(_MIN_MEMORY_BYTES)
+    )
     bounds: ServingBounds = ServingBounds()
     log_level: str = 'INFO'
