Prefer a few own groups where loads are known late

Cause: a daemon learns the requests of others some 0.3 s late. In that time a fifth of them end and as many begin, so that two random choices by such loads send requests to groups that have filled meanwhile.

Change: `cowslipstep.routing.late_loads` holds a decision that prefers two groups of the own daemon, whose load it mostly knows at once, as long as they do not exceed the mean by more than half of the standard deviation that the age of the loads causes; else the least loaded of these and three random ones. Differences that were reported count the less the older they are. The sample module moves into the new package.

--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -39,7 +39,6 @@
     late_part,
 )
 from cowslipstep.routing._limits import workspace_policies
-from cowslipstep.routing._load_spread import LoadSamples, LoadSpread
 from cowslipstep.routing._overload import BEST_EFFORT_URGENCY, admit_request
 from cowslipstep.routing._owner_history import OwnerHistory
 from cowslipstep.routing._prefix_map import PrefixMap
@@ -64,3 +63,4 @@
 from cowslipstep.routing._usage_table import UsageTable, newest_usages
 from cowslipstep.routing._usual_durations import UsualDurations
 from cowslipstep.routing._usual_requests import UsualRequest, UsualRequests
+from cowslipstep.routing.late_loads import LoadSamples
--- a/libs/routing/src/cowslipstep/routing/_first_event.py
+++ b/libs/routing/src/cowslipstep/routing/_first_event.py
@@ -26,11 +26,14 @@
         Requests in progress there, summed over all daemons.
     distance_s
         One-way network delay from this daemon to the group, seconds.
+    own_requests
+        Those requests in progress there that this daemon sent.
     """
 
     group: ServingGroup
     load: UpstreamLoad
     distance_s: float = 0
+    own_requests: int = 0
 
 
 @frozen
@@ -68,6 +71,15 @@
         """Return the time to read a prompt, at time factor 1."""
         return prompt_tokens / self.engine.prefill_tokens_per_s
 
+    @property
+    def usual_held_s(self) -> float:
+        """Mean time for which a request is in progress, seconds."""
+        step_s = self.step_s(self.engine.slots)
+        own_s = step_s * self.usual.output_tokens
+        return self.model.time_factor * (
+            self.prefill_s(self.usual.prompt_tokens) + own_s
+        )
+
     @property
     def slot_interval_s(self) -> float:
         """Mean time until the next slot of a full group becomes free."""
--- a/libs/routing/src/cowslipstep/routing/_own_loads.py
+++ b/libs/routing/src/cowslipstep/routing/_own_loads.py
@@ -49,8 +49,12 @@
         with _counted_in(self._waiting, (upstream, urgency)):
             yield
 
-    def load(self, upstream: str) -> UpstreamLoad:
+    def requests_at(self, upstream: str) -> int:
         """Return the number of requests in progress at an upstream."""
+        return self._requests[upstream]
+
+    def load(self, upstream: str) -> UpstreamLoad:
+        """Return the load of an upstream by requests of this daemon."""
         return UpstreamLoad(
             upstream,
             self._requests[upstream],
--- a/libs/routing/tests/test_load_spread.py
+++ b/libs/routing/tests/test_load_spread.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cowslipstep.fleet import ServedModel
-from cowslipstep.routing import LoadSamples, LoadSpread
+from cowslipstep.routing.late_loads import LoadSamples, LoadSpread
 
 SMALL = ServedModel('engines', 'small')
 LARGE = ServedModel('engines', 'large')
