Choose groups by the age of the load reports

Cause: the serving path chose by two random groups whatever the age of the reports.

Before the other daemons are known, no group is preferred. `GroupView` has the own requests at a group. Admission on time, its limits and the messages are unchanged.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_candidates.py
@@ -80,6 +80,7 @@
                 group,
                 self._state.loads.total(group.leader.name),
                 self._distance_s(group.leader),
+                self._state.loads.own.requests_at(group.leader.name),
             )
             for group in self._prefer_trusted(groups, _leader_name)
         ]
--- a/apps/cowslipstepd/src/cowslipstep/serving/_load_spread_log.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_load_spread_log.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from cowslipstep.metrics import CounterKey, Gauges
-from cowslipstep.routing import LoadSamples, LoadSpread
+from cowslipstep.routing.late_loads import LoadSamples, LoadSpread
 
 LOAD_SPREAD_PERIOD_S = 5
 _DECIMALS = 3
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -99,6 +99,9 @@
         Failure domains whose runners get no requests.
     loads
         Requests in progress at upstreams, over all daemons.
+    fleet_position
+        Place of this daemon among all, from 0 to 1; ``None`` until the others
+        are known.
     load_samples
         Loads by which this daemon chose lately.
     suspicions
@@ -152,6 +155,7 @@
         ),
     )
     loads: UpstreamLoads = field(factory=no_loads)
+    fleet_position: float | None = None
     load_samples: LoadSamples = field(factory=LoadSamples)
     suspicions: Suspicions = field(factory=no_suspicions)
     harmful_prompts: HarmfulPrompts = field(factory=HarmfulPrompts)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_choice.py
@@ -37,6 +37,7 @@
     DeliveryState,
     may_run_elsewhere,
 )
+from cowslipstep.serving._placement import group_placement
 from cowslipstep.serving._state import ServingState
 
 # An attempt fails if its response takes longer to begin than the predicted
@@ -167,11 +168,13 @@
             ServedModel(delivery.routed.service, model.name),
             views,
         )
+        times = ModelTimes(engine, model, usual.usual(model.name, engine))
         admission = admit_request(
             views,
             _demand(delivery),
-            ModelTimes(engine, model, usual.usual(model.name, engine)),
+            times,
             self._rng,
+            group_placement(self._state, views, times),
         )
         match admission:
             case OnTime(view, expected_s):
--- a/apps/cowslipstepd/tests/test_load_spread_log.py
+++ b/apps/cowslipstepd/tests/test_load_spread_log.py
@@ -6,7 +6,7 @@
 
 from cowslipstep.fleet import ServedModel
 from cowslipstep.metrics import Gauges
-from cowslipstep.routing import LoadSamples
+from cowslipstep.routing.late_loads import LoadSamples
 from cowslipstep.serving._load_spread_log import (
     log_load_spread,
     set_load_spread_gauges,
