Bench placement by late loads beside the former decision

`make bench BENCH=placement` prints the measures of the replay of late loads for utilisations of 0.5, 0.8 and 0.95 and reports that are 0.1, 0.3 and 1 s old, with those of two random choices as the baseline.

--- a/bench/bench_placement.py
+++ b/bench/bench_placement.py
@@ -1,10 +1,11 @@
-"""Requests that wait for a slot: the placement and the former one."""
+"""Placement of requests, beside the former decisions."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 
 from _figures import Figure
+from _late_load_figures import late_load_figures
 from _two_models import ENGINE, PAIR
 
 from cowslipstep.replay._placement_replay import (
@@ -22,7 +23,7 @@
 
 
 def figures() -> Iterator[Figure]:
-    """Yield the share of requests that wait, for several numbers of groups."""
+    """Yield measures by number of groups, and by the age of the reports."""
     times = ModelTimes(ENGINE, PAIR, UsualRequest(_PROMPT, _OUTPUT))
     for groups in _PAIR_GROUPS:
         case = PlacementCase(times, groups, _REQUESTS_PER_S)
@@ -32,3 +33,4 @@
             'share',
             baseline=waiting_share(case, soonest_with_jitter),
         )
+    yield from late_load_figures()
