--- a/libs/routing/src/cowslipstep/routing/late_loads/_own_groups.py
+++ b/libs/routing/src/cowslipstep/routing/late_loads/_own_groups.py
@@ -84,8 +84,9 @@
         self, on_time: Sequence[TimedGroup], rng: random.Random
     ) -> TimedGroup:
         """Return the chosen group."""
-        usual = fmean(_others(entry.view) for entry in on_time)
-        level = fmean(entry.view.load.requests for entry in on_time)
+        views = [entry.view for entry in on_time]
+        level = fmean([view.load.requests for view in views])
+        usual = level - fmean([view.own_requests for view in views])
         drawn = rng.sample(on_time, min(_DRAWN, len(on_time)))
         preferred = self._least(usual, self._preferred(on_time))
         if preferred is None:
