--- a/apps/cowslipstepd/tests/test_hanging_watches.py
+++ b/apps/cowslipstepd/tests/test_hanging_watches.py
@@ -183,6 +183,16 @@
     assert applied(hanging)
 
 
+def test_a_watch_that_is_lost_twice_is_sent_again(follower, store):
+    follower.relay(17.8, 1)
+    store.revisions[CONFIGURATION] = 2
+    follower.relay(23, 2)
+    # Another daemon got the version; the next watch of this one is lost, too.
+    store.revisions[CONFIGURATION] = 3
+    follower.relay(28, 3)
+    assert follower.state.configuration.version == 3
+
+
 def test_a_relay_tells_followers_of_a_silence(hanging, store):
     hanging.relay(27, 2)
     assert not kinds_from(store, 26)
