--- a/tests/_site_fleet.py
+++ b/tests/_site_fleet.py
@@ -204,16 +204,10 @@
         The process.
     address
         Where it serves callers.
-    log_path
-        File with its log lines.
-    metrics_url
-        Where it shows its metrics.
     """
 
     process: subprocess.Popen[bytes]
     address: str
-    log_path: pathlib.Path
-    metrics_url: str = f'http://{_DAEMON_IP}:9464/metrics'
 
 
 @contextlib.contextmanager
@@ -237,7 +231,7 @@
         _served(addresses[4], _RunnerHandler),
         _running(folder) as process,
     ):
-        yield SiteFleet(process, addresses[0], folder / _LOG_NAME)
+        yield SiteFleet(process, addresses[0])
 
 
 def _port(address: str) -> int:
