Prefer no own groups where many daemons share each one

Cause: with 71 daemons and 5 groups each group is an own group of 28 daemons, which know little of its load at once.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_peer_reports.py
@@ -15,7 +15,7 @@
 from cowslipstep.model.loads import LoadReport, RunnersQuery
 from cowslipstep.peers import PeerLink, PeerUnreachable, ReplyCallback, Traffic
 from cowslipstep.routing import MeshMember, Relay, Role
-from cowslipstep.routing.late_loads import fleet_position
+from cowslipstep.routing.late_loads import fleet_place
 from cowslipstep.serving._evacuations import learn_from_report
 from cowslipstep.serving._peer_catch_up import (
     PeerCatchUp,
@@ -137,9 +137,7 @@
             self._registry.listed,
             _largest_known(self._state.loads.reports),
         )
-        self._state.fleet_position = fleet_position(
-            self._state.settings.name, others
-        )
+        self._state.fleet_place = fleet_place(self._state.settings.name, others)
         if self._state.relay_role.choose(others.values()):
             logger.bind(daemons=self._state.daemon_count).info(
                 'role in load reports is now {}',
--- a/apps/cowslipstepd/src/cowslipstep/serving/_placement.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_placement.py
@@ -31,7 +31,7 @@
     report_ages_s = state.loads.report_ages_s or (0,)
     age_s = fmean(report_ages_s) + _report_delay_s(state.relay_role.current)
     return PreferOwnGroups(
-        own_groups(leaders, state.fleet_position),
+        own_groups(leaders, state.fleet_place),
         LoadAge(age_s, times.usual_held_s),
     )
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_state.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_state.py
@@ -13,7 +13,7 @@
     PlatformClient,
     PlatformLimits,
 )
-from cowslipstep.routing import LoadSamples, UpstreamLoads
+from cowslipstep.routing import FleetPlace, LoadSamples, UpstreamLoads
 from cowslipstep.serving._cold_runners import ColdFacts, ColdRunners
 from cowslipstep.serving._configuration_in_force import (
     ConfigurationInForce,
@@ -99,9 +99,8 @@
         Failure domains whose runners get no requests.
     loads
         Requests in progress at upstreams, over all daemons.
-    fleet_position
-        Place of this daemon among all, from 0 to 1; ``None`` until the others
-        are known.
+    fleet_place
+        Place of this daemon among all; ``None`` until the others are known.
     load_samples
         Loads by which this daemon chose lately.
     suspicions
@@ -155,7 +154,7 @@
         ),
     )
     loads: UpstreamLoads = field(factory=no_loads)
-    fleet_position: float | None = None
+    fleet_place: FleetPlace | None = None
     load_samples: LoadSamples = field(factory=LoadSamples)
     suspicions: Suspicions = field(factory=no_suspicions)
     harmful_prompts: HarmfulPrompts = field(factory=HarmfulPrompts)
--- a/libs/routing/src/cowslipstep/replay/late_loads/_decision.py
+++ b/libs/routing/src/cowslipstep/replay/late_loads/_decision.py
@@ -12,6 +12,7 @@
 from cowslipstep.routing import GroupView
 from cowslipstep.routing._placement import ChooseGroup, TimedGroup
 from cowslipstep.routing.late_loads import (
+    FleetPlace,
     LoadAge,
     PreferOwnGroups,
     own_groups,
@@ -25,7 +26,7 @@
     """Return the group of the product's decision."""
     leaders = tuple(_group(number).leader.name for number in _numbers(known))
     choose = PreferOwnGroups(
-        own_groups(leaders, known.daemon / known.case.daemons),
+        own_groups(leaders, FleetPlace(known.daemon, known.case.daemons)),
         LoadAge(known.age_s, known.case.held_s),
     )
     return decided_by(choose, known, rng)
--- a/libs/routing/src/cowslipstep/routing/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/__init__.py
@@ -63,4 +63,4 @@
 from cowslipstep.routing._usage_table import UsageTable, newest_usages
 from cowslipstep.routing._usual_durations import UsualDurations
 from cowslipstep.routing._usual_requests import UsualRequest, UsualRequests
-from cowslipstep.routing.late_loads import LoadSamples
+from cowslipstep.routing.late_loads import FleetPlace, LoadSamples
--- a/libs/routing/src/cowslipstep/routing/late_loads/__init__.py
+++ b/libs/routing/src/cowslipstep/routing/late_loads/__init__.py
@@ -2,8 +2,9 @@
 
 from cowslipstep.routing.late_loads._load_spread import LoadSamples, LoadSpread
 from cowslipstep.routing.late_loads._own_groups import (
+    FleetPlace,
     LoadAge,
     PreferOwnGroups,
-    fleet_position,
+    fleet_place,
     own_groups,
 )
--- a/libs/routing/src/cowslipstep/routing/late_loads/_own_groups.py
+++ b/libs/routing/src/cowslipstep/routing/late_loads/_own_groups.py
@@ -30,12 +30,15 @@
 from attrs import frozen
 
 from cowslipstep.routing._first_event import GroupView
-from cowslipstep.routing._placement import TimedGroup
+from cowslipstep.routing._placement import TimedGroup, less_loaded_of_two
 from cowslipstep.routing._rendezvous import rendezvous_order
 
 # Groups that a daemon prefers: with more of them, more daemons share each one,
 # and a daemon knows a smaller part of its load at once.
 _OWN_GROUPS = 2
+# Daemons that may share a group. If more do, each one knows little of its load
+# at once, and two random choices are as good.
+_MAX_SHARED = 6
 # Groups that are drawn at random if those have too much load.
 _DRAWN = 3
 # Part of the standard deviation of the loads, as far as it comes from their
@@ -83,17 +86,16 @@
     def __call__(
         self, on_time: Sequence[TimedGroup], rng: random.Random
     ) -> TimedGroup:
-        """Return the chosen group."""
-        views = [entry.view for entry in on_time]
-        level = fmean([view.load.requests for view in views])
-        usual = level - fmean([view.own_requests for view in views])
-        drawn = rng.sample(on_time, min(_DRAWN, len(on_time)))
-        preferred = self._least(usual, self._preferred(on_time))
-        if preferred is None:
-            return self._least(usual, drawn) or drawn[0]
+        """Return the chosen group; without own ones, the lesser of two."""
+        own = self._preferred(on_time)
+        if not own:
+            return less_loaded_of_two(on_time, rng)
+        usual, level = _mean_loads([entry.view for entry in on_time])
+        preferred = self._least(usual, own)
         if self._expected(usual, preferred.view) <= level + self._margin(usual):
             return preferred
-        return self._least(usual, (preferred, *drawn)) or preferred
+        drawn = rng.sample(on_time, min(_DRAWN, len(on_time)))
+        return self._least(usual, (preferred, *drawn))
 
     def _preferred(self, on_time: Sequence[TimedGroup]) -> list[TimedGroup]:
         return [
@@ -104,14 +106,13 @@
 
     def _least(
         self, usual: float, entries: Collection[TimedGroup]
-    ) -> TimedGroup | None:
+    ) -> TimedGroup:
         return min(
             entries,
             key=lambda entry: (
                 self._expected(usual, entry.view),
                 entry.expected_s,
             ),
-            default=None,
         )
 
     def _expected(self, usual: float, view: GroupView) -> float:
@@ -126,44 +127,69 @@
         return _MARGIN_DEVIATIONS * math.sqrt(changes)
 
 
-def fleet_position(own: str, others: Collection[str]) -> float:
-    """Return the place of a daemon among all, from 0 to 1.
+@frozen
+class FleetPlace:
+    """Place of a daemon among all.
+
+    Parameters
+    ----------
+    number
+        Its number in the order of all daemons, from zero.
+    daemons
+        Number of all daemons.
+    """
+
+    number: int
+    daemons: int
+
+
+def fleet_place(own: str, others: Collection[str]) -> FleetPlace:
+    """Return the place of a daemon among all.
 
     All daemons order all of them in the same way, by hashes of their names, so
     that those of one failure domain are not neighbours.
 
     Examples
     --------
-    >>> sorted(fleet_position(name, 'abcd') for name in 'abcd')
-    [0.0, 0.25, 0.5, 0.75]
+    >>> sorted(fleet_place(name, 'abcd').number for name in 'abcd')
+    [0, 1, 2, 3]
     """
     names = rendezvous_order(_FLEET, sorted({own, *others}))
-    return names.index(own) / len(names)
+    return FleetPlace(names.index(own), len(names))
 
 
 def own_groups(
-    leaders: Collection[str], position: float | None
+    leaders: Collection[str], place: FleetPlace | None
 ) -> frozenset[str]:
     """Return the groups that a daemon prefers, by the names of their leaders.
 
+    There are none if many daemons would share each group.
+
     Parameters
     ----------
     leaders
         Leaders of all groups of the model.
-    position
-        Place of the daemon; without one it prefers no group.
+    place
+        Place of the daemon, if it is known.
 
     Examples
     --------
-    >>> sorted(own_groups('abcdef', 0.5)), own_groups('ab', None)
+    >>> sorted(own_groups('abcdef', FleetPlace(1, 2))), own_groups('ab', None)
     (['d', 'e'], frozenset())
     """
-    if position is None:
+    count = len(leaders)
+    if place is None or _OWN_GROUPS * place.daemons > _MAX_SHARED * count:
         return frozenset()
     ordered = sorted(leaders)
-    first = int(position * len(ordered))
+    first = place.number * count // place.daemons
     return frozenset((ordered * 2)[first : first + _OWN_GROUPS])
 
 
+def _mean_loads(views: Collection[GroupView]) -> tuple[float, float]:
+    """Return the mean requests of others and of all at a group."""
+    level = fmean([view.load.requests for view in views])
+    return level - fmean([view.own_requests for view in views]), level
+
+
 def _others(view: GroupView) -> int:
     return view.load.requests - view.own_requests
