Replay waves of demand and show what the runners do

The replay of lost runners held demand constant, and its figures did not say where the runners are that do not serve. Demand may now swing, by model with a lag, and the figures hold the mean number of runners by use and the number of decisions.

A wave in phase multiplies the demand of all models by one factor, which changes neither the sign nor the order of what reallocations are worth; only waves in turn can show hysteresis.

--- a/bench/bench_fleet.py
+++ b/bench/bench_fleet.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable, Iterator
 
 from _figures import Figure
+from _loss_measures import Measure, measures
 from _two_models import DEMAND, ENGINE
+from _wave_cases import WAVE_CASES, WAVE_ENGINE
+from attrs import evolve
 
-from cowslipstep.fleet import Epochs, FleetPlanner
+from cowslipstep.fleet import EngineProfile, Epochs, FleetPlanner
 from cowslipstep.fleet.replay import (
     FormerReallocations,
     LossCase,
@@ -16,7 +19,6 @@
     replay_losses,
 )
 
-Measure = Callable[[LossFigures], float]
 _SERVICE = 'drafting'
 _SEEDS = 6
 # Least part of the division with the least waiting that each model has to get.
@@ -26,55 +28,54 @@
 
 def figures() -> Iterator[Figure]:
     """Yield means over several seeds, and those of the former decision."""
-    replays = _replays(lambda epochs: FleetPlanner(_SERVICE, epochs))
+    yield from _compared('fleet', LossCase(DEMAND), ENGINE, _MIN_PART)
+    for name, case in WAVE_CASES.items():
+        yield from _compared(f'fleet.{name}', case, WAVE_ENGINE)
+
+
+def _compared(
+    name: str,
+    case: LossCase,
+    engine: EngineProfile,
+    min_part: float | None = None,
+) -> Iterator[Figure]:
+    replays = _replays(
+        case, engine, lambda epochs: FleetPlanner(_SERVICE, epochs)
+    )
     former = _replays(
+        case,
+        engine,
         lambda epochs: FleetPlanner(
             _SERVICE, epochs, FormerReallocations().start
-        )
+        ),
     )
-    for name, unit, measure in _measures():
+    for measured, unit, measure in measures(case):
         yield Figure(
-            f'fleet.{name}',
+            f'{name}.{measured}',
             _mean(replays, measure),
             unit,
             baseline=_mean(former, measure),
         )
     yield Figure(
-        'fleet.lowest_part',
+        f'{name}.lowest_part',
         _mean(replays, _PART),
         'share',
-        _MIN_PART,
+        min_part,
         _mean(former, _PART),
         at_least=True,
     )
 
 
-def _measures() -> Iterator[tuple[str, str, Measure]]:
-    for model in DEMAND:
-        yield f'served_share.{model}', 'share', _served_share(model)
-        yield f'serving_groups.{model}', 'groups', _serving_groups(model)
-    for counted in ('closed', 'loads', 'lost'):
-        yield counted, 'count', operator.attrgetter(counted)
-
-
 def _replays(
+    case: LossCase,
+    engine: EngineProfile,
     new_planner: Callable[[Epochs], FleetPlanner],
 ) -> list[LossFigures]:
     return [
-        replay_losses(LossCase(DEMAND, seed=seed), ENGINE, new_planner)
+        replay_losses(evolve(case, seed=seed), engine, new_planner)
         for seed in range(_SEEDS)
     ]
 
 
 def _mean(replays: list[LossFigures], measure: Measure) -> float:
     return sum(map(measure, replays)) / len(replays)
-
-
-def _served_share(model: str) -> Measure:
-    return lambda replay: replay.served_share[model]
-
-
-def _serving_groups(model: str) -> Measure:
-    return lambda replay: (
-        sum(serving[model] for serving in replay.serving) / len(replay.serving)
-    )
--- a/libs/fleet/src/cowslipstep/fleet/replay/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/__init__.py
@@ -5,6 +5,7 @@
 leader makes no progress once a member has left its group.
 """
 
+from cowslipstep.fleet.replay._demand_wave import DemandWave
 from cowslipstep.fleet.replay._fleet_replay import STEP_S, FleetReplay
 from cowslipstep.fleet.replay._former_reallocations import (
     FormerReallocations,
--- a/libs/fleet/src/cowslipstep/fleet/replay/_loss_replay.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_loss_replay.py
@@ -76,7 +76,7 @@
     _started: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self.recorder = LossRecorder(self.replay, self.case.demand)
+        self.recorder = LossRecorder(self.replay)
 
     def play(self) -> None:
         """Play the case from the registration of runners to the end."""
@@ -96,7 +96,7 @@
         while self.replay.now_s < end_s:
             self.replay.step()
             if self.replay.now_s > self.case.calm_s:
-                self.replay.demand = self.case.demand
+                self.replay.demand = self.case.demand_at(self.replay.now_s)
                 self.replay.runners.load_factor = 1
                 self.recorder.record_step()
 
--- a/libs/fleet/src/cowslipstep/fleet/replay/_losses.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_losses.py
@@ -7,9 +7,10 @@
 
 from attrs import field, frozen
 
+from cowslipstep.fleet.replay._demand_wave import DemandWave
+
 # Part of the time between two losses by which each one may be early or late.
 _JITTER_SHARE = 0.2
-_LOST_AT_ONCE = (3, 4)
 _CUT_SHARE = 0.1
 _CUT_S = 5
 _CONTROLLER_AWAY_S = (3, 7)
@@ -76,6 +77,10 @@
         Mean time between two losses, seconds.
     seed
         Seed of all that is random.
+    lost_at_once
+        Numbers of runners of which each loss takes one.
+    wave
+        How the demand swings; ``None`` if it does not.
     """
 
     demand: Mapping[str, float]
@@ -86,6 +91,8 @@
     length_s: float = 34
     loss_period_s: float = 3
     seed: int = field(default=0)
+    lost_at_once: tuple[int, ...] = (3, 4)
+    wave: DemandWave | None = None
 
     @property
     def zones(self) -> list[tuple[int, ...]]:
@@ -95,6 +102,13 @@
             for first in range(0, self.domains, _DOMAINS_PER_ZONE)
         ]
 
+    def demand_at(self, now_s: float) -> dict[str, float]:
+        """Return the demand by model at a clock reading of the replay."""
+        wave = self.wave
+        if wave is None:
+            return dict(self.demand)
+        return wave.demand(self.demand, now_s - self.calm_s)
+
 
 def scheduled_events(case: LossCase) -> Iterator[tuple[float, LossEvent]]:
     """Yield all events of a case with their clock readings, seconds."""
@@ -112,7 +126,7 @@
     jitter_s = _JITTER_SHARE * case.loss_period_s
     for number in range(int(case.length_s / case.loss_period_s)):
         at_s = case.calm_s + case.loss_period_s * (number + 1 / 2)
-        count = rng.choice(_LOST_AT_ONCE)
+        count = rng.choice(case.lost_at_once)
         yield (
             at_s + rng.uniform(-jitter_s, jitter_s),
             RunnersLost(rng.choice(case.zones), count),
--- a/libs/fleet/tests/test_lost_runners.py
+++ b/libs/fleet/tests/test_lost_runners.py
@@ -9,7 +9,7 @@
 from _fleet_cases import small_fleet
 
 from cowslipstep.fleet import LeaveGroup, ModelProfile
-from cowslipstep.fleet.replay import LossCase, replay_losses
+from cowslipstep.fleet.replay import DemandWave, LossCase, replay_losses
 
 OCTET = ModelProfile('octet', group_size=8, load_s=16, staged_load_s=1.6)
 PAIR = ModelProfile('pair', group_size=2, load_s=12, staged_load_s=1.1)
@@ -31,6 +31,13 @@
     assert not figures.rule_violations
 
 
+def test_demand_swings_by_model() -> None:
+    wave = DemandWave(period_s=12, amplitude=0.5, lags_s={'octet': 6})
+    case = LossCase({'octet': 10, 'pair': 40}, wave=wave)
+    crest = case.demand_at(case.calm_s + 3)
+    assert crest == pytest.approx({'octet': 5, 'pair': 60})
+
+
 # Its entry was gone, and no probe of it had ended yet; the group was ended.
 def test_group_outlives_a_cut_from_the_store() -> None:
     replay = small_fleet(domains=3, size=10, demand={'pair': 6, 'quad': 2.6})
