Load weights onto empty hosts before second models are staged

Staging went over the runners in the order of the view. Groups that change their model need the other model staged again on each host; they took all that the weight store admits, and replacements of lost runners stayed without weights. In the log 345 runner-seconds of 6,687 went to hosts without weights, up to 16 runners from 30 s on, none of which was commanded to load.

--- a/libs/fleet/src/cowslipstep/fleet/_staging.py
+++ b/libs/fleet/src/cowslipstep/fleet/_staging.py
@@ -16,9 +16,10 @@
 
     A runner can rejoin a group of the model that it serves without a load. If
     its host also holds the weights of another model, the runner is soon ready
-    for a group of either one after a failure.
+    for a group of either one after a failure. Hosts without weights come first:
+    their runners cannot serve at all, and the weight store admits few loads.
     """
-    for runner in view.answering:
+    for runner in sorted(view.answering, key=_holds_weights):
         model = _missing_model(view, runner)
         if not model or load_limiter.is_loading(runner.name):
             continue
@@ -28,6 +29,10 @@
         yield StageModel(runner, model)
 
 
+def _holds_weights(runner: DiscoveredRunner) -> bool:
+    return bool(runner.loaded_models or runner.staged_models)
+
+
 def _missing_model(view: FleetView, runner: DiscoveredRunner) -> str:
     """Return a model that the host lacks; empty if none may be loaded now."""
     if runner.draining or _is_joining(runner):
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -188,6 +188,17 @@
     assert len(decisions) == engine.loads_at_once
 
 
+# Groups that change their model took all loads; replacements of lost runners
+# had no weights for 30 s.
+def test_hosts_without_weights_load_first() -> None:
+    other = ModelProfile('other', group_size=2, load_s=10)
+    engine = evolve(ENGINE, models=(PAIR, other), loads_at_once=1)
+    empty = runner(100)
+    runners = {**open_groups(10), empty.name: empty}
+    decisions = new_planner().decide(FleetView(runners, engine, 0))
+    assert decisions == [StageModel(empty, 'pair')]
+
+
 def test_no_runner_joins_while_its_leader_is_open() -> None:
     """A leader without a registration may still serve.
 
