Count survivors that hold a model's weights as that model's

A reallocation paid for the small groups that its free runners could form instead, also if these were survivors of a broken large group. Such groups cost a load from the weight store for each member before it can return to the large model (12 s joins and up to 16 s of staging in the log), which the price left out; so most broken groups were divided. Free runners that have the recipient loaded no longer count among what the donor forgoes.

--- a/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
@@ -41,7 +41,9 @@
     groups_gained
         Number of groups of the model that the released runners can form.
     forgone_groups
-        Number of groups of the donor that the free runners could form.
+        Number of groups of the donor that the free runners could form, apart
+        from those that have the recipient loaded: each of these would need a
+        load from the weight store before it could return to the recipient.
     left_over_groups
         Number of groups of the donor that the remaining runners can form.
     fails_at_s
@@ -169,7 +171,7 @@
             members[: recipient.group_size],
             {group.key: group.members[0] for group in groups},
             len(members) // recipient.group_size,
-            len(free) // donor.group_size,
+            _without_weights(recipient, free) // donor.group_size,
             len(members) % recipient.group_size // donor.group_size,
             self._view.now_s + _CLOSE_TIMEOUT_S,
         )
@@ -199,5 +201,11 @@
     )
 
 
+def _without_weights(
+    model: ModelProfile, runners: list[DiscoveredRunner]
+) -> int:
+    return sum(model.name not in runner.loaded_models for runner in runners)
+
+
 def _sorted_by_rank(group: ReportedGroup) -> list[DiscoveredRunner]:
     return [group.members[rank] for rank in sorted(group.members)]
--- a/libs/fleet/tests/test_reallocations.py
+++ b/libs/fleet/tests/test_reallocations.py
@@ -116,6 +116,17 @@
     assert replay.utilization()['quad'] == before
 
 
+# Its survivors were divided among small groups, whose members would need a load
+# from the weight store before they could return.
+def test_broken_group_takes_one_small_group() -> None:
+    replay = start(pair=9, quad=3)
+    before = replay.utilization()['quad']
+    crash(replay, 'quad')
+    replay.run_until(20)
+    assert len(closed(replay)) == 1
+    assert replay.utilization()['quad'] == before
+
+
 def domains_of(decision: FormGroup) -> set[str]:
     return {member.fabric_domain for member in decision.members}
 
