Choose another reallocation at once when one loses a runner

A reallocation failed with any of its runners, also if a runner had only lost the store, and its domain was paused for 3 s. In that time the free runners, most of them survivors of a large group, were divided among small groups. Only a time-out pauses the domain now.

--- a/libs/fleet/src/cowslipstep/fleet/_running_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_running_reallocations.py
@@ -12,8 +12,8 @@
 from cowslipstep.fleet._reported_groups import ReportedGroup
 from cowslipstep.fleet._runners import GroupId, MemberState
 
-# After a failure no other one is chosen in the fabric domain for this time.
-_PAUSE_AFTER_FAILURE_S = 3
+# After a time-out no other one is chosen in the fabric domain for this time.
+_PAUSE_AFTER_TIMEOUT_S = 3
 
 
 class RunningReallocations:
@@ -53,18 +53,23 @@
         self._running[reallocation.fabric_domain] = reallocation
 
     def drop_ended(self, view: FleetView, reported: ReportedGroups) -> None:
-        """Drop the reallocations that are complete or have failed."""
+        """Drop the reallocations that are complete or have failed.
+
+        If a runner is lost, another one may be chosen at once: with a pause
+        the free runners would end in groups of a smaller model.
+        """
         answering_names = usable_names(view)
         for domain, reallocation in tuple(self._running.items()):
+            timed_out = reallocation.fails_at_s <= view.now_s
+            if timed_out:
+                pause_ends_s = view.now_s + _PAUSE_AFTER_TIMEOUT_S
+                self._paused_until_s[domain] = pause_ends_s
             if (
-                reallocation.fails_at_s <= view.now_s
+                timed_out
                 or reallocation.required_names - answering_names
+                or (reallocation.formed and _have_moved(reallocation, reported))
             ):
                 self._running.pop(domain)
-                pause_ends_s = view.now_s + _PAUSE_AFTER_FAILURE_S
-                self._paused_until_s[domain] = pause_ends_s
-            elif reallocation.formed and _have_moved(reallocation, reported):
-                self._running.pop(domain)
 
     def excluded_domains(self, now_s: float) -> frozenset[str]:
         """Return the fabric domains in which none may start now."""
--- a/libs/fleet/tests/test_reallocations.py
+++ b/libs/fleet/tests/test_reallocations.py
@@ -15,6 +15,7 @@
 # Clock reading of a replay by which a reallocation must have started.
 REALLOCATED_BY_S = 20
 CRASHES = 6
+CUT_S = 5
 DEMAND = MappingProxyType({'pair': 6, 'quad': 2.6})
 
 
@@ -127,6 +128,19 @@
     assert replay.utilization()['quad'] == before
 
 
+# A leader that was to close lost the store; the reallocation failed, and the
+# survivors of the broken group were divided during a pause.
+def test_another_group_ends_in_place_of_a_cut_one() -> None:
+    replay = start(pair=9, quad=3)
+    before = replay.utilization()['quad']
+    crash(replay, 'quad')
+    while not closed(replay):
+        replay.step()
+    replay.cut_off(closed(replay)[0].leader.name, replay.now_s + CUT_S)
+    replay.run_until(replay.now_s + CUT_S)
+    assert replay.utilization()['quad'] == before
+
+
 def domains_of(decision: FormGroup) -> set[str]:
     return {member.fabric_domain for member in decision.members}
 
