--- a/libs/fleet/src/cowslipstep/fleet/_demand_peaks.py
+++ b/libs/fleet/src/cowslipstep/fleet/_demand_peaks.py
@@ -1,7 +1,7 @@
 """Demand of each model over a whole wave, for the division of the runners.
 
 Addresses demand that swings within seconds: a group that ends in a trough is
-missing at the next crest, and one that is formed at the crest is ready after it.
+missing at the next crest, and one formed at the crest is ready too late.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Mapping
 
+Demand = Mapping[str, float]
 # Waves up to this long do not change the division of the runners. A group that
 # changes its model costs 3.5 s, and its hosts stage for 12 to 16 s after it.
 _WINDOW_S = 15
@@ -29,11 +30,9 @@
     """
 
     def __init__(self) -> None:
-        self._demands: deque[tuple[float, Mapping[str, float]]] = deque()
+        self._demands: deque[tuple[float, Demand]] = deque()
 
-    def update(
-        self, now_s: float, demand: Mapping[str, float]
-    ) -> dict[str, float]:
+    def update(self, now_s: float, demand: Demand) -> dict[str, float]:
         """Record the demand; return the highest within the window, by model.
 
         Parameters
--- a/libs/fleet/src/cowslipstep/fleet/_reallocation_choice.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reallocation_choice.py
@@ -109,10 +109,14 @@
             else _MAX_DONOR_UTILIZATION_TO_COMPLETE
         )
         # What the donor serves while groups close depends on the demand now.
+        left_utilization = _per_group(
+            self._view.demand.get(donor.name, 0),
+            self._counts.get(donor.name, 0) - ending,
+        )
+        before = self._utilization(reallocation.model)
         return (
-            self._utilization(donor, -ending)
-            < self._utilization(reallocation.model)
-            and self._per_group(self._view.demand, donor, -ending) < limit
+            left_utilization < limit
+            and self._utilization(donor, -ending) < before
         )
 
     def _worth(self, donor: ModelProfile, reallocation: Reallocation) -> float:
@@ -136,13 +140,11 @@
 
     def _utilization(self, model: ModelProfile, groups_added: int = 0) -> float:
         """Return the highest demand for a model over a wave, per group."""
-        return self._per_group(self._view.peak_demand, model, groups_added)
+        return _per_group(
+            self._view.peak_demand.get(model.name, 0),
+            self._counts.get(model.name, 0) + groups_added,
+        )
 
-    def _per_group(
-        self,
-        demand: Mapping[str, float],
-        model: ModelProfile,
-        groups_added: int,
-    ) -> float:
-        groups = self._counts.get(model.name, 0) + groups_added
-        return demand.get(model.name, 0) / max(groups, _FEWEST_GROUPS)
+
+def _per_group(demand: float, groups: int) -> float:
+    return demand / max(groups, _FEWEST_GROUPS)
--- a/libs/fleet/src/cowslipstep/fleet/_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reallocations.py
@@ -41,8 +41,8 @@
 # this time.
 _JOIN_TIMEOUT_S = 4
 # Groups of a model that may end at the same time, as a share of all; one
-# reallocation may always run, and any that ends one group only: until it starts,
-# the survivors of a broken group would be divided among small groups.
+# reallocation may always run, and any that ends one group only: otherwise the
+# survivors of a broken group would be divided among small groups.
 _MAX_ENDING_SHARE = 0.1
 
 
