Count no returning runner and no group member as registering

While over a tenth of the runners had registered within 1.5 s, nothing was reallocated. Runners whose entry lapsed in a cut from the store counted when they came back, and the whole fleet counted for a planner that had just begun.

--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -20,6 +20,7 @@
     OpenGroup,
     StageModel,
 )
+from cowslipstep.fleet._registration_tracker import RegistrationTracker
 from cowslipstep.model import Address
 
 PAIR = ModelProfile('pair', group_size=2, load_s=12, staged_load_s=1)
@@ -247,3 +248,17 @@
     groups = [formed(planner.decide(view))[0].key for planner in planners]
     assert [group.service for group in groups] == list(services)
     assert groups[0].epoch != groups[1].epoch
+
+
+# Runners that had been cut off from the store, and the fleet of a new planner,
+# counted as new; nothing was reallocated for 1.5 s.
+def test_only_new_runners_are_registering() -> None:
+    tracker = RegistrationTracker()
+    started = {f'r{number}': runner(number) for number in range(10)}
+    assert not tracker.have_settled(FleetView(started, ENGINE, 0))
+    assert tracker.have_settled(FleetView({}, ENGINE, 5))
+    assert tracker.have_settled(FleetView(started, ENGINE, 10))
+    assert not tracker.have_settled(FleetView(started, ENGINE, 60))
+    assert RegistrationTracker().have_settled(
+        FleetView(open_groups(5), ENGINE, 0)
+    )
