Send watches of evacuations again that a silent store has lost

Cause: the watch of evacuations was written beside the change that gives up watches in doubt, and would wait for its whole time-out after a silence.

Change: it uses the same doubts as the other watches.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_evacuation_tasks.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evacuation_tasks.py
@@ -14,6 +14,7 @@
     WatchSchedule,
 )
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._watch_reliance import WatchReliance
 
 _WATCH_INTERVAL_S = 0.3
 _LOG_PERIOD_S = 1
@@ -40,6 +41,7 @@
             # An evacuation that was written before a restart must be known
             # after it.
             first_may_be_stale=False,
+            doubt=WatchReliance(state).doubt,
         ),
     )
     state.process.tasks.start(f'watch of {watch.kind}', watch.run)
