Keep the groups of an evacuated failure domain formed

Cause: runners of an evacuated domain counted as draining, so that their groups were closed and left. When the domain returned they were formed anew, many of them for the other model after a load of weights.

Change: groups there stay formed and open, get no requests and count as no capacity; no reallocation ends them. Runners without a group still count as draining, so that none is formed there. The tests that asked for closings ask for groups that stand by, and for capacity at the moment of the return.

--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -42,8 +42,8 @@
     registrations_settled
         Whether few runners have registered recently.
     evacuated
-        Names of runners whose failure domain is evacuated; they also count as
-        draining.
+        Names of runners whose failure domain is evacuated; those without a
+        group also count as draining.
     peak_demand
         Highest demand over a wave, by model; set by the planner.
     """
--- a/libs/fleet/src/cowslipstep/fleet/_evacuations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_evacuations.py
@@ -64,11 +64,16 @@
 
 
 def drain_evacuated(view: FleetView, evacuations: Evacuations) -> FleetView:
-    """Return a view in which the runners of evacuated domains are draining."""
+    """Return a view in which no group is formed in evacuated domains.
+
+    Runners without a group count as draining. Groups stay formed, so that
+    they serve at once when their domain returns: groups that were closed came
+    back after a load of weights, 12 to 16 s later.
+    """
     if not evacuations.domains:
         return view
     evacuated: Mapping[str, DiscoveredRunner] = {
-        name: _draining(runner)
+        name: runner if runner.group_position else _draining(runner)
         for name, runner in view.runners.items()
         if runner.failure_domain in evacuations.domains
     }
--- a/libs/fleet/src/cowslipstep/fleet/_planner.py
+++ b/libs/fleet/src/cowslipstep/fleet/_planner.py
@@ -3,17 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 from attrs import evolve
 
 from cowslipstep.fleet._assess_group import assess_group
-from cowslipstep.fleet._decisions import (
-    CloseGroup,
-    FleetDecision,
-    FleetView,
-    FormGroup,
-)
+from cowslipstep.fleet._decisions import FleetDecision, FleetView, FormGroup
 from cowslipstep.fleet._demand_peaks import DemandPeaks
 from cowslipstep.fleet._epochs import Epochs
 from cowslipstep.fleet._group_choice import ChosenGroup, GroupChoice
@@ -89,9 +84,6 @@
         decisions.extend(self._reallocate(view, reported, claimed))
         decisions.extend(self._form_groups(view, reported, claimed))
         decisions.extend(stage_models(view, self._load_limiter))
-        if view.evacuated:
-            # Capacity is formed elsewhere first.
-            decisions = _closings_last(decisions)
         return [
             decision
             for decision in decisions
@@ -188,8 +180,8 @@
 ) -> list[str]:
     """Return the model of each group that gets requests.
 
-    A group with an evacuated member gets none, though it is open until it is
-    closed: others are formed in its place without a wait for that.
+    A group with an evacuated member gets none, though it stays open: others
+    are formed in its place.
     """
     return [
         reported_group.model
@@ -197,9 +189,3 @@
         if reported_group.leader_state is MemberState.open
         and view.evacuated.isdisjoint(reported_group.member_names)
     ]
-
-
-def _closings_last(decisions: Iterable[FleetDecision]) -> list[FleetDecision]:
-    return sorted(
-        decisions, key=lambda decision: isinstance(decision, CloseGroup)
-    )
--- a/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_possible_reallocations.py
@@ -147,7 +147,9 @@
         """Return the donor groups that may end, by fabric domain."""
         groups_by_domain: dict[str, list[ReportedGroup]] = defaultdict(list)
         for reported_group in self._reported.values():
-            if _may_end(reported_group, recipient, donor):
+            if self._view.evacuated.isdisjoint(
+                reported_group.member_names
+            ) and _may_end(reported_group, recipient, donor):
                 groups_by_domain[
                     reported_group.members[0].fabric_domain
                 ].append(reported_group)
--- a/libs/fleet/src/cowslipstep/fleet/replay/_fleet_replay.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_fleet_replay.py
@@ -132,10 +132,11 @@
         self._planner = self.new_planner(Epochs(self.term))
 
     def utilization(self) -> dict[str, float]:
-        """Return the demand for each model per group that serves it."""
+        """Return the demand for each model per group that gets requests."""
         counts = Counter(
             leader.loaded_models[0]
             for leader in self.runners.leaders().values()
+            if leader.failure_domain not in self.evacuations.domains
         )
         return {
             model: demand / counts[model] if counts[model] else math.inf
