Share the file of a connection between its reader and its writer

Cause: ChargedLines and CallerWriter had the same constructor, property and close method.

Change: both derive from HeldFile. No change of behaviour.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_writer.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_writer.py
@@ -3,38 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from typing import Any
 
-from cowslipstep.daemon._held_bytes import HeldBytes
+from cowslipstep.daemon._held_file import HeldFile
 
 # Part after which what was sent counts as progress of the caller. With larger
 # parts, a slow caller would seem to make none for seconds.
 _PART_BYTES = 16384
 
 
-class CallerWriter:
-    """Writes to the file of a connection.
-
-    Parameters
-    ----------
-    lines
-        Buffered file of the connection.
-    held
-        What the connection holds.
-    """
-
-    def __init__(self, lines: Any, held: HeldBytes) -> None:
-        self._lines = lines
-        self._held = held
-
-    @property
-    def closed(self) -> bool:
-        """Whether the file is closed."""
-        return bool(self._lines.closed)
-
-    def close(self) -> None:
-        """Close the file."""
-        self._lines.close()
+class CallerWriter(HeldFile):
+    """Writes to the file of a connection."""
 
     def flush(self) -> None:
         """Do nothing: each write sends what it buffers."""
--- a/apps/cowslipstepd/src/cowslipstep/daemon/_charged_lines.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_charged_lines.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from cowslipstep.daemon._held_bytes import HeldBytes
+from cowslipstep.daemon._held_file import HeldFile
 
 # Fewer bytes are charged together with later ones: charging each line of a head
 # took a tenth of the time of a small request.
 _BATCH_BYTES = 1024
 
 
-class ChargedLines:
+class ChargedLines(HeldFile):
     """File of a connection.
 
     A read waits for the buffer of the file: one that waits by itself would
@@ -26,20 +27,10 @@
     """
 
     def __init__(self, lines: Any, held: HeldBytes) -> None:
-        self._lines = lines
-        self._held = held
+        super().__init__(lines, held)
         # Negative if more was charged than is kept.
         self._uncharged = 0
 
-    @property
-    def closed(self) -> bool:
-        """Whether the file is closed."""
-        return bool(self._lines.closed)
-
-    def close(self) -> None:
-        """Close the file."""
-        self._lines.close()
-
     def wait(self) -> bool:
         """Wait for a request; return false at the end of the connection."""
         self._uncharged = 0
