Use NotSent for requests that an evacuation keeps back

Cause: evacuations raised a failure of their own, which Suspicions had to leave out, beside NotSent, which cold runners already use for requests that were not written. Such a request also counted as an attempt and took a retry.

Change: evacuations raise NotSent, and the special case is gone. The function that keeps groups from being formed in evacuated domains is called exclude_evacuated, since groups there no longer drain.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_evacuations.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_evacuations.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from cowslipstep.daemon._upstream_failures import UpstreamFailure
+from cowslipstep.daemon._upstream_failures import NotSent
 from cowslipstep.fleet import Evacuations, ServingGroup, join_evacuations
 from cowslipstep.model import NotRun, Reason
 from cowslipstep.model.loads import LoadReport
@@ -55,13 +55,13 @@
 
         Raises
         ------
-        UpstreamFailure
-            With ``NotRun``: to be called before a request is written.
+        NotSent
+            To be called before a request is written.
         """
         if self._current.concerns(failure_domains):
-            raise UpstreamFailure(
+            raise NotSent(
                 NotRun(Reason.upstream_evacuated),
-                'its failure domain is evacuated, nothing was sent',
+                'its failure domain is evacuated',
             )
 
     def learn(self, received: Evacuations, source: str) -> None:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_fleet_views.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from cowslipstep.fleet import EngineProfile, FleetView, GroupId, drain_evacuated
+from cowslipstep.fleet import (
+    EngineProfile,
+    FleetView,
+    GroupId,
+    exclude_evacuated,
+)
 from cowslipstep.serving._clocks import boot_time_s
 from cowslipstep.serving._demand import DemandEstimator
 from cowslipstep.serving._reachability import Reachability
@@ -61,7 +66,7 @@
             departed=departed,
             load_limits_apply=self._load_limits_apply(),
         )
-        return drain_evacuated(view, self._state.evacuations.current)
+        return exclude_evacuated(view, self._state.evacuations.current)
 
     def _load_limits_apply(self) -> bool:
         """Return whether weight loads are limited.
--- a/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_suspicions.py
@@ -70,14 +70,11 @@
         """Record that a request failed at an upstream.
 
         A refusal, a failed connection or a moved upstream makes it suspected
-        at once, other failures only when they repeat. An upstream to which
-        nothing was sent is not suspected.
+        at once, other failures only when they repeat.
         """
         if reason in _DOUBT_REASONS:
             self._doubted_until_s[name] = self._clock() + _DOUBT_S
         match reason:
-            case Reason.upstream_evacuated:
-                return
             case Reason.upstream_refused:
                 self.suspect(name, _REFUSAL_SUSPICION_S)
             case Reason.connect_failed | Reason.upstream_moved:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -124,8 +124,8 @@
 
         Raises
         ------
-        UpstreamFailure
-            With ``NotRun``, if a failure domain of the upstream is evacuated
+        NotSent
+            If a failure domain of the upstream is evacuated
             or the upstream is cold and may get no more requests now.
         """
         self._state.evacuations.raise_if_evacuated(chosen.failure_domains)
--- a/libs/fleet/src/cowslipstep/fleet/__init__.py
+++ b/libs/fleet/src/cowslipstep/fleet/__init__.py
@@ -33,7 +33,7 @@
 from cowslipstep.fleet._epochs import Epochs
 from cowslipstep.fleet._evacuations import (
     Evacuations,
-    drain_evacuated,
+    exclude_evacuated,
     join_evacuations,
 )
 from cowslipstep.fleet._fleet_summary import (
--- a/libs/fleet/src/cowslipstep/fleet/_evacuations.py
+++ b/libs/fleet/src/cowslipstep/fleet/_evacuations.py
@@ -63,7 +63,7 @@
     return received if received.revision > known.revision else known
 
 
-def drain_evacuated(view: FleetView, evacuations: Evacuations) -> FleetView:
+def exclude_evacuated(view: FleetView, evacuations: Evacuations) -> FleetView:
     """Return a view in which no group is formed in evacuated domains.
 
     Runners without a group count as draining. Groups stay formed, so that
--- a/libs/fleet/src/cowslipstep/fleet/replay/_fleet_replay.py
+++ b/libs/fleet/src/cowslipstep/fleet/replay/_fleet_replay.py
@@ -19,7 +19,7 @@
 )
 from cowslipstep.fleet._engines import EngineProfile
 from cowslipstep.fleet._epochs import Epochs
-from cowslipstep.fleet._evacuations import Evacuations, drain_evacuated
+from cowslipstep.fleet._evacuations import Evacuations, exclude_evacuated
 from cowslipstep.fleet._planner import FleetPlanner
 from cowslipstep.fleet._runners import DiscoveredRunner, GroupId
 from cowslipstep.fleet.replay._simulated_runners import (
@@ -169,7 +169,7 @@
             reachable_unregistered=probed & alive,
             load_limits_apply=self.now_s > self.loads_limited_from_s,
         )
-        return drain_evacuated(view, self.evacuations)
+        return exclude_evacuated(view, self.evacuations)
 
     def _remember_members(self) -> None:
         for runner in self._entries.values():
