--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -92,7 +92,10 @@
         self.revision = 100
         self.history_from = 100
         self.era = 1
-        self.copies = []
+        # Returns the objects and the revision of a list with staleOk=1.
+        self.stale = None
+        # Name of the daemon that last wrote under a condition.
+        self.last_writer = None
         self.changed = threading.Condition()
         self.silent = threading.Event()
         store = self
@@ -213,17 +216,22 @@
             self._watch(handler, kind, query)
         else:
             with self.changed:
+                at, objects = self.revision, self.objects
+                if query.get('staleOk') == '1' and self.stale:
+                    at, objects = self.stale()
+                    self.record.line(
+                        f'stale list of {kind} at {at}, the store is at '
+                        f'{self.revision}'
+                    )
                 items = [
                     stored
-                    for (of_kind, of_name), stored in sorted(
-                        self.objects.items()
-                    )
+                    for (of_kind, of_name), stored in sorted(objects.items())
                     if of_kind == kind and of_name > query.get('after', '')
                 ]
                 page = {
                     'items': items[:500],
                     'hasMore': len(items) > 500,
-                    'at': self.revision,
+                    'at': at,
                 }
             self._answer(handler, 200, page)
 
@@ -261,6 +269,9 @@
         url = urlsplit(handler.path)
         kind, name = self._key(url.path)
         expected = (document.get('metadata') or {}).get('revision')
+        # The daemons' entries are conditional writes, too; they are no duty.
+        if expected and kind != 'daemons':
+            self.last_writer = handler.headers.get('User-Agent')
         with self.changed:
             if method == 'POST':
                 name = document['metadata']['name']
