--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,9 +13,10 @@
 DAEMONS = 2
 RUNNERS = 4
 FAULTY = 2
-# One answer in 50 of half of the runners: share 0.5, x 0.02.
+# One answer in 50 of half of the runners, for 5 s: share 0.5, x 0.02.
 SPOIL_EACH = 50
-PLAY_S = 30
+SPOIL_S = 5
+PLAY_S = 9
 CALLERS = 4
 PERIOD_S = 0.06
 
@@ -38,14 +39,18 @@
         self.record = record
         self.is_faulty = is_faulty
         self.answers = 0
+        self.begins_s = self.ends_s = 0
         self.lock = threading.Lock()
 
     def __call__(self, runner, handler, request_id, _body):
         with self.lock:
-            self.answers += 1
+            in_trouble = self.begins_s <= self.record.now() < self.ends_s
+            if in_trouble:
+                self.answers += 1
             spoils = (
                 stand.TROUBLE
                 and self.is_faulty
+                and in_trouble
                 and not self.answers % SPOIL_EACH
             )
             number = self.answers // SPOIL_EACH
@@ -86,8 +91,10 @@
             [stand.service('book')],
         ),
     )
+    serves = []
     for number in range(1, RUNNERS + 1):
         serve = Faulty(record, number <= FAULTY)
+        serves.append(serve)
         stand.Runner(record, store, f'i-{number}', serve=serve).register()
     stand.start_daemons(record, store, folder, daemons, DAEMONS)
     lock = threading.Lock()
@@ -135,6 +142,9 @@
     ]
     for thread in threads:
         thread.start()
+    for serve in serves:
+        serve.begins_s = record.now() + 2
+        serve.ends_s = serve.begins_s + SPOIL_S
     time.sleep(PLAY_S)
     ended.set()
     for thread in threads:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,7 +14,7 @@
 DAEMONS = 2
 RUNNERS = 3
 EVENTS = 8
-SILENCE_S = 1.2
+SILENCE_S = 1.0
 CONFIG_APPLY_S = 2.0
 ROUNDS = 4
 CALLERS = 4
