--- a/review/6/case.py
+++ b/review/6/case.py
@@ -101,7 +101,7 @@
     """A model runner that checks each join that it takes."""
 
     def __init__(self, fleet, name):
-        self.fleet = fleet
+        self.runners = fleet
         self.state = 'ready'
         super().__init__(fleet.record, fleet.store, name, ENGINE, serve)
 
@@ -113,7 +113,7 @@
         status = super()._join(order, key, own)
         if status == 202 and before:
             head_name = before['members'][0]
-            head = self.fleet.live.get(head_name)
+            head = self.runners.live.get(head_name)
             state = before['state'] if head is self else None
             if head is not None and head is not self and head.group:
                 same = (head.group['name'], head.group['epoch']) == own
@@ -123,7 +123,7 @@
                     f'TWO {self.name} takes a join of {key[0]} while the head '
                     f'{head_name} of its group {before["name"]} is {state}'
                 )
-                self.fleet.broken.append(text)
+                self.runners.broken.append(text)
                 self.record.line(text)
         return status
 
@@ -140,6 +140,9 @@
         handler.send_header(name, text)
     handler.end_headers()
     for number in range(5):
+        if not runner.proceed():
+            handler.close_connection = True
+            return
         event = b'id: %d\ndata: %s\n\n' % (number, request_id.encode())
         handler.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
         time.sleep(0.03)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -29,6 +29,7 @@
 RUNNER_IP = '127.83.1.1'
 CALLER_IP = '127.83.3.1'
 DRAIN_S = 2.0
+STALL_S = 4.0
 
 
 def daemon_ip(number):
@@ -404,6 +405,9 @@
 class EngineRunner(Runner):
     """A model runner, which takes orders and serves as the head of a group."""
 
+    # All runners by name: the head of a group stalls without its members.
+    fleet = {}
+
     def __init__(self, record, store, name, settings, serve):
         self.settings = settings
         self.lock = threading.RLock()
@@ -417,6 +421,49 @@
         self.channels = set()
         self.born = int(time.time() * 1000)
         super().__init__(record, store, name, settings['service'], serve)
+        self.fleet[name] = self
+        threading.Thread(target=self._watch_members, daemon=True).start()
+
+    def _key(self):
+        return self.group and (self.group['name'], self.group['epoch'])
+
+    def _is_whole(self):
+        """Return whether all members of the own group are there and in it."""
+        group = self.group
+        if not group:
+            return False
+        members = [self.fleet.get(name) for name in group['members']]
+        return all(
+            member and not member.exited and member._key() == self._key()
+            for member in members
+        )
+
+    def _watch_members(self):
+        """Break a head whose work has stalled for stallMs."""
+        since_s = None
+        while not self.exited:
+            time.sleep(0.05)
+            with self.lock:
+                serves = self.group and self.group['rank'] == 0
+                serves = serves and self.group['state'] in ('open', 'closing')
+                if not serves or self._is_whole():
+                    since_s = None
+                    continue
+                since_s = since_s or time.monotonic()
+                if time.monotonic() - since_s > STALL_S:
+                    self._set('broken')
+                    self.record.line(f'runner {self.name} is broken')
+
+    def proceed(self):
+        """Wait while a member is missing; return false if that is for good."""
+        key = self._key()
+        while key and key == self._key() and not self.exited:
+            if self.group['state'] not in ('open', 'closing'):
+                return False
+            if self._is_whole():
+                return True
+            time.sleep(0.02)
+        return False
 
     def entry(self, state='ready'):
         entry = super().entry(state)
@@ -485,6 +532,14 @@
             return
         self.active += 1
         try:
+            if expected == self.name and not self.proceed():
+                handler.body()
+                headers = [
+                    ('X-Cowslipstep-Not-Executed', '1'),
+                    ('At-Server', self.name),
+                ]
+                handler.respond(503, b'', headers)
+                return
             super().handle(handler)
         finally:
             self.active -= 1
