Read the end of a body from certain framing only

Cause: what the HTTP library cannot read as a length or as "chunked" counts for nothing, and a head with neither stands for a body that ends with its connection, which is legal. Change: body_framing (RFC 9112 section 6) gives a length, chunks, or the end of the connection, and refuses all else: a length that is not digits, two framing fields, a coding but chunked (no request allows another), and any coding in HTTP/1.0. Two equal lengths are refused as well; the RFC leaves that to the recipient. It works since a head without framing fields is now the only one that is read to the end of its connection.

--- a/libs/platform/src/cowslipstep/platform/_checked_http.py
+++ b/libs/platform/src/cowslipstep/platform/_checked_http.py
@@ -1,8 +1,9 @@
-"""HTTP connections that read the heads of responses by the grammar of HTTP/1.1.
+"""HTTP connections that read each response by the grammar of HTTP/1.1.
 
 The standard library is lenient. It stops at a line that is no field and drops
-the fields after it; it takes any number from 100 to 999 for a status, and an
-informational status other than 100 for final. A response that was damaged
+the fields after it, and takes what does not name a length or chunks for a body
+that ends with its connection; it takes signs and underscores in numbers, and
+an informational status other than 100 for final. A response that was damaged
 would be read as another one.
 """
 
@@ -18,6 +19,13 @@
 from urllib3 import HTTPConnectionPool
 from urllib3.connection import HTTPConnection
 
+from cowslipstep.platform._body_framing import (
+    BodyFraming,
+    BodyUntilClose,
+    ChunkedBody,
+    SizedBody,
+    body_framing,
+)
 from cowslipstep.platform._field_lines import Field
 from cowslipstep.platform._line_reader import LineReader
 from cowslipstep.platform._status_lines import StatusLine, parse_status_line
@@ -31,10 +39,10 @@
 
 
 class CheckedResponse(HTTPResponse):  # noqa: WPS230 (of the base class)
-    """A response whose head is read by its grammar, RFC 9112.
+    """A response that is read by its grammar, RFC 9112.
 
     Reading it raises ``BadStatusLine`` on a malformed status line, and
-    ``MalformedResponse`` on malformed fields.
+    ``MalformedResponse`` on malformed fields or framing.
     """
 
     def begin(self) -> None:
@@ -44,6 +52,7 @@
         lines = LineReader(self.fp)
         status_line = _final_status_line(lines)
         fields = tuple(lines.fields())
+        framing = body_framing(status_line.version, fields)
         is_old = status_line.version == 'HTTP/1.0'
         self.version = _OLD_VERSION if is_old else _CURRENT_VERSION
         self.status = status_line.status
@@ -51,32 +60,33 @@
         self.reason = status_line.reason.strip()
         self.headers = _message(fields)
         self.msg = self.headers
-        self._frame()
+        self._frame(framing)
 
-    def _frame(self) -> None:
+    def _frame(self, framing: BodyFraming) -> None:
         self.will_close = self._check_close()  # type: ignore[attr-defined]
-        coding = self.headers.get('Transfer-Encoding', '')
-        self.chunked = coding.lower() == 'chunked'
-        self.chunk_left = None
+        self.chunked = False
         self.length = None
-        length = self.headers.get('Content-Length', '')
-        if length.isdecimal() and not self.chunked:
-            self.length = int(length)
-        is_bodyless = self._method == 'HEAD'  # type: ignore[attr-defined]
-        if is_bodyless or self.status in _STATUSES_WITHOUT_BODY:
-            self.length = 0
-        if self.length is None and not self.chunked:
-            self.will_close = True
+        answers_head = self._method == 'HEAD'  # type: ignore[attr-defined]
+        match framing:
+            case _ if answers_head or self.status in _STATUSES_WITHOUT_BODY:
+                self.length = 0
+            case SizedBody(length):
+                self.length = length
+            case ChunkedBody():
+                self.chunked = True
+                self.chunk_left = None
+            case BodyUntilClose():
+                self.will_close = True
 
 
 class CheckedConnection(HTTPConnection):
-    """A connection whose responses have a valid head."""
+    """A connection whose responses are read by their grammar."""
 
     response_class = CheckedResponse
 
 
 class CheckedPool(HTTPConnectionPool):
-    """Connections to one server whose responses have a valid head."""
+    """Connections to one server that read responses by their grammar."""
 
     ConnectionCls = CheckedConnection  # noqa: WPS115
 
