Read chunks and trailers by their grammar

Callers saw: a chunked body of which the size of a chunk was "+54" or "0x54", whose chunk ended in two bytes that are no line end, whose trailers were no fields, or were missing with the empty line after them, as complete. Cause: the HTTP library takes what int(line, 16) takes, discards two bytes unseen after a chunk, and any lines, or the end of the connection, after the last one. Change: CheckedResponse reads the size, the end and the trailers itself (RFC 9112 section 7.1); a lone line feed ends no line there. It works since every byte around a chunk is now compared with what the grammar asks for. A wrong digit in a size can still give bytes of the framing to a reader of a stream before the end of that chunk shows it; the stream then ends as broken off.

--- a/apps/cowslipstepd/tests/_callers.py
+++ b/apps/cowslipstepd/tests/_callers.py
@@ -9,7 +9,7 @@
 
 from attrs import evolve, frozen
 
-from cowslipstep.fleet import Route
+from cowslipstep.fleet import Header, Route
 
 _READ_TIMEOUT_S = 15
 _BODY = b'{}'
@@ -31,6 +31,8 @@
         Time from the request to the end of the response.
     retry_after
         ``Retry-After`` header; empty for none.
+    headers
+        All headers.
     """
 
     status: int
@@ -38,6 +40,7 @@
     whole: bool
     elapsed_s: float = 0
     retry_after: str = ''
+    headers: tuple[Header, ...] = ()
 
     @property
     def response(self) -> tuple[int, bytes, bool]:
@@ -102,6 +105,7 @@
         b'',
         whole=False,
         retry_after=response.getheader('Retry-After', ''),
+        headers=tuple(response.getheaders()),
     )
     try:
         return evolve(received, body=response.read(), whole=True)
--- a/apps/cowslipstepd/tests/test_broken_streams.py
+++ b/apps/cowslipstepd/tests/test_broken_streams.py
@@ -29,6 +29,9 @@
 OPEN_HEAD = response_head(EVENT_STREAM)
 SENT = event(0) + event(1)
 PARTIAL = event(2)[:-3]
+# Until after the end of a case: the runner keeps its connection open.
+LONG_S = 9
+BEGUN = Send(CHUNKED_HEAD + chunk(SENT))
 # Streams that break off after two events.
 BROKEN = (
     (Send(CHUNKED_HEAD + chunk(SENT)), Close()),
@@ -41,6 +44,11 @@
     (Send(OPEN_HEAD + SENT), Reset()),
     (Send(OPEN_HEAD + SENT + PARTIAL), Close()),
     (Send(OPEN_HEAD + SENT + PARTIAL), Reset()),
+    # Bytes that are no chunks, or no trailers.
+    (BEGUN, Send(b'zz\r\n'), Pause(LONG_S)),
+    (BEGUN, Send(b'3\r\nid:xx'), Pause(LONG_S)),
+    (BEGUN, Send(b'0\r\nX Y: z\r\n\r\n')),
+    (BEGUN, Send(b'0\r\n'), Close()),
 )
 FAILED = '500 Internal Server Error'
 TEXT = b'out of memory'
@@ -86,6 +94,22 @@
         'no response': (Close(),),
         'reset': (Reset(),),
         'no HTTP': (Send(b'\x00\x01\r\n%b' % PARAGRAPH), Close()),
+        'no field': (
+            Send(response(PARAGRAPH, 'X Y: z', EVENT_STREAM)),
+            Close(),
+        ),
+        'no length': (
+            Send(response_head(EVENT_STREAM, 'Content-Length: x') + PARAGRAPH),
+            Close(),
+        ),
+        'no coding': (
+            Send(
+                response_head(EVENT_STREAM, 'Transfer-Encoding; chunked')
+                + chunk(PARAGRAPH)
+                + LAST_CHUNK
+            ),
+            Close(),
+        ),
     }
 )
 
--- a/libs/platform/src/cowslipstep/platform/_checked_http.py
+++ b/libs/platform/src/cowslipstep/platform/_checked_http.py
@@ -2,9 +2,9 @@
 
 The standard library is lenient. It stops at a line that is no field and drops
 the fields after it, and takes what does not name a length or chunks for a body
-that ends with its connection; it takes signs and underscores in numbers, and
-an informational status other than 100 for final. A response that was damaged
-would be read as another one.
+that ends with its connection; it takes signs and underscores in numbers, any
+two bytes for the end of a chunk, and an informational status other than 100
+for final. A response that was damaged would be read as another one.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
     BadStatusLine,
     HTTPMessage,
     HTTPResponse,
+    IncompleteRead,
 )
 
 from urllib3 import HTTPConnectionPool
@@ -26,12 +27,16 @@
     SizedBody,
     body_framing,
 )
+from cowslipstep.platform._chunk_lines import parse_chunk_size
 from cowslipstep.platform._field_lines import Field
 from cowslipstep.platform._line_reader import LineReader
+from cowslipstep.platform._malformed import MalformedResponse
 from cowslipstep.platform._status_lines import StatusLine, parse_status_line
 
+_MAX_CHUNK_LINE_BYTES = 65536
 # Bytes of an invalid status line that an error message shows.
 _SHOWN_BYTES = 100
+_CHUNK_END = b'\r\n'
 # Numbers that the base class has for versions.
 _OLD_VERSION = 10
 _CURRENT_VERSION = 11
@@ -42,7 +47,7 @@
     """A response that is read by its grammar, RFC 9112.
 
     Reading it raises ``BadStatusLine`` on a malformed status line, and
-    ``MalformedResponse`` on malformed fields or framing.
+    ``MalformedResponse`` on malformed fields, framing, chunks and trailers.
     """
 
     def begin(self) -> None:
@@ -78,6 +83,34 @@
             case BodyUntilClose():
                 self.will_close = True
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of a chunk, ``None`` after the last one.
+
+        The base class calls this before it reads from a chunk.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None:
+            self._read_chunk_end()
+        self.chunk_left = self._read_chunk_size() or None
+        if self.chunk_left is None:
+            LineReader(self.fp).skip_fields()
+            self._close_conn()  # type: ignore[attr-defined]
+        return self.chunk_left
+
+    def _read_chunk_size(self) -> int:
+        line = self.fp.readline(_MAX_CHUNK_LINE_BYTES)
+        if len(line) < _MAX_CHUNK_LINE_BYTES and not line.endswith(b'\n'):
+            raise IncompleteRead(line)
+        return parse_chunk_size(line)
+
+    def _read_chunk_end(self) -> None:
+        end = self.fp.read(len(_CHUNK_END))
+        if len(end) < len(_CHUNK_END):
+            raise IncompleteRead(end)
+        if end != _CHUNK_END:
+            raise MalformedResponse('the end of a chunk', end)
+
 
 class CheckedConnection(HTTPConnection):
     """A connection whose responses are read by their grammar."""
