Refuse a status line that ends in a lone line feed

Callers saw: nothing yet; found by the property test. One wrong byte before the line end of a status line ("200 O\n\r\n") made it the end of the head, so that all fields were read as the body of a response without a length. On a route the missing signature refused it; on the other paths it was a response. A reason with control bytes was read as well. Cause: the pattern of the status line took a lone line feed, and any reason. Change: the line ends in CR LF, and its reason is text. test_response_status.py listed "HTTP/1.1 200 OK\n" as valid. RFC 9112 section 2.2 leaves it to the recipient; accepted, it contradicts the property above, so the same case is now in the list of what is refused on each path, with four others. A legal reason with high bytes and a tab is a new valid case.

--- a/apps/cowslipstepd/tests/test_response_status.py
+++ b/apps/cowslipstepd/tests/test_response_status.py
@@ -40,6 +40,13 @@
     b'HTTP/1.1x 200 OK\r\n',
     b'ICY 200 OK\r\n',
     b' HTTP/1.1 200 OK\r\n',
+    # Line ends that RFC 9112 section 2.2 leaves to the recipient: one wrong
+    # byte before a line end makes them the end of the head.
+    b'HTTP/1.1 200 OK\n',
+    b'HTTP/1.1 200 O\n\r\n',
+    b'HTTP/1.1 200 O\rK\r\n',
+    b'HTTP/1.1 200 O\x00K\r\n',
+    b'HTTP/1.1 200 O\x7fK\r\n',
     # Informational responses that no final one follows.
     b'HTTP/1.1 100 Continue\r\n',
     b'HTTP/1.1 102 Processing\r\n',
@@ -52,7 +59,7 @@
     b'HTTP/1.1 200 \r\n',
     b'HTTP/1.1 200\r\n',
     b'HTTP/1.0 200 OK\r\n',
-    b'HTTP/1.1 200 OK\n',
+    b'HTTP/1.1 200 \xe9t\xe9\tx: y\r\n',
     b'HTTP/1.1 100 Continue\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n',
     b'HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n',
     b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n',
--- a/libs/platform/src/cowslipstep/platform/_status_lines.py
+++ b/libs/platform/src/cowslipstep/platform/_status_lines.py
@@ -1,4 +1,8 @@
-"""Check of the status line of a response."""
+"""Check of the status line of a response, RFC 9112 section 4.
+
+A line feed without a carriage return does not end it. The RFC leaves that to
+the recipient, and one wrong byte could make it the end of the head.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +12,7 @@
 
 # ``int`` would also take signs, underscores and more digits.
 _STATUS_LINE = re.compile(
-    rb'(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([^\r\n]*))?\r?\n'
+    rb'(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n'
 )
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
