Read answers to the operators' tool by their grammar, too

Operators saw: "ready" and counts of requests from a daemon or an engine whose answer was malformed, as from a sound one. Cause: the tool had a connection pool of the HTTP library, not the one whose responses are checked. Change: CheckedPools, a pool manager over CheckedPool, takes the place of the library's.

--- a/apps/cowslipstep/src/cowslipstep/cli/_daemons.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_daemons.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from cowslipstep.metrics import DaemonIdentity
+from cowslipstep.platform import CheckedPools
 
 _RESPONSE_TIMEOUT_S = 2
 
@@ -45,7 +46,7 @@
 
 def query_daemons(daemons: Iterable[DaemonIdentity]) -> tuple[DaemonState, ...]:
     """Query the readiness and configuration version of each daemon."""
-    http = urllib3.PoolManager(retries=False)
+    http = CheckedPools(retries=False)
     return tuple(_query(http, daemon) for daemon in daemons)
 
 
--- a/apps/cowslipstep/src/cowslipstep/cli/_hosts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_hosts.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import urllib3
 from attrs import frozen
 
 from cowslipstep.cli._daemons import get_json
 from cowslipstep.model import Runner
+from cowslipstep.platform import CheckedPools
 
 _READY = 'ready'
 
@@ -47,7 +47,7 @@
 
 def query_host(runner: Runner) -> HostState:
     """Query the engine of a host for its state and group."""
-    http = urllib3.PoolManager(retries=False)
+    http = CheckedPools(retries=False)
     health = get_json(http, str(runner.address), '/health')
     if not isinstance(health, dict):
         return HostState(runner.host)
--- a/apps/cowslipstep/src/cowslipstep/cli/_request_counts.py
+++ b/apps/cowslipstep/src/cowslipstep/cli/_request_counts.py
@@ -6,10 +6,10 @@
 import re
 from collections.abc import Iterable, Iterator
 
-import urllib3
 from attrs import frozen
 
 from cowslipstep.cli._daemons import get_text
+from cowslipstep.platform import CheckedPools
 
 _LINE = re.compile(
     r'cowslipstep_requests_total\{(?P<labels>.*)\} (?P<count>\d+)'
@@ -58,7 +58,7 @@
 
 def read_request_counts(addresses: Iterable[str]) -> FleetRequestCounts:
     """Read the metrics of daemons and add up their counts of requests."""
-    http = urllib3.PoolManager(retries=False)
+    http = CheckedPools(retries=False)
     texts: list[str] = []
     unreachable: list[str] = []
     for address in addresses:
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -17,6 +17,7 @@
 from cowslipstep.platform._checked_http import (
     CheckedConnection,
     CheckedPool,
+    CheckedPools,
     CheckedResponse,
 )
 from cowslipstep.platform._client import PlatformClient
--- a/libs/platform/src/cowslipstep/platform/_checked_http.py
+++ b/libs/platform/src/cowslipstep/platform/_checked_http.py
@@ -16,8 +16,9 @@
     HTTPResponse,
     IncompleteRead,
 )
+from typing import Any
 
-from urllib3 import HTTPConnectionPool
+from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
 from cowslipstep.platform._body_framing import (
@@ -124,6 +125,14 @@
     ConnectionCls = CheckedConnection  # noqa: WPS115
 
 
+class CheckedPools(PoolManager):
+    """Connections to servers that read responses by their grammar."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.pool_classes_by_scheme = {'http': CheckedPool}
+
+
 def _final_status_line(lines: LineReader) -> StatusLine:
     status_line = _next_status_line(lines)
     while status_line.is_informational:
