Check the head of each response where it is written

Callers saw: nothing today, as the reader lets no such field through; a reader that misses one would pass it on. Cause: the server writes names and values as they are. A line end in one begins another field or the body; a name that is no token is a line that clients read in different ways. Evidence: test_checked_heads.py decodes a response to one with such a field: with the check switched off each of the 10 reaches the server's socket or ends the connection; with it the caller gets 500 with the verdict, and no field of the response. Change: CallerServer checks status, names and values of all its applications before any of it is written, by the grammar of the reader (check_field). A request whose id no response could repeat is refused as malformed (400, not run): its error would repeat the id.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_server.py
@@ -18,6 +18,7 @@
     close_expired,
 )
 from cowslipstep.daemon._caller_listener import CallerListener
+from cowslipstep.daemon._checked_heads import with_checked_head
 from cowslipstep.daemon._connection_limits import (
     ConnectionLimits,
     default_limits,
@@ -147,6 +148,7 @@
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
+        start_response = with_checked_head(start_response)
         if self._is_stopping():
             start_response = with_connection_close(start_response)
         return self._in_progress.track(
--- a/libs/platform/src/cowslipstep/platform/__init__.py
+++ b/libs/platform/src/cowslipstep/platform/__init__.py
@@ -30,6 +30,7 @@
     StoreDialect,
     StoreResponses,
 )
+from cowslipstep.platform._field_lines import check_field
 from cowslipstep.platform._host_list import HostList, read_host_list
 from cowslipstep.platform._json_documents import body_text
 from cowslipstep.platform._objects import (
--- a/tests/site/test_dialects.py
+++ b/tests/site/test_dialects.py
@@ -105,6 +105,13 @@
         read(ID, header)
 
 
+# Each response repeats the id, as the value of one field.
+@pytest.mark.parametrize('request_id', ['', 'r\x01', 'r\r\nX: y', '\u20ac'])
+def test_unwritable_request_id_is_refused(request_id: str) -> None:
+    with pytest.raises(RequestError):
+        read(('X-Cowslipstep-Request-Id', request_id))
+
+
 def test_very_long_deadline_is_shortened() -> None:
     request = read(ID, ('X-Cowslipstep-Deadline-Ms', str(10**400)))
     assert request.timeout_s == pytest.approx(1000000)
