Test that a malformed answer of the store ends its connection

Each connection of the stand-in gets one response, so that a call on a kept one would hang. It held at once: the pool closes a connection whose response could not be read. 10 cases.

--- a/apps/cowslipstepd/tests/test_malformed_responses.py
+++ b/apps/cowslipstepd/tests/test_malformed_responses.py
@@ -4,6 +4,7 @@
 
 import json
 import types
+from typing import Any
 
 import pytest
 from _callers import Received
@@ -31,7 +32,13 @@
 from attrs import evolve, frozen
 from loguru import logger
 
+from cowslipstep.daemon._time_limits import call_time_limit
 from cowslipstep.fleet import Route
+from cowslipstep.platform import (
+    CallHooks,
+    PlatformClient,
+    PlatformUnavailable,
+)
 
 TEXT = b'the whole body'
 EVENTS = event(0) + event(1)
@@ -194,3 +201,26 @@
     assert {use.statuses for use in uses} == {frozenset((200,))}
     assert not any(use.suspected for use in uses)
     assert min(use.runs for use in uses) >= 25
+
+
+def documents_read(*scripts: Script) -> tuple[str, Any]:
+    """Return the verdict of a first call to a store, and what a second reads.
+
+    Each connection gets one response, so that a kept one would hang.
+    """
+    store = ScriptedRunners(1, *scripts)
+    hooks = CallHooks(time_limit=call_time_limit)
+    client = PlatformClient(store.addresses[0], hooks=hooks)
+    verdict = ''
+    try:
+        client.read_document('hosts', '/hosts')
+    except PlatformUnavailable as failure:
+        verdict = failure.verdict.code
+    return verdict, client.read_document('hosts', '/hosts')
+
+
+@pytest.mark.parametrize('name', MALFORMED)
+def test_store_is_read_again_on_a_new_connection(name: str) -> None:
+    sound = (Send(response(b'{"hosts": []}')),)
+    read = in_green_process(documents_read, MALFORMED[name], sound)
+    assert read == ('may_have_run', {'hosts': []})
