Refuse a body without an end on a connection that is kept

Callers got chunks with their framing, or half of a body, as complete: a wrong byte in the name of the length or coding (Transfer-Encodinf, Content-Lengti) leaves another legal field, so that the response had neither, and its body ended with the connection.

Cause: the head said that the connection stays open (Keep-Alive, or the option keep-alive), which RFC 9112 section 9.3 allows only to responses that state their end. Nobody looked.

PROTOCOL.md: Keep-Alive states when an idle channel is closed, so an answer that has it does not end with its channel. Without either field the response is legal, and taken as before; so it is with Connection: close.

test_uncertain_body_is_not_passed_on failed on all 8 paths before with the five new heads, and holds after; the five new legal ones were taken before and are.

--- a/apps/cowslipstepd/tests/test_malformed_framing.py
+++ b/apps/cowslipstepd/tests/test_malformed_framing.py
@@ -16,6 +16,8 @@
 SIZE = b'%d' % len(BODY)
 LENGTH = b'Content-Length: %b\r\n' % SIZE
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
+KEPT = b'Keep-Alive: timeout=10\r\n'
+CLOSED = b'Connection: close\r\n'
 CHUNKS = b'%x\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n' % (
     5,
     BODY[:5],
@@ -76,9 +78,21 @@
     PLAIN % (b'%bTransfer-Encoding: gzip\r\n' % CHUNKED, CHUNKS),
     OLD % (CHUNKED, CHUNKS),
     OLD % (b'%b%b' % (LENGTH, CHUNKED), BODY),
+    # One wrong byte in the name of the length or coding leaves another legal
+    # field; the head still says that its connection stays open.
+    PLAIN % (b'%bTransfer-Encodinf: chunked\r\n' % KEPT, CHUNKS),
+    PLAIN % (b'%bContent-Lengti: %b\r\n' % (KEPT, SIZE), BODY[:20]),
+    PLAIN % (KEPT, BODY),
+    PLAIN % (b'connection: Keep-Alive\r\n', BODY),
+    OLD % (b'Connection: x, keep-alive\r\n', BODY),
 )
 CERTAIN = (
     PLAIN % (b'', BODY),
+    PLAIN % (CLOSED, BODY),
+    PLAIN % (b'Connection: x, Close\r\n', BODY),
+    PLAIN % (b'%b%b' % (KEPT, CLOSED), BODY),
+    PLAIN % (b'%b%b' % (KEPT, LENGTH), BODY),
+    PLAIN % (b'%b%b' % (KEPT, CHUNKED), CHUNKS),
     OLD % (b'', BODY),
     OLD % (LENGTH, BODY),
     PLAIN % (LENGTH, BODY),
--- a/libs/platform/src/cowslipstep/platform/_body_framing.py
+++ b/libs/platform/src/cowslipstep/platform/_body_framing.py
@@ -1,4 +1,4 @@
-"""Where the body of a response ends, RFC 9112 section 6.
+"""Where the body of a response ends, RFC 9112 sections 6 and 9.3.
 
 Fields that do not say it for certain are refused. Two equal lengths are so as
 well; the RFC leaves that to the recipient.
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from attrs import frozen
 
@@ -16,6 +16,10 @@
 
 _LENGTH_FIELD = 'content-length'
 _CODING_FIELD = 'transfer-encoding'
+_CONNECTION_FIELD = 'connection'
+_CLOSE = 'close'
+# Name of a field, and an option of ``Connection``.
+_KEEP_ALIVE = 'keep-alive'
 # The only coding that a response may have if its request names no others.
 _CHUNKED = 'chunked'
 _OLD_VERSION = 'HTTP/1.0'
@@ -84,16 +88,46 @@
             return ChunkedBody()
     raise MalformedResponse(
         'one length, or the chunked coding of HTTP/1.1',
-        _encoded(framing_fields),
+        encode_fields(framing_fields),
     )
 
 
-def _parse_length(text: str) -> int:
-    if _LENGTH.fullmatch(text) is None:
-        raise MalformedResponse('a length in bytes', text.encode('latin-1'))
-    return int(text.lstrip('0') or '0')
+def stays_open(fields: Iterable[Field]) -> bool:
+    """Return whether a head states that its connection stays open.
 
+    RFC 9112 section 9.3: all responses of such a connection state where they
+    end. That HTTP/1.1 keeps connections by default is no statement: a server
+    that closes them should tell, but need not (section 9.6).
 
-def _encoded(fields: Sequence[Field]) -> bytes:
+    Examples
+    --------
+    >>> stays_open([('Keep-Alive', 'timeout=10')])
+    True
+    >>> stays_open([('Keep-Alive', 'timeout=10'), ('Connection', 'close')])
+    False
+    >>> stays_open([])
+    False
+    """
+    listed = tuple(fields)
+    options = {
+        option.strip().lower()
+        for name, text in listed
+        if name.lower() == _CONNECTION_FIELD
+        for option in text.split(',')
+    }
+    if _CLOSE in options:
+        return False
+    names = {name.lower() for name, _ in listed}
+    return _KEEP_ALIVE in names | options
+
+
+def encode_fields(fields: Iterable[Field]) -> bytes:
+    """Return fields as lines, for an error message."""
     lines = '\r\n'.join(f'{name}: {text}' for name, text in fields)
     return lines.encode('latin-1')
+
+
+def _parse_length(text: str) -> int:
+    if _LENGTH.fullmatch(text) is None:
+        raise MalformedResponse('a length in bytes', text.encode('latin-1'))
+    return int(text.lstrip('0') or '0')
--- a/libs/platform/src/cowslipstep/platform/_checked_http.py
+++ b/libs/platform/src/cowslipstep/platform/_checked_http.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from http.client import (
     BadStatusLine,
     HTTPMessage,
@@ -27,6 +27,8 @@
     ChunkedBody,
     SizedBody,
     body_framing,
+    encode_fields,
+    stays_open,
 )
 from cowslipstep.platform._chunk_lines import parse_chunk_size
 from cowslipstep.platform._field_lines import Field
@@ -66,9 +68,9 @@
         self.reason = status_line.reason.strip()
         self.headers = _message(fields)
         self.msg = self.headers
-        self._frame(framing)
+        self._frame(framing, fields)
 
-    def _frame(self, framing: BodyFraming) -> None:
+    def _frame(self, framing: BodyFraming, fields: Sequence[Field]) -> None:
         answers_head = self._method == 'HEAD'  # type: ignore[attr-defined]
         if answers_head or self.status in _STATUSES_WITHOUT_BODY:
             framing = SizedBody(0)
@@ -81,6 +83,11 @@
             case ChunkedBody():
                 self.chunked = True
                 self.chunk_left = None
+            case BodyUntilClose() if stays_open(fields):
+                raise MalformedResponse(
+                    'a length or chunks on a connection that stays open',
+                    encode_fields(fields),
+                )
             case BodyUntilClose():
                 self.will_close = True
 
