Refuse encoded bodies on routes

Callers of routes got a body with a Content-Encoding as a success of status 200.

Such a response may have run: the caller gets 502, or another runner's answer where the request may repeat. A refusal stays a refusal, since its body is not passed on. The product's own path decodes bodies, as before.

The checks of a response's head move to a module of their own.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_http.py
@@ -33,6 +33,7 @@
 # Bytes that may be received for one chunk of a body: the chunk, and the
 # framing of a chunked body around it.
 _MAX_RECEIVED_CHUNK_BYTES = 2 * _READ_CHUNK_BYTES
+_CONTENT_CODING_FIELD = 'Content-Encoding'
 _SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
 # Minimum socket timeout, since a timeout of zero would not wait at all.
 _MIN_TIMEOUT_S = 0.001
@@ -104,6 +105,11 @@
         """All headers of the response."""
         return list(self._response.headers.items())
 
+    @property
+    def content_coding(self) -> str:
+        """Coding of the body, as stated in its head; empty if it has none."""
+        return self._response.headers.get(_CONTENT_CODING_FIELD, '')
+
     def read_chunk(
         self, timeout_s: float, silence: Silence | None = None
     ) -> bytes:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -13,11 +13,16 @@
 from cowslipstep.daemon._read_limits import Silence
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.fleet import ResponseHead, UpstreamRequest
-from cowslipstep.model import MayHaveRun, NotRun, Reason
+from cowslipstep.model import MayHaveRun, Reason
 from cowslipstep.serving._backoff_refusals import raise_if_backed_off
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._event_streams import EventStream, first_events_of
 from cowslipstep.serving._request_log import log_backoff
+from cowslipstep.serving._response_checks import (
+    raise_for_head,
+    raise_if_encoded,
+    raise_unless_continued,
+)
 from cowslipstep.serving._state import ServingState
 from cowslipstep.serving._upstream_choice import ChosenUpstream
 from cowslipstep.serving._upstream_http import (
@@ -26,7 +31,6 @@
     open_response,
 )
 
-_SERVER_ERROR = 500
 ResponsePart = ResponseHead | bytes
 
 
@@ -94,8 +98,9 @@
                 response.headers,
             )
             _record_backoff(self._state, chosen, head)
-            _raise_for_head(head)
-            _raise_unless_accepted(delivery, chosen, head)
+            raise_for_head(head)
+            raise_if_encoded(response.content_coding)
+            raise_unless_continued(delivery, chosen, head)
             waiting.close()
             if delivery.routed.route.streaming and head.succeeded:
                 yield from self._stream(
@@ -222,39 +227,3 @@
         return
     backoff_s = state.backoffs.record(chosen.runner.name, head.retry_after)
     log_backoff(chosen, backoff_s, head.retry_after)
-
-
-def _raise_for_head(head: ResponseHead) -> None:
-    if head.for_other_request:
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_cut),
-            'response belongs to another request',
-        )
-    if head.misdirected:
-        raise UpstreamFailure(
-            NotRun(Reason.upstream_moved),
-            'upstream moved: another one responded, or it leads no group now',
-        )
-    if head.refusal is not None:
-        raise UpstreamFailure(
-            head.refusal,
-            f'upstream responded with status {head.status}',
-        )
-
-
-def _raise_unless_accepted(
-    delivery: DeliveryState, chosen: ChosenUpstream, head: ResponseHead
-) -> None:
-    """Raise if a response does not resume or replace another one."""
-    if chosen.is_substitute and head.status >= _SERVER_ERROR:
-        # The response of the silent upstream may still come.
-        raise UpstreamFailure(
-            MayHaveRun(Reason.upstream_failed),
-            f'substitute responded with status {head.status}',
-        )
-    if delivery.head is None or head.continues(delivery.head):
-        return
-    raise UpstreamFailure(
-        MayHaveRun(Reason.upstream_failed),
-        f'stream not resumed: status {head.status}, {head.media_type!r}',
-    )
