Believe an empty resumption only if it cannot be a broken one

A caller could get a stream as complete before its last event (ORDER) when the runner that resumed it sent no event: with neither a length nor chunks, its end on the way looked like the end of the stream; and a runner that stated that nothing follows was believed although the one before had begun the next event.

Cause: the first attempt of a stream was known to need an event before it may end, a resumption was not. Both resumptions count as failed now. A silent first runner goes on to be read; one that broke off leaves the stream broken off, which the caller sees.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -82,7 +82,7 @@
                 'stream ended within an event, expected its end',
             )
         if not has_begun:
-            _raise_unless_nothing_follows(delivery)
+            _raise_unless_nothing_follows(delivery, self.response)
         yield ResponseEnd()
 
     def _read_chunk(self, delivery: DeliveryState, silent_at_s: float) -> bytes:
@@ -92,7 +92,9 @@
         )
 
 
-def _raise_unless_nothing_follows(delivery: DeliveryState) -> None:
+def _raise_unless_nothing_follows(
+    delivery: DeliveryState, response: OpenResponse
+) -> None:
     """Raise unless a stream without events states that no others follow.
 
     A stream that is resumed after its last event has none.
@@ -102,6 +104,17 @@
             MayHaveRun(Reason.upstream_cut),
             'stream ended before its first event',
         )
+    if response.ends_with_connection:
+        # The end of an upstream looks like the end of its stream.
+        raise ConnectionEnded(
+            MayHaveRun(Reason.upstream_cut),
+            'resumed stream ended with its connection, expected an event first',
+        )
+    if delivery.progress.has_partial_event:
+        raise UpstreamFailure(
+            MayHaveRun(Reason.upstream_failed),
+            'resumed stream has no more events, but another one had begun',
+        )
 
 
 def _silence_timeout_s(delivery: DeliveryState) -> float:
--- a/apps/cowslipstepd/tests/test_silent_stream_ends.py
+++ b/apps/cowslipstepd/tests/test_silent_stream_ends.py
@@ -76,6 +76,19 @@
     assert received(first, substitute) == WHOLE
 
 
+# A substitute that had nothing to add ended the stream before an event that
+# the silent runner had begun.
+def test_begun_event_is_not_given_up() -> None:
+    assert received(WITHIN_LAST_EVENT, NOTHING_FOLLOWS) == WHOLE
+
+
+# The end of a runner looked like the end of the stream that it resumed.
+def test_closed_connection_proves_no_end() -> None:
+    cut = (Send(CHUNKED_HEAD + chunk(EVENTS)), Close())
+    closed = (Send(CLOSED_HEAD), Close())
+    assert received(cut, closed) == (200, EVENTS, False)
+
+
 def test_stalled_stream_ends_if_nothing_follows() -> None:
     stalled = (Send(CHUNKED_HEAD + chunk(EVENTS)), STALL)
     assert received(stalled, NOTHING_FOLLOWS) == WHOLE
