Log unexpected errors with the id of their request

Before the response, lines lacked the id if the error came from reading the request. The response of a daemon's own endpoints was not covered either.

Now the id is decoded first, refusals of malformed requests carry it, too, and one context manager logs why a response ends early, on routes and on the product's own path. A response whose first part is no head is an error instead of a response without one.

--- a/apps/cowslipstepd/src/cowslipstep/daemon/_caller_responses.py
+++ b/apps/cowslipstepd/src/cowslipstep/daemon/_caller_responses.py
@@ -15,6 +15,7 @@
     status_line,
 )
 from cowslipstep.daemon._relay import ResponseHead, ResponsePart
+from cowslipstep.daemon._response_ends import logged_response_end
 
 _DEFAULT_CONTENT_TYPE = 'application/json'
 
@@ -34,12 +35,13 @@
         If the caller closes its connection before the response begins.
     """
     with raise_on_hangup(environ):
-        head = next(parts)
-    match head:
-        case ResponseHead():
+        first_part = next(parts, None)
+    match first_part:
+        case ResponseHead() as head:
             headers = _headers(head, environ[REQUEST_ID])
             start_response(status_line(head.status), headers)
-    return _body(parts, environ)
+            return _body(parts, environ)
+    raise TypeError(f'expected the head of a response, got {first_part!r}')
 
 
 def _headers(head: ResponseHead, request_id: str) -> list[Header]:
@@ -55,5 +57,9 @@
 
 
 def _body(parts: Any, environ: Environ) -> Iterator[bytes]:
-    with contextlib.closing(parts), raise_on_hangup(environ):
+    with (
+        contextlib.closing(parts),
+        logged_response_end(environ[REQUEST_ID]),
+        raise_on_hangup(environ),
+    ):
         yield from parts
--- a/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_applications.py
@@ -20,6 +20,7 @@
     status_line,
 )
 from cowslipstep.daemon._request_bodies import read_body
+from cowslipstep.daemon._response_ends import logged_response_end
 from cowslipstep.fleet import CallerRequest, Header, ResponseHead
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
 from cowslipstep.serving._key_permission import accepts_keys
@@ -122,15 +123,17 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         arrived_s = time.monotonic()
+        # Known first, so that each line of the log has it.
+        environ[REQUEST_ID] = self._dialect.request_id(environ['headers_raw'])
         request = self._read(environ)
-        environ[REQUEST_ID] = request.request_id
         parts = self._delivery.deliver(request, arrived_s)
         with raise_on_hangup(environ):
-            head = next(parts)
-        match head:
-            case ResponseHead():
-                start_response(status_line(head.status), list(head.headers))
-        return _body(parts, environ)
+            first_part = next(parts, None)
+        match first_part:
+            case ResponseHead(status, headers):
+                start_response(status_line(status), list(headers))
+                return _body(parts, environ)
+        raise TypeError(f'expected the head of a response, got {first_part!r}')
 
     def _send_error(
         self,
@@ -169,26 +172,7 @@
 def _body(parts: Any, environ: Environ) -> Iterator[bytes]:
     with (
         contextlib.closing(parts),
-        _logged_end(environ),
+        logged_response_end(_request_id(environ)),
         raise_on_hangup(environ),
     ):
         yield from parts
-
-
-@contextlib.contextmanager
-def _logged_end(environ: Environ) -> Iterator[None]:
-    """Log why a response ends before it is complete."""
-    bound = logger.bind(request_id=_request_id(environ))
-    try:
-        yield
-    except CallerGone:
-        bound.info('caller closed the connection, response ended')
-        raise
-    except RequestError as error:
-        bound.bind(
-            verdict=error.verdict.code,
-            reason=error.verdict.reason.value,
-        ).warning(
-            'response cut off, connection to the caller closed: {}', error
-        )
-        raise
--- a/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_dialects.py
@@ -23,6 +23,9 @@
 class RequestHeaders(Protocol):
     """Encodes and decodes the headers of requests and responses."""
 
+    def request_id(self, headers: Iterable[Header]) -> str:
+        """Return the id of a caller's request; empty if it has no valid one."""
+
     def read(
         self,
         method: str,
--- a/apps/cowslipstepd/tests/_header_dialect.py
+++ b/apps/cowslipstepd/tests/_header_dialect.py
@@ -21,6 +21,10 @@
 class HeaderDialect:
     """Encodes the headers of requests and responses by their plain names."""
 
+    def request_id(self, headers: Iterable[Header]) -> str:
+        """Return the id of a caller's request."""
+        return {name.lower(): text for name, text in headers}[_REQUEST_ID]
+
     def read(
         self,
         method: str,
