Decide on groups only with what was stored when the term began

Cause: nothing tied what a controller knew to its term. The table of runners counted as read once any list or copy of a peer had been read, however old.

The term is the position of the store at which the lease was won. Entries that are complete up to there show each group that an earlier controller may have opened: it opened none before it had read that all members were ready. So a controller decides once the table has reached its term; if the watch has not brought it there, a task reads the changes since, without a wait, and lists only if their history is gone or nothing was read before. That is one call a term; others may go on with stale lists. It holds alike for leases that were given back, lapsed or won again, for copies of peers, 410 and outages. After the store came back from an older copy, entries may be older than the groups until all runners have written theirs again, so that decisions wait for that time, too.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_controller.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_controller.py
@@ -32,6 +32,7 @@
 from cowslipstep.serving._fleet_log import FleetLog, log_group_change
 from cowslipstep.serving._fleet_views import FleetViews
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._term_reader import TermReader
 
 _LEASE_SCOPE = 'fleet'
 _DECISION_PERIOD_S = 0.1
@@ -72,6 +73,7 @@
     ) -> None:
         self._state = state
         self._views = views
+        self._reader = TermReader(state)
         store = PlatformGroupLedger(state.platform, _LEASE_SCOPE)
         identity = LedgerWriterIdentity(
             state.settings.name,
@@ -151,12 +153,12 @@
                 return False
         table = self._state.configuration.table
         runner_table = self._state.runner_table
-        has_no_view = (
+        if (
             table is None
             or runner_table.platform_lost
-            or not runner_table.was_read
-        )
-        if table is None or has_no_view or not self._lease.may_command:
+            or not self._lease.may_command
+            or not self._reader.has_read(term)
+        ):
             return True
         for service in table.configuration.services.values():
             if service.engine is not None:
