Do not open a group of which a member was sent to a later one

The planner opened the group of the late join, and its own join, late too, then reached the leader of an open group.

Cause: a group that is ready counted as sound whatever else its members had been sent. Fencing tokens and epochs refuse a late join only once a newer one has arrived.

The planner keeps the number of the last group that it sent each runner to. A ready group with a member that was sent to a later one is left by its leader, and formed anew with a larger number, which refuses all earlier joins.

test_superseded_group_is_left_instead_of_opened failed before.

--- a/libs/fleet/src/cowslipstep/fleet/_assess_group.py
+++ b/libs/fleet/src/cowslipstep/fleet/_assess_group.py
@@ -93,7 +93,11 @@
     reported_group: ReportedGroup,
     leader: DiscoveredRunner,
 ) -> GroupAssessment:
-    if reported_group.draining or not _is_complete(view, reported_group):
+    if (
+        reported_group.draining
+        or reported_group.key in view.superseded
+        or not _is_complete(view, reported_group)
+    ):
         # The leader must leave before its members are free: a command to open
         # the group may still be in flight.
         return GroupAssessment.keep_members(
--- a/libs/fleet/src/cowslipstep/fleet/_decisions.py
+++ b/libs/fleet/src/cowslipstep/fleet/_decisions.py
@@ -44,6 +44,9 @@
     evacuated
         Names of runners whose failure domain is evacuated; those without a
         group also count as draining.
+    superseded
+        Groups of which a member was commanded to join a later one; set by the
+        planner. The command may be carried out seconds late.
     peak_demand
         Highest demand over a wave, by model; set by the planner.
     """
@@ -59,6 +62,7 @@
     load_limits_apply: bool = True
     registrations_settled: bool = True
     evacuated: frozenset[str] = field(factory=frozenset)
+    superseded: frozenset[GroupId] = field(factory=frozenset)
     peak_demand: Mapping[str, float] = field(factory=dict)
 
     @property
--- a/libs/fleet/src/cowslipstep/fleet/_planner.py
+++ b/libs/fleet/src/cowslipstep/fleet/_planner.py
@@ -24,6 +24,7 @@
 from cowslipstep.fleet._reported_groups import (
     ReportedGroup,
     reported_groups,
+    superseded_groups,
 )
 from cowslipstep.fleet._runners import GroupId, MemberState
 from cowslipstep.fleet._running_reallocations import (
@@ -67,15 +68,17 @@
         self._start_reallocations = start
         self._demand_peaks = DemandPeaks()
         self._registration_tracker = RegistrationTracker()
+        self._last_epochs: dict[str, int] = {}
 
     def decide(self, view: FleetView) -> list[FleetDecision]:
         """Return the decisions that are due, given the state of the fleet."""
+        reported = reported_groups(view.answering)
         view = evolve(
             view,
             peak_demand=self._demand_peaks.update(view.now_s, view.demand),
             registrations_settled=self._registration_tracker.have_settled(view),
+            superseded=superseded_groups(reported, self._last_epochs),
         )
-        reported = reported_groups(view.answering)
         self._update(view, reported)
         claimed = {*self._pending_groups.claimed, *self._reallocations.claimed}
         decisions: list[FleetDecision] = []
@@ -168,6 +171,8 @@
         key = GroupId(self._service, f'g{epoch}', epoch)
         decision = FormGroup(key, chosen.model.name, chosen.members)
         self._pending_groups.add(decision, view.now_s, chosen.time_to_ready_s)
+        for member in chosen.members:
+            self._last_epochs[member.name] = epoch
         for runner in chosen.loading:
             self._load_limiter.record_start(
                 view, runner.name, chosen.model.name
--- a/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
+++ b/libs/fleet/src/cowslipstep/fleet/_reported_groups.py
@@ -87,6 +87,26 @@
     return reported
 
 
+def superseded_groups(
+    reported: Mapping[GroupId, ReportedGroup], last_epochs: Mapping[str, int]
+) -> frozenset[GroupId]:
+    """Return the groups of which a member was sent to a later one.
+
+    Parameters
+    ----------
+    reported
+        Groups that runners report.
+    last_epochs
+        Number of the last group that each runner was commanded to join.
+    """
+    return frozenset(
+        key
+        for key, reported_group in reported.items()
+        for name in reported_group.member_names
+        if last_epochs.get(name, 0) > key.epoch
+    )
+
+
 def serving_group(
     reported_group: ReportedGroup,
     engine: EngineProfile,
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -96,6 +96,21 @@
     assert OpenGroup in kinds(planner.decide(complete))
 
 
+# A late command to join another group reached the leader of a group that had
+# been opened meanwhile.
+def test_superseded_group_is_left_instead_of_opened() -> None:
+    planner = new_planner()
+    assert formed(planner.decide(view_of(free_runner(0), free_runner(1))))
+    # The command of an earlier controller took effect first.
+    late = view_of(
+        group_member(0, 0, MemberState.ready),
+        group_member(1, 1, MemberState.ready),
+        now_s=1,
+    )
+    decisions = planner.decide(late)
+    assert kinds(decisions) == [LeaveGroup]
+
+
 def test_leader_leaves_before_its_members_move() -> None:
     planner = new_planner()
     leader, member = open_pair()
