--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -31,8 +31,8 @@
 
 
 @frozen
-class EventStream:
-    """The stream of one attempt, after its head was read.
+class BegunResponse:
+    """The response of one attempt, after its head was read.
 
     Parameters
     ----------
@@ -42,7 +42,7 @@
         The response.
     silence
         What happens while the upstream sends no whole event; it begins that
-        long after the head.
+        long after the head of a stream.
     start
         When the request was sent.
     """
@@ -52,8 +52,8 @@
     silence: Silence
     start: AttemptStart
 
-    def steps(self, delivery: DeliveryState) -> Iterator[ResponseStep]:
-        """Yield whole events as they arrive, then the end of the stream.
+    def event_steps(self, delivery: DeliveryState) -> Iterator[ResponseStep]:
+        """Read it as a stream: yield whole events, then the end.
 
         Raises
         ------
--- a/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_upstream_sender.py
@@ -14,7 +14,7 @@
 from cowslipstep.fleet import ResponseHead, UpstreamRequest
 from cowslipstep.serving._backoff_refusals import raise_if_backed_off
 from cowslipstep.serving._delivery_state import DeliveryState
-from cowslipstep.serving._event_streams import EventStream
+from cowslipstep.serving._event_streams import BegunResponse
 from cowslipstep.serving._request_log import log_backoff
 from cowslipstep.serving._response_checks import (
     raise_for_head,
@@ -90,7 +90,7 @@
             raise_unless_continued(delivery, chosen, head)
             waiting.close()
             yield from _steps(
-                delivery, chosen, EventStream(head, response, silence, start)
+                delivery, chosen, BegunResponse(head, response, silence, start)
             )
 
     @contextlib.contextmanager
@@ -154,33 +154,33 @@
 
 
 def _steps(
-    delivery: DeliveryState, chosen: ChosenUpstream, opened: EventStream
+    delivery: DeliveryState, chosen: ChosenUpstream, begun: BegunResponse
 ) -> Iterator[ResponseStep]:
-    if delivery.routed.route.streaming and opened.head.succeeded:
-        return _as_stream(delivery, chosen, opened)
-    return _as_whole(delivery, chosen, opened)
+    if delivery.routed.route.streaming and begun.head.succeeded:
+        return _as_stream(delivery, chosen, begun)
+    return _as_whole(delivery, chosen, begun)
 
 
 def _as_stream(
-    delivery: DeliveryState, chosen: ChosenUpstream, opened: EventStream
+    delivery: DeliveryState, chosen: ChosenUpstream, begun: BegunResponse
 ) -> Iterator[ResponseStep]:
     first_event_s = chosen.begins_by_s - delivery.now_s
-    after_s = min(opened.silence.after_s, first_event_s)
-    silence = evolve(opened.silence, after_s=after_s)
-    return evolve(opened, silence=silence).steps(delivery)
+    after_s = min(begun.silence.after_s, first_event_s)
+    silence = evolve(begun.silence, after_s=after_s)
+    return evolve(begun, silence=silence).event_steps(delivery)
 
 
 def _as_whole(
-    delivery: DeliveryState, chosen: ChosenUpstream, opened: EventStream
+    delivery: DeliveryState, chosen: ChosenUpstream, begun: BegunResponse
 ) -> Iterator[ResponseStep]:
     # A body that has begun is waited for, silent or not.
-    patience = evolve(opened.silence, after_s=math.inf)
-    body = opened.response.read_all(
+    patience = evolve(begun.silence, after_s=math.inf)
+    body = begun.response.read_all(
         min(delivery.deadline_s, chosen.begins_by_s), patience
     )
     length = ('Content-Length', str(len(body)))
-    headers = (*opened.head.headers, length)
-    yield WholeResponse(evolve(opened.head, headers=headers), body)
+    headers = (*begun.head.headers, length)
+    yield WholeResponse(evolve(begun.head, headers=headers), body)
     yield ResponseEnd()
 
 
--- a/apps/cowslipstepd/tests/test_unexpected_errors.py
+++ b/apps/cowslipstepd/tests/test_unexpected_errors.py
@@ -32,7 +32,7 @@
 from cowslipstep.daemon._relay import ResponseHead
 from cowslipstep.serving import _request_delivery
 from cowslipstep.serving._delivery_state import DeliveryState
-from cowslipstep.serving._event_streams import EventStream
+from cowslipstep.serving._event_streams import BegunResponse
 from cowslipstep.serving._upstream_choice import UpstreamChoice
 
 HEAD = response_head('Transfer-Encoding: chunked')
@@ -49,7 +49,7 @@
     (UpstreamChoice, 'choose'),
     (HeaderDialect, 'headers'),
     (HeaderDialect, 'response_head'),
-    (EventStream, 'steps'),
+    (BegunResponse, 'event_steps'),
     (_request_delivery, 'passed_on'),
     (DeliveryState, 'begin_response'),
 )
