Let a substitute take over from a slow upstream again

Since both are read at once, an upstream that sent one event in place of its next silence ended the attempt beside it, kept the stream, and used up its runs; and two upstreams that were silent both kept their places in queues.

Events of an upstream that was silent wait up to half a second for the substitute to respond; an end does not wait. A silent substitute is given up again. The progress of a stream moves on when events are passed on, not when they are read, so that events that are dropped do not make the substitute's look like a restart.

--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempt.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempt.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+import time
 from collections.abc import Generator, Iterator
 
+import eventlet
 from attrs import define, field
 from eventlet.greenthread import GreenThread
+from greenlet import GreenletExit
 
 from cowslipstep.daemon._interruptions import Interruption
 from cowslipstep.serving._response_steps import ResponseStep
@@ -36,6 +40,8 @@
         Another attempt beside it; ``None`` unless it is silent.
     task
         Reads the first step of a substitute.
+    begun_s
+        Clock reading at which it began.
     """
 
     chosen: ChosenUpstream
@@ -45,6 +51,7 @@
     interruption: Interruption = field(factory=Interruption)
     substitute: Attempt | None = None
     task: GreenThread | None = None
+    begun_s: float = field(factory=time.monotonic)
 
     def all_steps(self) -> Iterator[ResponseStep]:
         """Yield all steps."""
@@ -52,6 +59,20 @@
             yield self.first_step
         yield from self.steps
 
+    def read_first_step(self) -> None:
+        """Read the first step, in the task that begins the attempt."""
+        # An error that ended the task would be kept, with all its frames.
+        with contextlib.suppress(GreenletExit):
+            self.first_step = next(self.steps)
+
+    def wait_begun(self, lead_s: float) -> None:
+        """Wait for a substitute's first step, that long after its beginning."""
+        if self.task is None:
+            return
+        wait_s = max(0, self.begun_s + lead_s - time.monotonic())
+        with eventlet.Timeout(wait_s, False):
+            self.task.wait()
+
     def take_substitute(self) -> Attempt | None:
         """Return the substitute in place of this attempt, if it responds.
 
--- a/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_attempts.py
@@ -9,12 +9,9 @@
 
 import eventlet
 from attrs import evolve
-from greenlet import GreenletExit
 
 from cowslipstep.daemon._read_limits import Silence
-from cowslipstep.daemon._upstream_failures import (
-    UpstreamFailure,
-)
+from cowslipstep.daemon._upstream_failures import UpstreamFailure
 from cowslipstep.model import MayHaveRun, Reason
 from cowslipstep.serving._attempt import Attempt
 from cowslipstep.serving._attempt_records import AttemptRecords
@@ -22,26 +19,22 @@
     DeliveryState,
     may_run_elsewhere,
 )
-from cowslipstep.serving._refusals import present_refusal
-from cowslipstep.serving._request_log import (
-    log_attempt,
-)
+from cowslipstep.serving._request_log import log_attempt
+from cowslipstep.serving._response_steps import ResponseStep, StreamedEvents
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._substitute_choice import SubstituteChoice
 from cowslipstep.serving._substitute_log import (
     log_substitute_ended,
     unexpected_failure,
 )
-from cowslipstep.serving._upstream_choice import ChosenUpstream, UpstreamChoice
+from cowslipstep.serving._upstream_choice import ChosenUpstream
 from cowslipstep.serving._upstream_sender import UpstreamSender
 
-# Includes refused attempts, which do not count as runs of the request; limits
-# the time spent on refusals.
-MAX_ATTEMPTS = 5
 # Time between two searches for an upstream that goes on with a request.
 SEARCH_PERIOD_S = 0.1
-# Part of the remaining time that a substitute may take to begin its response if
-# the request may run at yet another upstream.
-_SUBSTITUTE_TIME_SHARE = 0.5
+# Time for which a substitute goes before a silent upstream that sends events
+# again.
+_SUBSTITUTE_LEAD_S = 0.5
 
 
 class TakenOver(Exception):
@@ -57,19 +50,19 @@
         State of the daemon.
     records
         Records failed and silent attempts.
-    choice
-        Chooses upstreams.
+    substitutes
+        Chooses the upstreams beside silent ones.
     """
 
     def __init__(
         self,
         state: ServingState,
         records: AttemptRecords,
-        choice: UpstreamChoice,
+        substitutes: SubstituteChoice,
     ) -> None:
         self._state = state
         self._records = records
-        self._choice = choice
+        self._substitutes = substitutes
         self._sender = UpstreamSender(state)
 
     def begin(self, delivery: DeliveryState, chosen: ChosenUpstream) -> Attempt:
@@ -105,6 +98,24 @@
             self.end_substitute(delivery, attempt)
             attempt.close()
 
+    def let_go_on(
+        self, delivery: DeliveryState, silent: Attempt, step: ResponseStep
+    ) -> None:
+        """Let an attempt go on with a step, and end the one beside it.
+
+        Raises
+        ------
+        TakenOver
+            If the substitute responds in its first moments: an upstream that
+            was silent once may be slow. Events wait for that, an end does not.
+        """
+        match step, silent.substitute:
+            case StreamedEvents(), Attempt() as substitute:
+                substitute.wait_begun(_SUBSTITUTE_LEAD_S)
+                if substitute.first_step is not None:
+                    raise TakenOver
+        self.end_substitute(delivery, silent)
+
     def end_substitute(self, delivery: DeliveryState, silent: Attempt) -> None:
         """End the attempt beside a silent one that goes on, if there is one."""
         substitute = silent.substitute
@@ -127,21 +138,20 @@
         Raises
         ------
         UpstreamFailure
-            If the request still waits for another silent upstream, and may
-            run at a third one.
+            If the request still waits for another silent upstream: two that
+            wait for the same queues would only add to the load.
         """
-        may_run = may_run_elsewhere(delivery)
-        if attempt.chosen.is_substitute and may_run:
+        if attempt.chosen.is_substitute:
             raise UpstreamFailure(
                 MayHaveRun(Reason.upstream_timeout), 'the upstream is silent'
             )
         if attempt.substitute is not None:
             return SEARCH_PERIOD_S
-        if attempt.chosen.is_substitute or not (attempt.is_silent or may_run):
-            return math.inf
         if not attempt.is_silent:
+            if not may_run_elsewhere(delivery):
+                return math.inf
             self._records.record_silence(delivery, attempt)
-        chosen = self._choose_substitute(delivery)
+        chosen = self._substitutes.choose(delivery)
         if chosen is None:
             # Places that become free are for new requests as well; only a
             # response that the caller has a part of is worth the search.
@@ -157,10 +167,7 @@
     ) -> None:
         """Wait for a substitute's response, in a task of its own."""
         try:
-            substitute.first_step = next(substitute.steps)
-        except GreenletExit:
-            # An error that is kept would keep its frames, too.
-            return
+            substitute.read_first_step()
         except UpstreamFailure as failure:
             silent.substitute = None
             self._records.record_failure(delivery, substitute, failure)
@@ -169,27 +176,6 @@
             self._records.record_failure(
                 delivery, substitute, unexpected_failure(delivery, error)
             )
-        else:
+        if substitute.first_step is not None:
             substitute.chosen = evolve(substitute.chosen, begins_by_s=math.inf)
             silent.interruption.interrupt(TakenOver())
-
-    def _choose_substitute(
-        self, delivery: DeliveryState
-    ) -> ChosenUpstream | None:
-        route = delivery.routed.route
-        budget = self._state.retry_budget(delivery.routed.service)
-        if (
-            delivery.attempts >= MAX_ATTEMPTS
-            or len(delivery.possible_runs) >= route.max_attempts
-            or not budget.allows_retry
-            or present_refusal(self._state, delivery) is not None
-        ):
-            return None
-        match self._choice.choose(delivery):
-            case ChosenUpstream() as chosen if budget.spend():
-                share = (
-                    _SUBSTITUTE_TIME_SHARE if may_run_elsewhere(delivery) else 1
-                )
-                timeout_s = share * delivery.remaining_s
-                return evolve(chosen, begins_by_s=delivery.now_s + timeout_s)
-        return None
--- a/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_event_streams.py
@@ -73,8 +73,15 @@
             if events:
                 if not has_begun:
                     _raise_if_restarted(delivery.progress, events)
+                yield StreamedEvents(
+                    self.head,
+                    events,
+                    # Moves on only if these events are passed on.
+                    evolve(progress),
+                    self.start,
+                    is_first=not has_begun,
+                )
                 has_begun = True
-                yield StreamedEvents(self.head, events, progress, self.start)
                 silent_at_s = delivery.now_s + _silence_timeout_s(delivery)
         if progress.has_partial_event:
             raise ConnectionEnded(
--- a/apps/cowslipstepd/src/cowslipstep/serving/_next_upstream.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_next_upstream.py
@@ -6,10 +6,11 @@
 
 from cowslipstep.delivery import combine_verdicts, may_resume, may_retry
 from cowslipstep.model import MayHaveRun, NotRun, Reason, RequestError
-from cowslipstep.serving._attempts import MAX_ATTEMPTS, SEARCH_PERIOD_S
+from cowslipstep.serving._attempts import SEARCH_PERIOD_S
 from cowslipstep.serving._delivery_state import DeliveryState
 from cowslipstep.serving._refusals import present_refusal
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._substitute_choice import MAX_ATTEMPTS
 from cowslipstep.serving._upstream_choice import ChosenUpstream, UpstreamChoice
 
 _BAD_GATEWAY = 502
--- a/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_request_delivery.py
@@ -20,6 +20,7 @@
 )
 from cowslipstep.serving._response_parts import ResponsePart, passed_on
 from cowslipstep.serving._state import ServingState
+from cowslipstep.serving._substitute_choice import SubstituteChoice
 from cowslipstep.serving._upstream_choice import UpstreamChoice
 
 
@@ -40,7 +41,9 @@
         self._choice = UpstreamChoice(state)
         self._next = NextUpstream(state, self._choice)
         self._records = AttemptRecords(state, metrics)
-        self._attempts = Attempts(state, self._records, self._choice)
+        self._attempts = Attempts(
+            state, self._records, SubstituteChoice(state, self._choice)
+        )
 
     def deliver(
         self,
@@ -102,8 +105,7 @@
         self, delivery: DeliveryState, attempt: Attempt
     ) -> Iterator[ResponsePart]:
         for step in attempt.all_steps():
-            # The upstream goes on, so nothing else may.
-            self._attempts.end_substitute(delivery, attempt)
+            self._attempts.let_go_on(delivery, attempt, step)
             yield from passed_on(self._state, delivery, attempt.chosen, step)
 
     def _begin_attempt(self, delivery: DeliveryState) -> Attempt:
--- a/apps/cowslipstepd/src/cowslipstep/serving/_response_parts.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_response_parts.py
@@ -49,8 +49,7 @@
     streamed: StreamedEvents,
 ) -> None:
     state.suspicions.clear(chosen.runner.name)
-    if streamed.progress is not delivery.progress:
-        # The first events of this attempt.
+    if streamed.is_first:
         state.harmful_prompts.clear(delivery.routed.request)
-        delivery.progress = streamed.progress
+    delivery.progress = streamed.progress
     delivery.timer.record_events(streamed.start, delivery.now_s)
--- a/apps/cowslipstepd/src/cowslipstep/serving/_response_steps.py
+++ b/apps/cowslipstepd/src/cowslipstep/serving/_response_steps.py
@@ -43,12 +43,15 @@
         What the caller has of the stream once they are passed on.
     start
         When the attempt was sent.
+    is_first
+        Whether they are the first ones of the attempt.
     """
 
     head: ResponseHead
     events: bytes
     progress: StreamProgress
     start: AttemptStart
+    is_first: bool
 
 
 @frozen
--- a/apps/cowslipstepd/tests/_sender_state.py
+++ b/apps/cowslipstepd/tests/_sender_state.py
@@ -13,12 +13,14 @@
 from cowslipstep.serving._attempt_records import AttemptRecords
 from cowslipstep.serving._attempts import Attempts
 from cowslipstep.serving._metrics import RequestMetrics
+from cowslipstep.serving._substitute_choice import SubstituteChoice
 from cowslipstep.serving._suspicions import Suspicions
 
 
 def attempts_of(state: Any, choice: Any) -> Attempts:
     """Return what begins attempts at the upstreams of a choice."""
-    return Attempts(state, AttemptRecords(state, RequestMetrics()), choice)
+    records = AttemptRecords(state, RequestMetrics())
+    return Attempts(state, records, SubstituteChoice(state, choice))
 
 
 def sender_state() -> types.SimpleNamespace:
--- a/apps/cowslipstepd/tests/test_overlapping_attempts.py
+++ b/apps/cowslipstepd/tests/test_overlapping_attempts.py
@@ -80,3 +80,10 @@
 ) -> None:
     got = delivered((SendEvents(begun), Wait(silence_s)), beside)
     assert (got.events, got.whole) == (EVENTS, True)
+
+
+# A slow upstream that sent an event now and then ended each attempt beside it.
+def test_slow_upstream_is_replaced() -> None:
+    slow = (SendEvents(1), Wait(0.75), SendEvents(1), Wait(9))
+    got = delivered(slow, (Wait(0.3),))
+    assert (got.events, got.whole) == (EVENTS, True)
