--- a/apps/cowslipstepd/tests/test_overlapping_attempts.py
+++ b/apps/cowslipstepd/tests/test_overlapping_attempts.py
@@ -85,6 +85,6 @@
 # A slow upstream that sent an event now and then ended each attempt beside it.
 def test_slow_upstream_is_replaced() -> None:
     one = SendEvents(1)
-    slow = (one, Wait(0.75), one, Wait(9))
+    slow = (one, Wait(0.55), one, Wait(9))
     got = delivered(slow, (Wait(0.3),))
     assert (got.events, got.whole) == (EVENTS, True)
