--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES := libs apps standins platform tests bench conftest.py
 STAMP := .venv/.installed
 
-.PHONY: setup demo serve test lint format bench bench-day soak
+.PHONY: setup demo serve test lint format bench bench-day soak takeovers
 
 setup: $(STAMP)
 
@@ -41,6 +41,11 @@
 soak: setup
 	$(BIN)/python -W ignore -m cowslipstep_standins.soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1)
 
+# Plays controllers that take over from each other in simulated time:
+# make takeovers SEED=0 SEEDS=3000.
+takeovers: setup
+	$(BIN)/python -W ignore -m cowslipstep_standins.takeovers --seed $(or $(SEED),0) --seeds $(or $(SEEDS),100)
+
 # Runs a day of a site with the users' benchmark, which is not part of this
 # repository; FLEETBENCH is its command.
 bench-day:
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -98,7 +98,7 @@
 
 # A late command to join another group reached the leader of a group that had
 # been opened meanwhile.
-def test_superseded_group_is_left_instead_of_opened() -> None:
+def test_superseded_group_is_not_opened() -> None:
     planner = new_planner()
     assert formed(planner.decide(view_of(free_runner(0), free_runner(1))))
     # The command of an earlier controller took effect first.
--- /dev/null
+++ b/standins/src/cowslipstep_standins/takeovers/__init__.py
@@ -0,0 +1,1 @@
+"""Model of controllers that take over from each other."""
--- a/apps/cowslipstepd/tests/_aging_store.py
+++ b/standins/src/cowslipstep_standins/takeovers/_aging_store.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import eventlet
-from _simulated_time import STEP_S, SimulatedTime
+from cowslipstep_standins.takeovers._simulated_time import STEP_S, SimulatedTime
 from attrs import define, field, frozen
 
 from cowslipstep.model import MayHaveRun, Reason
--- a/apps/cowslipstepd/tests/_controlled_fleet.py
+++ b/standins/src/cowslipstep_standins/takeovers/_controlled_fleet.py
@@ -7,15 +7,21 @@
 import time
 from collections.abc import Iterator
 from typing import Any
+from unittest import mock
 
 import eventlet
-import pytest
-from _aging_store import AgingStore, StoreClient
-from _controlling_daemon import Daemon, start_daemon
-from _group_commands import CommandEncoding, GroupCommands
-from _grouped_runners import GroupedRunners
-from _simulated_time import SimulatedTime
-from attrs import define, field
+from cowslipstep_standins.takeovers._aging_store import AgingStore, StoreClient
+from cowslipstep_standins.takeovers._controlling_daemon import (
+    Daemon,
+    start_daemon,
+)
+from cowslipstep_standins.takeovers._group_commands import (
+    CommandEncoding,
+    GroupCommands,
+)
+from cowslipstep_standins.takeovers._grouped_runners import GroupedRunners
+from cowslipstep_standins.takeovers._simulated_time import SimulatedTime
+from attrs import define, field, frozen
 
 from cowslipstep.serving import _command_sender
 
@@ -97,17 +103,35 @@
             self.store.clock.run_until(self.store.clock.now_s + pause_s)
 
 
+@frozen
+class StackedPatches:
+    """Replaces attributes until a stack is closed."""
+
+    stack: contextlib.ExitStack
+
+    def setattr(self, target: Any, name: str, replacement: Any) -> None:
+        """Replace an attribute."""
+        self.stack.enter_context(mock.patch.object(target, name, replacement))
+
+
+@contextlib.contextmanager
+def patched() -> Iterator[StackedPatches]:
+    """Yield what replaces attributes until the end of the block."""
+    with contextlib.ExitStack() as stack:
+        yield StackedPatches(stack)
+
+
 @contextlib.contextmanager
 def controlled_fleet(seed: int) -> Iterator[ControlledFleet]:
     """Yield a fleet whose groups are formed, then end its daemons."""
-    with pytest.MonkeyPatch.context() as monkeypatch:
-        clock = SimulatedTime(monkeypatch)
+    with patched() as patches:
+        clock = SimulatedTime(patches)
         clock.now_s = _STARTED_S
         # For the delays that daemons draw themselves.
         random.seed(seed)
-        monkeypatch.setattr(time, 'clock_gettime', lambda _clock: clock.now_s)
+        patches.setattr(time, 'clock_gettime', lambda _clock: clock.now_s)
         fleet = _new_fleet(clock, random.Random(seed))  # noqa: S311
-        monkeypatch.setattr(_command_sender, 'open_response', fleet.respond)
+        patches.setattr(_command_sender, 'open_response', fleet.respond)
         fleet.start()
         clock.run_until(_STARTED_S + _FORMED_AFTER_S)
         yield fleet
--- a/apps/cowslipstepd/tests/_controlling_daemon.py
+++ b/standins/src/cowslipstep_standins/takeovers/_controlling_daemon.py
@@ -6,9 +6,15 @@
 from typing import Any
 
 import eventlet
-from _aging_store import StoreClient
-from _grouped_runner import MODEL, SERVICE, decode_runner
-from _grouped_runners import HEARTBEAT_S, RUNNERS_KIND
+from cowslipstep_standins.takeovers._grouped_runner import (
+    MODEL,
+    SERVICE,
+    decode_runner,
+)
+from cowslipstep_standins.takeovers._grouped_runners import (
+    HEARTBEAT_S,
+    RUNNERS_KIND,
+)
 from attrs import define
 
 from cowslipstep.fleet import (
@@ -37,13 +43,13 @@
 _ENGINE = EngineProfile(
     slots=9,
     models=(ModelProfile(MODEL, group_size=2),),
-    step_s=0.008,
-    sequence_step_s=0.0002,
-    prefill_tokens_per_s=45900,
-    stride=5,
-    loads_per_s=50,
-    loads_at_once=50,
-    usual_output_tokens=150,
+    step_s=0.1,
+    sequence_step_s=0,
+    prefill_tokens_per_s=1000,
+    stride=1,
+    loads_per_s=100,
+    loads_at_once=100,
+    usual_output_tokens=100,
 )
 
 
@@ -80,9 +86,10 @@
             task.kill()
 
 
-def start_daemon(name: str, client: StoreClient, encoding: Any) -> Daemon:
+def start_daemon(name: str, client: Any, encoding: Any) -> Daemon:
     """Start the tasks of a daemon that read runners and control groups."""
     state = _state(name, encoding)
+    # It stands in for the client of a store over HTTP.
     state.platform = client
     watch = KindWatch(
         client,
@@ -90,7 +97,8 @@
         RunnerObserver(state.runner_entries, _REGISTRATION_S),
         WatchSchedule(lambda: _WATCH_INTERVAL_S, bool),
     )
-    controller = GroupController(state, Views(state))
+    views: Any = Views(state)
+    controller = GroupController(state, views)
     tasks = [eventlet.spawn(watch.run), eventlet.spawn(controller.run)]
     return Daemon(state, tasks)
 
--- a/apps/cowslipstepd/tests/_group_commands.py
+++ b/standins/src/cowslipstep_standins/takeovers/_group_commands.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 import eventlet
-from _grouped_runner import GroupedRunner
-from _grouped_runners import GroupedRunners
+from cowslipstep_standins.takeovers._grouped_runner import GroupedRunner
+from cowslipstep_standins.takeovers._grouped_runners import GroupedRunners
 from attrs import define, field, frozen
 
 from cowslipstep.daemon._upstream_failures import UpstreamFailure
@@ -89,8 +89,12 @@
                 return self._change(runner, command)
         return _UNFIT
 
-    def _change(self, runner: GroupedRunner, command: GroupCommand) -> int:
-        if not runner.is_in(command.group):
+    def _change(
+        self,
+        runner: GroupedRunner,
+        command: OpenCommand | CloseCommand | LeaveCommand,
+    ) -> int:
+        if not runner.is_in(command.group.epoch):
             return _UNFIT
         match command:
             case OpenCommand(group) if runner.is_ready_head:
@@ -112,7 +116,7 @@
     ) -> int:
         if group.epoch < runner.epoch:
             return _OUTDATED
-        if runner.is_in(group):
+        if runner.is_in(group.epoch):
             return _DONE
         if self._would_break(runner):
             self.broken.append(f'{runner.name} joins {group.name}')
@@ -129,14 +133,14 @@
         if at is None:
             return False
         head = self.runners.lives[runner.members[0]]
-        return head.is_serving and head.position.epoch == at.epoch
+        return head.is_serving and head.is_in(at.epoch)
 
     def _follow(
         self, runner: GroupedRunner, group: GroupId, former: MemberState
     ) -> None:
         """Enter the state that follows one, if the runner is still in it."""
         at = runner.position
-        if at and runner.is_in(group) and at.state is former:
+        if at and runner.is_in(group.epoch) and at.state is former:
             self._enter(runner, group, _FOLLOWING[former])
 
     def _enter(
--- a/apps/cowslipstepd/tests/_grouped_runner.py
+++ b/standins/src/cowslipstep_standins/takeovers/_grouped_runner.py
@@ -51,10 +51,9 @@
         at = self.position
         return at is not None and at.rank == 0 and at.state is MemberState.ready
 
-    def is_in(self, group: GroupId) -> bool:
-        """Return whether it is in a group."""
-        at = self.position
-        return at is not None and at.epoch == group.epoch
+    def is_in(self, epoch: int) -> bool:
+        """Return whether it is in the group of that number."""
+        return self.position is not None and self.position.epoch == epoch
 
     def enter(self, group: GroupId, state: MemberState) -> None:
         """Be in a group, in this state."""
--- a/apps/cowslipstepd/tests/_grouped_runners.py
+++ b/standins/src/cowslipstep_standins/takeovers/_grouped_runners.py
@@ -5,8 +5,8 @@
 import random
 
 import eventlet
-from _aging_store import AgingStore
-from _grouped_runner import GroupedRunner
+from cowslipstep_standins.takeovers._aging_store import AgingStore
+from cowslipstep_standins.takeovers._grouped_runner import GroupedRunner
 from attrs import define, field
 
 from cowslipstep.platform import ObjectKey
