--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES := libs apps standins platform tests bench conftest.py
 STAMP := .venv/.installed
 
-.PHONY: setup demo serve test lint format bench bench-day soak takeovers
+.PHONY: setup demo serve test lint format bench bench-day soak serving-soak takeovers
 
 setup: $(STAMP)
 
@@ -46,6 +46,11 @@
 takeovers: setup
 	$(BIN)/python -W ignore -m cowslipstep_standins.takeovers --seed $(or $(SEED),0) --seeds $(or $(SEEDS),100)
 
+# Runs serving daemons with stale lists, silent runners, restarts and leavers:
+# make serving-soak SEED=1 SEEDS=50.
+serving-soak: setup
+	$(BIN)/python -W ignore -m cowslipstep_standins.serving_soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1)
+
 # Runs a day of a site with the users' benchmark, which is not part of this
 # repository; FLEETBENCH is its command.
 bench-day:
--- /dev/null
+++ b/standins/src/cowslipstep_standins/serving_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of serving daemons before runners in groups, as real processes."""
--- a/standins/src/cowslipstep_standins/takeovers/_aging_store.py
+++ b/standins/src/cowslipstep_standins/takeovers/_aging_store.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import random
+from typing import Protocol
 from typing import Any
 
 import eventlet
-from cowslipstep_standins.takeovers._simulated_time import STEP_S, SimulatedTime
+from cowslipstep_standins.takeovers._simulated_time import STEP_S
 from attrs import define, field, frozen
 
 from cowslipstep.model import MayHaveRun, Reason
@@ -41,6 +42,14 @@
     stored: dict[ObjectKey, StoredObject]
 
 
+class Clock(Protocol):
+    """Tells the time of a store."""
+
+    @property
+    def now_s(self) -> float:
+        """Reading of a monotonic clock, seconds."""
+
+
 @define
 class AgingStore:
     """Objects with one revision, and all that they were.
@@ -48,14 +57,14 @@
     Attributes
     ----------
     clock
-        Simulated time.
+        Real or simulated time.
     chance
         Draws ages, and lost responses.
     read_delay_s
         Time that a list or watch takes.
     """
 
-    clock: SimulatedTime
+    clock: Clock
     chance: random.Random
     read_delay_s: float = STEP_S
     era: int = 1
--- a/standins/src/cowslipstep_standins/takeovers/_controlled_fleet.py
+++ b/standins/src/cowslipstep_standins/takeovers/_controlled_fleet.py
@@ -39,6 +39,7 @@
 class ControlledFleet:
     """Daemons of which one decides at a time, and what befalls them."""
 
+    clock: SimulatedTime
     store: AgingStore
     runners: GroupedRunners
     commands: GroupCommands
@@ -96,11 +97,11 @@
             self.store.forget,
             self.store.restore,
         )
-        while self.store.clock.now_s < until_s:
+        while self.clock.now_s < until_s:
             is_rare = self.chance.random() < _RARE_SHARE
             self.chance.choice(rare if is_rare else usual)()
             pause_s = self.chance.choice(_PAUSES_S)
-            self.store.clock.run_until(self.store.clock.now_s + pause_s)
+            self.clock.run_until(self.clock.now_s + pause_s)
 
 
 @frozen
@@ -142,6 +143,5 @@
     store = AgingStore(clock, chance, chance.choice(_READ_DELAYS_S))
     runners = GroupedRunners(store, chance)
     late_share = chance.choice(_LATE_SHARES)
-    return ControlledFleet(
-        store, runners, GroupCommands(runners, late_share), chance
-    )
+    commands = GroupCommands(runners, late_share)
+    return ControlledFleet(clock, store, runners, commands, chance)
--- a/standins/src/cowslipstep_standins/takeovers/_controlling_daemon.py
+++ b/standins/src/cowslipstep_standins/takeovers/_controlling_daemon.py
@@ -40,7 +40,7 @@
 _REGISTRATION_S = HEARTBEAT_S + 0.5
 _WATCH_INTERVAL_S = 0.3
 _ANYWHERE = Address('127.0.0.1', 1)
-_ENGINE = EngineProfile(
+ENGINE = EngineProfile(
     slots=9,
     models=(ModelProfile(MODEL, group_size=2),),
     step_s=0.1,
@@ -126,5 +126,5 @@
 
 
 def _configuration(_document: str) -> ServingConfiguration:
-    service = ServiceConfiguration(SERVICE, _ENGINE)
+    service = ServiceConfiguration(SERVICE, ENGINE)
     return ServingConfiguration(1, (), {SERVICE: service}, CallerLimits(1000))
--- a/standins/src/cowslipstep_standins/takeovers/_grouped_runners.py
+++ b/standins/src/cowslipstep_standins/takeovers/_grouped_runners.py
@@ -36,12 +36,13 @@
     chance: random.Random
     lives: dict[str, GroupedRunner] = field(factory=dict)
 
-    def start_one(self) -> None:
-        """Start a runner, which registers itself."""
-        runner = GroupedRunner(len(self.lives) + 1)
+    def start_one(self, number: int | None = None) -> GroupedRunner:
+        """Start a runner, which registers itself; its port is its number."""
+        runner = GroupedRunner(number or len(self.lives) + 1)
         self.lives[runner.name] = runner
         self.report(runner)
         eventlet.spawn(self._beat, runner)
+        return runner
 
     def drain_one(self) -> None:
         """Let a runner leave as planned."""
